--- /dev/null
+++ b/src/cli/settings.ts
@@ -0,0 +1,24 @@
+/** Settings of each subcommand: flags and `PARSLEYNOTCH_*` env vars (commander), checked by schema at start. */
+import * as Schema from "effect/Schema";
+import { Failure } from "../common/errors.ts";
+
+/** A TCP port given as a string (0: any free port). */
+export const PortSetting = Schema.FiniteFromString.check(
+  Schema.isInt(),
+  Schema.isBetween({ minimum: 0, maximum: 65535 }),
+);
+/** A positive whole number given as a string. */
+export const CountSetting = Schema.FiniteFromString.check(Schema.isInt(), Schema.isGreaterThan(0));
+/** A non-negative number given as a string. */
+export const AmountSetting = Schema.FiniteFromString.check(Schema.isGreaterThanOrEqualTo(0));
+/** An http URL. */
+export const UrlSetting = Schema.String.check(Schema.isPattern(/^https?:\/\/[^\s/]+(:\d+)?$/));
+/** A zone or id name. */
+export const NameSetting = Schema.String.check(Schema.isPattern(/^[a-z0-9][a-z0-9._-]{0,62}$/));
+
+/** Checks raw settings against `schema`; throws `bad-settings` naming the setting and what was expected. */
+export function checkSettings<A>(schema: Schema.Codec<A, unknown>, raw: unknown): A {
+  const decoded = Schema.decodeUnknownExit(schema)(raw);
+  if (decoded._tag === "Success") return decoded.value;
+  throw new Failure("bad-settings", `bad setting: ${String(decoded.cause)}`);
+}
--- /dev/null
+++ b/src/cli/templateStore.ts
@@ -0,0 +1,54 @@
+/**
+ * Operator template commands against the table service: create, apply (change), retire, list. Writes are
+ * conditional on the version read, so operators racing on one template get one winner and a `conflict`.
+ */
+import { decode } from "../common/decode.ts";
+import { Failure } from "../common/errors.ts";
+import type { PlatformClient } from "../common/platformClient.ts";
+import { StoredTemplate, Template, templatePrefix } from "../common/template.ts";
+
+/** Template commands over one platform client. */
+export class TemplateStore {
+  constructor(private readonly platform: PlatformClient) {}
+
+  /** Creates a template; `conflict` if one of that name exists. Returns its version (1). */
+  async create(input: unknown): Promise<number> {
+    const template = decode(Template, input, "bad-template");
+    return this.write(template, 0, false);
+  }
+
+  /**
+   * Changes a template. With `expectVersion` the write applies only to that version; without it, to the
+   * version just read. Either way a concurrent change makes this one fail with `conflict`.
+   */
+  async apply(input: unknown, expectVersion?: number): Promise<number> {
+    const template = decode(Template, input, "bad-template");
+    const current = await this.read(template.name);
+    return this.write(template, expectVersion ?? current.version, false);
+  }
+
+  /** Retires a template: its models are unloaded and its customer loses access to them. */
+  async retire(name: string, expectVersion?: number): Promise<number> {
+    const current = await this.read(name);
+    return this.write(current.template, expectVersion ?? current.version, true);
+  }
+
+  /** Lists stored templates. */
+  async list(): Promise<StoredTemplate[]> {
+    const { rows } = await this.platform.scan(templatePrefix);
+    return rows.map((row) => decode(StoredTemplate, row.value, "internal"));
+  }
+
+  private async read(name: string): Promise<StoredTemplate> {
+    const row = await this.platform.get(templatePrefix + name);
+    if (row === null) throw new Failure("bad-template", `no template named ${name}; create it first`);
+    return decode(StoredTemplate, row.value, "internal");
+  }
+
+  private async write(template: Template, expectVersion: number, retired: boolean): Promise<number> {
+    const version = expectVersion + 1;
+    const value: StoredTemplate = { template, version, retired };
+    await this.platform.commit([{ key: templatePrefix + template.name, value, expectVersion }]);
+    return version;
+  }
+}
--- /dev/null
+++ b/src/common/engineProtocol.ts
@@ -0,0 +1,43 @@
+/** Messages between entry nodes and model engines: orders (load, unload, role) and status reports. */
+import * as Schema from "effect/Schema";
+
+/** An order to load a model (with adapters) at a version; `fencing` is the placement lease epoch. */
+export const LoadOrder = Schema.Struct({
+  model: Schema.String,
+  version: Schema.String,
+  sizeMb: Schema.Number,
+  adapters: Schema.Array(Schema.Struct({ name: Schema.String, sizeMb: Schema.Number })),
+  fencing: Schema.Number,
+});
+/** A decoded load order. */
+export type LoadOrder = typeof LoadOrder.Type;
+
+/** An order to unload a model. */
+export const UnloadOrder = Schema.Struct({ model: Schema.String, fencing: Schema.Number });
+/** A decoded unload order. */
+export type UnloadOrder = typeof UnloadOrder.Type;
+
+/** A model resident on an engine. */
+export const Resident = Schema.Struct({
+  model: Schema.String,
+  version: Schema.String,
+  sizeMb: Schema.Number,
+  adapters: Schema.Array(Schema.String),
+  state: Schema.Literals(["loading", "ready"]),
+});
+/** A decoded resident model. */
+export type Resident = typeof Resident.Type;
+
+/** What an engine reports of itself; `load` is requests in flight, possibly stale by the engine's report lag. */
+export const EngineStatus = Schema.Struct({
+  id: Schema.String,
+  zone: Schema.String,
+  capacityMb: Schema.Number,
+  usedMb: Schema.Number,
+  residents: Schema.Array(Resident),
+  load: Schema.Number,
+  fencing: Schema.Number,
+  role: Schema.String,
+});
+/** A decoded engine status. */
+export type EngineStatus = typeof EngineStatus.Type;
--- /dev/null
+++ b/src/common/errors.ts
@@ -0,0 +1,118 @@
+/**
+ * The one closed list of error kinds, and the one table from kind to answer
+ * (HTTP status, process exit code, retry advice). Every failure the system reports is a `Failure`.
+ */
+import * as Schema from "effect/Schema";
+
+/** Every kind of failure the system can report. Closed: add a kind here and in `answers`. */
+export const ErrorKind = Schema.Literals([
+  "bad-request",
+  "bad-settings",
+  "bad-template",
+  "body-too-large",
+  "unknown-customer",
+  "unknown-model",
+  "unknown-service",
+  "conflict",
+  "in-progress",
+  "no-replica",
+  "not-run",
+  "outcome-unknown",
+  "draining",
+  "platform-unavailable",
+  "rate-limited",
+  "stale-fencing",
+  "over-capacity",
+  "upstream-failed",
+  "deadline-exceeded",
+  "internal",
+]);
+/** A member of the closed list of error kinds. */
+export type ErrorKind = typeof ErrorKind.Type;
+
+/** How one kind of failure is answered: HTTP status, exit code of a CLI, seconds to wait before retrying (0: do not retry). */
+export interface Answer {
+  readonly status: number;
+  readonly exitCode: number;
+  readonly retryAfterSeconds: number;
+}
+
+/** Kind → answer. `not-run` means provably not executed; `outcome-unknown` means it may have run. */
+export const answers: Readonly<Record<ErrorKind, Answer>> = {
+  "bad-request": { status: 400, exitCode: 2, retryAfterSeconds: 0 },
+  "bad-settings": { status: 400, exitCode: 78, retryAfterSeconds: 0 },
+  "bad-template": { status: 422, exitCode: 65, retryAfterSeconds: 0 },
+  "body-too-large": { status: 413, exitCode: 2, retryAfterSeconds: 0 },
+  "unknown-customer": { status: 401, exitCode: 67, retryAfterSeconds: 0 },
+  "unknown-model": { status: 404, exitCode: 66, retryAfterSeconds: 0 },
+  "unknown-service": { status: 404, exitCode: 66, retryAfterSeconds: 0 },
+  conflict: { status: 409, exitCode: 75, retryAfterSeconds: 0 },
+  "in-progress": { status: 409, exitCode: 75, retryAfterSeconds: 1 },
+  "no-replica": { status: 503, exitCode: 69, retryAfterSeconds: 2 },
+  "not-run": { status: 503, exitCode: 69, retryAfterSeconds: 1 },
+  "outcome-unknown": { status: 504, exitCode: 70, retryAfterSeconds: 0 },
+  draining: { status: 503, exitCode: 69, retryAfterSeconds: 1 },
+  "platform-unavailable": { status: 503, exitCode: 69, retryAfterSeconds: 2 },
+  "rate-limited": { status: 429, exitCode: 75, retryAfterSeconds: 1 },
+  "stale-fencing": { status: 409, exitCode: 75, retryAfterSeconds: 0 },
+  "over-capacity": { status: 507, exitCode: 73, retryAfterSeconds: 5 },
+  "upstream-failed": { status: 502, exitCode: 69, retryAfterSeconds: 1 },
+  "deadline-exceeded": { status: 504, exitCode: 70, retryAfterSeconds: 0 },
+  internal: { status: 500, exitCode: 70, retryAfterSeconds: 1 },
+};
+
+/** The wire shape of a failure in HTTP bodies and JSON-RPC error data. */
+export const FailureBody = Schema.Struct({
+  error: Schema.Struct({
+    kind: ErrorKind,
+    message: Schema.String,
+    retryAfterSeconds: Schema.Number,
+    requestId: Schema.optionalKey(Schema.String),
+  }),
+});
+/** A decoded failure body. */
+export type FailureBody = typeof FailureBody.Type;
+
+/** A failure of a known kind; `message` says what was expected, what happened and what to do. */
+export class Failure extends Error {
+  override readonly name = "Failure";
+
+  constructor(
+    readonly kind: ErrorKind,
+    message: string,
+    readonly requestId?: string,
+  ) {
+    super(message);
+  }
+
+  /** The answer for this failure's kind. */
+  get answer(): Answer {
+    return answers[this.kind];
+  }
+
+  /** This failure as an HTTP / RPC body. */
+  toBody(): FailureBody {
+    return {
+      error: {
+        kind: this.kind,
+        message: this.message,
+        retryAfterSeconds: this.answer.retryAfterSeconds,
+        ...(this.requestId === undefined ? {} : { requestId: this.requestId }),
+      },
+    };
+  }
+
+  /** Rebuilds a failure from a body a peer sent, or `undefined` if it is not one. */
+  static fromBody(body: unknown): Failure | undefined {
+    const decoded = Schema.decodeUnknownOption(FailureBody)(body);
+    if (decoded._tag === "None") return undefined;
+    const { kind, message, requestId } = decoded.value.error;
+    return new Failure(kind, message, requestId);
+  }
+}
+
+/** Wraps anything thrown into a `Failure`, keeping a `Failure` as it is. */
+export function toFailure(error: unknown, kind: ErrorKind = "internal"): Failure {
+  if (error instanceof Failure) return error;
+  return new Failure(kind, error instanceof Error ? error.message : String(error));
+}
--- /dev/null
+++ b/src/common/http.ts
@@ -0,0 +1,75 @@
+/** Small helpers over Node's `http` for JSON bodies with a size limit and failure answers. */
+import type * as http from "node:http";
+import { Failure } from "./errors.ts";
+
+/** Largest request body accepted by default, in bytes. */
+export const defaultBodyLimit = 1024 * 1024;
+
+/** Reads the whole body as JSON; rejects with `body-too-large` past `limit` bytes and `bad-request` on bad JSON. */
+export async function readJson(req: http.IncomingMessage, limit = defaultBodyLimit): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > limit) throw new Failure("body-too-large", `body is over ${limit} bytes; send a smaller one`);
+    chunks.push(chunk);
+  }
+  const text = Buffer.concat(chunks).toString("utf8");
+  if (text.length === 0) return {};
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    throw new Failure("bad-request", "body is not valid JSON");
+  }
+}
+
+/** Writes a JSON answer. */
+export function sendJson(res: http.ServerResponse, status: number, body: unknown): void {
+  const text = JSON.stringify(body);
+  res.writeHead(status, { "content-type": "application/json", "content-length": Buffer.byteLength(text) });
+  res.end(text);
+}
+
+/** Writes a failure with its status and, where retrying helps, a `Retry-After` header in seconds. */
+export function sendFailure(res: http.ServerResponse, failure: Failure): void {
+  if (res.headersSent) {
+    res.destroy();
+    return;
+  }
+  const { status, retryAfterSeconds } = failure.answer;
+  // Guards "the next request on this connection is reset": after an oversize body the rest of it is still
+  // in the socket, so the connection is closed rather than reused for another request.
+  if (failure.kind === "body-too-large") res.setHeader("connection", "close");
+  if (retryAfterSeconds > 0) res.setHeader("retry-after", String(retryAfterSeconds));
+  sendJson(res, status, failure.toBody());
+}
+
+/** Starts listening and resolves with the bound port (useful with port 0). */
+export async function listen(server: http.Server, host: string, port: number): Promise<number> {
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, () => {
+      server.off("error", reject);
+      resolve();
+    });
+  });
+  const address = server.address();
+  if (address === null || typeof address === "string") throw new Failure("internal", "server has no port");
+  return address.port;
+}
+
+/** Closes a server, ending idle keep-alive sockets so that close does not wait for them. */
+export async function close(server: http.Server): Promise<void> {
+  await new Promise<void>((resolve) => {
+    server.close(() => {
+      resolve();
+    });
+    server.closeIdleConnections();
+  });
+}
+
+/** The first value of a request header, if present. */
+export function headerOf(req: http.IncomingMessage, name: string): string | undefined {
+  const value = req.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
--- /dev/null
+++ b/src/common/rpc.ts
@@ -0,0 +1,89 @@
+/**
+ * JSON-RPC 2.0 between our processes (and to the platform stand-in), over HTTP POST `/rpc`.
+ * Failures travel as JSON-RPC errors whose `data` is a `FailureBody`, so the kind survives the hop.
+ */
+import type * as http from "node:http";
+import * as jsonrpc from "json-rpc-2.0";
+import * as Schema from "effect/Schema";
+import { Failure, toFailure } from "./errors.ts";
+import { decode } from "./decode.ts";
+import { readJson, sendJson } from "./http.ts";
+
+/** A method handler: decoded params in, a JSON-able result out. */
+export type Handler = (params: unknown) => Promise<unknown>;
+
+/** Serves a table of named handlers. */
+export class RpcEndpoint {
+  // Failures are answered to the caller and logged by the roles; the library's own console output is off.
+  private readonly server = new jsonrpc.JSONRPCServer({ errorListener: () => undefined });
+
+  constructor(handlers: Readonly<Record<string, Handler>>) {
+    for (const [name, handler] of Object.entries(handlers)) {
+      this.server.addMethod(name, async (params: unknown) => {
+        try {
+          return await handler(params);
+        } catch (error) {
+          const failure = toFailure(error);
+          throw new jsonrpc.JSONRPCErrorException(failure.message, failure.answer.status, failure.toBody());
+        }
+      });
+    }
+  }
+
+  /** Answers one HTTP request carrying a JSON-RPC call. */
+  async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    const body = await readJson(req);
+    const reply = await this.server.receive(body as jsonrpc.JSONRPCRequest);
+    sendJson(res, 200, reply ?? {});
+  }
+}
+
+/** Options of an `RpcClient`. */
+export interface RpcClientOptions {
+  /** Base URL of the peer, e.g. `http://127.0.0.1:7000`. */
+  readonly url: string;
+  /** Per-call timeout in ms; a silent connection fails the call instead of hanging it. */
+  readonly timeoutMs?: number;
+}
+
+const clientDefaults = { timeoutMs: 2000 };
+
+/** Calls a peer's handlers; every failure comes back as a `Failure` (`platform-unavailable` if unreachable). */
+export class RpcClient {
+  private readonly client: jsonrpc.JSONRPCClient;
+  private readonly timeoutMs: number;
+
+  constructor(options: RpcClientOptions) {
+    this.timeoutMs = options.timeoutMs ?? clientDefaults.timeoutMs;
+    const endpoint = `${options.url}/rpc`;
+    this.client = new jsonrpc.JSONRPCClient(async (request) => {
+      const response = await fetch(endpoint, {
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify(request),
+        signal: AbortSignal.timeout(this.timeoutMs),
+      });
+      this.client.receive((await response.json()) as jsonrpc.JSONRPCResponse);
+    });
+  }
+
+  /** Calls `method` and decodes its result with `schema`. */
+  async call<A>(method: string, params: unknown, schema: Schema.Codec<A>): Promise<A> {
+    let result: unknown;
+    try {
+      result = await this.client.request(method, params);
+    } catch (error) {
+      if (error instanceof jsonrpc.JSONRPCErrorException) {
+        throw Failure.fromBody(error.data) ?? new Failure("internal", error.message);
+      }
+      throw new Failure(
+        "platform-unavailable",
+        `${method}: ${error instanceof Error ? error.message : String(error)}`,
+      );
+    }
+    return Schema.decodeUnknownSync(schema)(result);
+  }
+}
+
+/** Decodes handler params, answering `bad-request` when they do not fit. */
+export const decodeParams = decode;
--- /dev/null
+++ b/src/common/supervisor.ts
@@ -0,0 +1,83 @@
+/**
+ * The supervisor tree: a supervisor starts its child tasks in order and stops them in reverse.
+ * A task owns its sockets, timers and state; it talks to others only through the messages it exposes.
+ */
+import type { Log } from "./log.ts";
+
+/** A long-lived unit of work with its own resources. */
+export interface Task {
+  readonly name: string;
+  start(): Promise<void>;
+  dispose(): Promise<void>;
+}
+
+/** Starts children in order, stops them in reverse; a child that fails to start stops those before it. */
+export class Supervisor implements Task {
+  private readonly started: Task[] = [];
+
+  constructor(
+    readonly name: string,
+    private readonly children: readonly Task[],
+    private readonly log: Log,
+  ) {}
+
+  /** Starts every child in order. */
+  async start(): Promise<void> {
+    for (const child of this.children) {
+      try {
+        await child.start();
+      } catch (error) {
+        this.log.error({ event: "start-failed", task: child.name, error: String(error) });
+        await this.dispose();
+        throw error;
+      }
+      this.started.push(child);
+    }
+  }
+
+  /** Stops started children, last first. */
+  async dispose(): Promise<void> {
+    for (const child of this.started.splice(0).reverse()) await child.dispose();
+  }
+}
+
+/**
+ * Runs `step` every `everyMs` until disposed, never two at once. A step that throws is logged and the
+ * loop goes on: one bad round (a platform outage, a dead peer) must not end the task.
+ */
+export class Loop {
+  private timer: NodeJS.Timeout | undefined;
+  private running = false;
+
+  constructor(
+    private readonly name: string,
+    private readonly everyMs: number,
+    private readonly step: () => Promise<void>,
+    private readonly log: Log,
+  ) {}
+
+  /** Runs the first step now and schedules the rest. */
+  async start(): Promise<void> {
+    await this.tick();
+    this.timer = setInterval(() => void this.tick(), this.everyMs);
+    this.timer.unref();
+  }
+
+  /** Runs one step now (if none is running); for tests and for pushing a change through. */
+  async tick(): Promise<void> {
+    if (this.running) return;
+    this.running = true;
+    try {
+      await this.step();
+    } catch (error) {
+      this.log.warn({ event: "step-failed", loop: this.name, error: String(error) });
+    } finally {
+      this.running = false;
+    }
+  }
+
+  /** Stops scheduling steps. */
+  dispose(): void {
+    clearInterval(this.timer);
+  }
+}
--- /dev/null
+++ b/src/engine/engineServer.ts
@@ -0,0 +1,225 @@
+/**
+ * The model-engine stand-in process: OpenAI-style completions with simulated token timing, and a JSON-RPC
+ * control endpoint for orders (load, unload, role) carrying fencing numbers. No real weights.
+ */
+import * as http from "node:http";
+import * as crypto from "node:crypto";
+import * as Schema from "effect/Schema";
+import { DisposableStore } from "../common/disposables.ts";
+import * as protocol from "../common/engineProtocol.ts";
+import { Failure, toFailure } from "../common/errors.ts";
+import { decode } from "../common/decode.ts";
+import { close, headerOf, listen, readJson, sendFailure, sendJson } from "../common/http.ts";
+import { createLog } from "../common/log.ts";
+import { CompletionRequest, headers, promptOf } from "../common/openai.ts";
+import { PlatformClient } from "../common/platformClient.ts";
+import { decodeParams, RpcEndpoint } from "../common/rpc.ts";
+import { Priority } from "../common/template.ts";
+import { Batcher, type BatcherOptions } from "./batcher.ts";
+import { Memory, type FencingPolicy } from "./memory.ts";
+
+/** Options of an `EngineServer`. */
+export interface EngineServerOptions {
+  readonly id?: string;
+  readonly zone?: string;
+  readonly host?: string;
+  readonly port?: number;
+  readonly capacityMb?: number;
+  readonly fencingPolicy?: FencingPolicy;
+  /** Platform URL for weight fetches; without it loads take `loadMs` and skip the weight store. */
+  readonly platformUrl?: string;
+  /** Extra time a load takes after the weights arrive, in ms. */
+  readonly loadMs?: number;
+  /** How stale the reported load is, in ms. */
+  readonly reportLagMs?: number;
+  readonly batcher?: BatcherOptions;
+}
+
+const defaults = {
+  id: "engine",
+  zone: "zone-a",
+  host: "127.0.0.1",
+  port: 0,
+  capacityMb: 80_000,
+  fencingPolicy: "refuse" as FencingPolicy,
+  platformUrl: "",
+  loadMs: 50,
+  reportLagMs: 500,
+};
+
+const RoleParams = Schema.Struct({ role: Schema.String, fencing: Schema.Number });
+
+/** Serves completions and orders until disposed. */
+export class EngineServer {
+  readonly memory: Memory;
+  /** The bound port, after `start`. */
+  port = 0;
+  private readonly options: typeof defaults;
+  private readonly batcher: Batcher;
+  private readonly store = new DisposableStore();
+  private readonly log;
+  private readonly platform: PlatformClient | undefined;
+  private role = "mixed";
+  private reportedLoad = 0;
+
+  constructor(options: EngineServerOptions = {}) {
+    this.options = { ...defaults, ...options };
+    this.memory = new Memory(this.options.capacityMb, this.options.fencingPolicy);
+    this.batcher = new Batcher(options.batcher);
+    this.log = createLog(`engine:${this.options.id}`);
+    this.platform =
+      this.options.platformUrl === "" ? undefined : new PlatformClient({ url: this.options.platformUrl });
+  }
+
+  /** Binds and serves; resolves with the port. */
+  async start(): Promise<number> {
+    const endpoint = new RpcEndpoint({
+      "engine.load": (p) => this.load(decodeParams(protocol.LoadOrder, p)),
+      "engine.unload": (p) => Promise.resolve(this.unload(decodeParams(protocol.UnloadOrder, p))),
+      "engine.role": (p) => Promise.resolve(this.setRole(decodeParams(RoleParams, p))),
+      "engine.status": () => Promise.resolve(this.status()),
+    });
+    const server = http.createServer((req, res) => {
+      const route = req.url === "/rpc" ? endpoint.handle(req, res) : this.complete(req, res);
+      route.catch((error: unknown) => {
+        sendFailure(res, toFailure(error));
+      });
+    });
+    this.port = await listen(server, this.options.host, this.options.port);
+    this.store.add(() => close(server));
+    this.store.add(() => {
+      this.batcher.dispose();
+    });
+    this.store.interval(() => {
+      this.reportedLoad = this.batcher.inFlight;
+    }, this.options.reportLagMs);
+    this.log.info({ event: "listening", port: this.port, capacityMb: this.options.capacityMb });
+    return this.port;
+  }
+
+  /** Stops serving and cancels streams. */
+  async dispose(): Promise<void> {
+    await this.store.dispose();
+  }
+
+  /** The engine's own report; `load` lags by up to `reportLagMs`. */
+  status(): protocol.EngineStatus {
+    return {
+      id: this.options.id,
+      zone: this.options.zone,
+      capacityMb: this.memory.capacityMb,
+      usedMb: this.memory.usedMb,
+      residents: this.memory.list(),
+      load: this.reportedLoad,
+      fencing: this.memory.fencing,
+      role: this.role,
+    };
+  }
+
+  private async load(order: protocol.LoadOrder): Promise<protocol.EngineStatus> {
+    if (!this.memory.reserve(order)) return this.status();
+    this.log.info({ event: "load", model: order.model, version: order.version, fencing: order.fencing });
+    try {
+      await this.platform?.fetchWeights(order.sizeMb);
+      await new Promise((resolve) => setTimeout(resolve, this.options.loadMs));
+    } catch (error) {
+      this.memory.release({ model: order.model, fencing: order.fencing });
+      throw error;
+    }
+    this.memory.markReady(order.model);
+    return this.status();
+  }
+
+  private unload(order: protocol.UnloadOrder): protocol.EngineStatus {
+    this.memory.release(order);
+    this.log.info({ event: "unload", model: order.model, fencing: order.fencing });
+    return this.status();
+  }
+
+  private setRole(params: typeof RoleParams.Type): protocol.EngineStatus {
+    this.role = params.role;
+    return this.status();
+  }
+
+  private async complete(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    if (req.method !== "POST" || (req.url !== "/v1/chat/completions" && req.url !== "/v1/completions")) {
+      throw new Failure("bad-request", `no route ${req.method ?? ""} ${req.url ?? ""}`);
+    }
+    const request = decode(CompletionRequest, await readJson(req));
+    if (this.memory.ready(request.model) === undefined) {
+      throw new Failure("unknown-model", `${request.model} is not loaded on ${this.options.id}`);
+    }
+    const requestId = headerOf(req, headers.requestId) ?? crypto.randomUUID();
+    const priority = Schema.decodeUnknownOption(Priority)(headerOf(req, headers.priority)).pipe((o) =>
+      o._tag === "Some" ? o.value : "normal",
+    );
+    const chat = req.url === "/v1/chat/completions";
+    const reply = new Reply(res, requestId, request.model, chat, request.stream === true);
+    const stream = this.batcher.add({
+      requestId,
+      priority,
+      prompt: promptOf(request),
+      maxTokens: request.max_tokens ?? 16,
+      onToken: (token) => {
+        reply.token(token);
+      },
+      onEnd: (reason) => {
+        reply.end(reason);
+      },
+    });
+    // A caller that hangs up cancels its stream, freeing its batch slot.
+    res.on("close", () => {
+      stream.cancelled = true;
+    });
+  }
+}
+
+/** Writes one request's answer, streamed as SSE or whole as JSON. */
+class Reply {
+  private text = "";
+  private readonly created = Math.floor(Date.now() / 1000);
+
+  constructor(
+    private readonly res: http.ServerResponse,
+    private readonly id: string,
+    private readonly model: string,
+    private readonly chat: boolean,
+    private readonly streaming: boolean,
+  ) {
+    if (streaming) res.writeHead(200, { "content-type": "text/event-stream", "cache-control": "no-cache" });
+  }
+
+  token(token: string): void {
+    this.text += token;
+    if (this.streaming) this.send({ content: token }, null);
+  }
+
+  end(reason: "stop" | "length" | "cancelled"): void {
+    if (this.res.destroyed) return;
+    if (this.streaming) {
+      this.send({}, reason);
+      this.res.end("data: [DONE]\n\n");
+      return;
+    }
+    const choice = this.chat
+      ? { index: 0, message: { role: "assistant", content: this.text }, finish_reason: reason }
+      : { index: 0, text: this.text, finish_reason: reason };
+    sendJson(this.res, 200, {
+      id: this.id,
+      object: this.chat ? "chat.completion" : "text_completion",
+      created: this.created,
+      model: this.model,
+      choices: [choice],
+    });
+  }
+
+  private send(delta: { content?: string }, finishReason: string | null): void {
+    const chunk = {
+      id: this.id,
+      object: this.chat ? "chat.completion.chunk" : "text_completion.chunk",
+      model: this.model,
+      choices: [{ index: 0, delta, finish_reason: finishReason }],
+    };
+    this.res.write(`data: ${JSON.stringify(chunk)}\n\n`);
+  }
+}
--- /dev/null
+++ b/src/entry/configWatcher.ts
@@ -0,0 +1,127 @@
+/**
+ * Watches templates in the table service and keeps the newest accepted version of each. A version is
+ * applied only if it is higher than the one held, so configuration never reverts; while the store is
+ * down the last accepted configuration stays in force.
+ */
+import * as Schema from "effect/Schema";
+import type { Log } from "../common/log.ts";
+import type { PlatformClient } from "../common/platformClient.ts";
+import { Loop } from "../common/supervisor.ts";
+import {
+  StoredTemplate,
+  templatePrefix,
+  type ModelSpec,
+  type ServiceSpec,
+  type Template,
+} from "../common/template.ts";
+
+/** What one customer may use, merged from its live templates. */
+export interface Entitlement {
+  readonly customer: string;
+  readonly priority: Template["priority"];
+  readonly models: ReadonlyMap<string, ModelSpec>;
+  readonly services: ReadonlyMap<string, ServiceSpec>;
+}
+
+/** Options of a `ConfigWatcher`. */
+export interface ConfigWatcherOptions {
+  readonly platform: PlatformClient;
+  readonly log: Log;
+  /** Poll period in ms. */
+  readonly pollMs?: number;
+}
+
+const defaults = { pollMs: 500 };
+
+/** Holds the accepted templates; `entitlement(customer)` answers what a customer may call. */
+export class ConfigWatcher {
+  readonly name = "config-watcher";
+  /** Revision of the table up to which changes are applied. */
+  revision = 0;
+  private readonly templates = new Map<string, StoredTemplate>();
+  private entitlements = new Map<string, Entitlement>();
+  private readonly loop: Loop;
+
+  constructor(private readonly options: ConfigWatcherOptions) {
+    this.loop = new Loop(this.name, options.pollMs ?? defaults.pollMs, () => this.poll(), options.log);
+  }
+
+  /** Loads the configuration once, then keeps polling. */
+  async start(): Promise<void> {
+    await this.loop.start();
+  }
+
+  /** Stops polling. */
+  dispose(): Promise<void> {
+    this.loop.dispose();
+    return Promise.resolve();
+  }
+
+  /** Polls now; for tests and after a local write. */
+  async refresh(): Promise<void> {
+    await this.loop.tick();
+  }
+
+  /** What `customer` may use, or undefined if no live template names it. */
+  entitlement(customer: string): Entitlement | undefined {
+    return this.entitlements.get(customer);
+  }
+
+  /** Every live template. */
+  live(): Template[] {
+    return [...this.templates.values()].filter((stored) => !stored.retired).map((stored) => stored.template);
+  }
+
+  /** Version held of each template, by name. */
+  versions(): Record<string, number> {
+    return Object.fromEntries([...this.templates].map(([name, stored]) => [name, stored.version]));
+  }
+
+  private async poll(): Promise<void> {
+    const { rows, revision } = await this.options.platform.scan(templatePrefix, this.revision);
+    let changed = false;
+    for (const row of rows) changed = this.accept(row.key.slice(templatePrefix.length), row.value) || changed;
+    // Guards "configuration reverts": a poll answered by a lagging reader could carry an older revision;
+    // taking the maximum keeps the watermark from moving back.
+    this.revision = Math.max(this.revision, revision);
+    if (changed) this.entitlements = merge(this.live());
+  }
+
+  private accept(name: string, value: unknown): boolean {
+    const decoded = Schema.decodeUnknownOption(StoredTemplate)(value);
+    if (decoded._tag === "None") {
+      this.options.log.error({ event: "template-undecodable", template: name });
+      return false;
+    }
+    const held = this.templates.get(name);
+    // Guards "configuration reverts": only a strictly newer version replaces the one in force.
+    if (held !== undefined && held.version >= decoded.value.version) return false;
+    this.templates.set(name, decoded.value);
+    this.options.log.info({
+      event: "config-applied",
+      template: name,
+      version: decoded.value.version,
+      retired: decoded.value.retired,
+      previous: held?.version ?? null,
+    });
+    return true;
+  }
+}
+
+function merge(templates: readonly Template[]): Map<string, Entitlement> {
+  const byCustomer = new Map<string, Entitlement>();
+  for (const template of templates) {
+    const held = byCustomer.get(template.customer);
+    const models = new Map(held?.models);
+    const services = new Map(held?.services);
+    for (const model of template.models) models.set(model.name, model);
+    for (const service of template.services) services.set(service.name, service);
+    byCustomer.set(template.customer, {
+      customer: template.customer,
+      priority: template.priority,
+      models,
+      services,
+    });
+  }
+  return byCustomer;
+}
--- /dev/null
+++ b/src/entry/entryServer.ts
@@ -0,0 +1,217 @@
+/**
+ * The entry node's HTTP face: completions (`/v1/chat/completions`, `/v1/completions`), plain services
+ * (`/v1/services/{service}/{call}`), `GET /v1/addresses`, `GET /metrics`. Routes are a lookup table.
+ */
+import * as crypto from "node:crypto";
+import * as http from "node:http";
+import { decode } from "../common/decode.ts";
+import { Failure, toFailure } from "../common/errors.ts";
+import { headerOf, readJson, sendFailure, sendJson } from "../common/http.ts";
+import type { Log } from "../common/log.ts";
+import { CompletionRequest, headers } from "../common/openai.ts";
+import type { CompletionProxy } from "./completionProxy.ts";
+import type { ConfigWatcher, Entitlement } from "./configWatcher.ts";
+import type { Membership } from "./membership.ts";
+import type { EntryMetrics } from "./metrics.ts";
+import type { Router } from "./router.ts";
+import type { ServiceCaller } from "./serviceCaller.ts";
+
+/** What the routes use. */
+export interface EntryParts {
+  readonly config: ConfigWatcher;
+  readonly router: Router;
+  readonly proxy: CompletionProxy;
+  readonly services: ServiceCaller;
+  readonly membership: Membership;
+  readonly metrics: EntryMetrics;
+  readonly log: Log;
+  /** Default deadline of a request without `x-deadline-ms`, in ms. */
+  readonly defaultDeadlineMs: number;
+  /** Attempts per completion across replicas (first try included). */
+  readonly attempts: number;
+  /** TTL callers may keep the address list, in seconds. */
+  readonly addressesTtlSeconds: number;
+}
+
+type Route = (req: http.IncomingMessage, res: http.ServerResponse, match: RegExpExecArray) => Promise<void>;
+
+/** Answers callers; tracks requests in flight for a graceful drain. */
+export class EntryServer {
+  /** Requests being answered. */
+  inFlight = 0;
+  draining = false;
+  private readonly routes: readonly (readonly [string, RegExp, Route])[];
+
+  constructor(private readonly parts: EntryParts) {
+    this.routes = [
+      ["POST", /^\/v1\/(chat\/)?completions$/, (req, res) => this.completion(req, res)],
+      [
+        "POST",
+        /^\/v1\/services\/([a-z0-9._-]+)\/([a-z0-9._-]+)$/,
+        (req, res, m) => this.service(req, res, m),
+      ],
+      ["GET", /^\/v1\/addresses(\?.*)?$/, (req, res) => this.addresses(req, res)],
+      ["GET", /^\/metrics$/, (_req, res) => this.metrics(res)],
+      ["GET", /^\/healthz$/, (_req, res) => this.health(res)],
+    ];
+  }
+
+  /** The request listener for `http.createServer`. */
+  readonly listener = (req: http.IncomingMessage, res: http.ServerResponse): void => {
+    const found = this.routes
+      .map(([method, pattern, route]) => ({ method, match: pattern.exec(req.url ?? ""), route }))
+      .find((entry) => entry.method === req.method && entry.match !== null);
+    if (found?.match == null) {
+      sendFailure(res, new Failure("bad-request", `no route ${req.method ?? ""} ${req.url ?? ""}`));
+      return;
+    }
+    this.inFlight += 1;
+    res.on("close", () => {
+      this.inFlight -= 1;
+    });
+    found.route(req, res, found.match).catch((error: unknown) => {
+      sendFailure(res, toFailure(error));
+    });
+  };
+
+  private async completion(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    const started = Date.now();
+    const requestId = headerOf(req, headers.requestId) ?? crypto.randomUUID();
+    const { customer, entitlement } = this.admit(req, requestId);
+    const request = decode(CompletionRequest, await readJson(req));
+    if (!entitlement.models.has(request.model)) {
+      throw new Failure("unknown-model", `${customer}'s templates do not name ${request.model}`, requestId);
+    }
+    const deadline = started + this.deadlineMs(req);
+    const tried = new Set<string>();
+    let last: Failure | undefined;
+    for (let attempt = 0; attempt < this.parts.attempts; attempt += 1) {
+      const decision = this.parts.router.choose(requestId, customer, request.model, tried);
+      if (decision.engine === undefined) break;
+      const engine = decision.engine;
+      tried.add(engine.address);
+      engine.inFlight += 1;
+      try {
+        await this.parts.proxy.forward({
+          engine,
+          path: req.url ?? "/v1/chat/completions",
+          body: JSON.stringify(request),
+          requestId,
+          priority: entitlement.priority,
+          deadline,
+          res,
+        });
+        this.record(customer, request.model, "ok", engine.address, Date.now() <= deadline, started);
+        return;
+      } catch (error) {
+        last = toFailure(error);
+        // A request that has started to answer cannot move: the caller already holds part of it.
+        if (res.headersSent || last.kind === "deadline-exceeded") break;
+      } finally {
+        engine.inFlight -= 1;
+      }
+    }
+    const failure =
+      last ?? new Failure("no-replica", `no engine has ${request.model} ready; retry shortly`, requestId);
+    this.record(customer, request.model, failure.kind, null, false, started);
+    throw new Failure(failure.kind, failure.message, requestId);
+  }
+
+  private async service(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    match: RegExpExecArray,
+  ): Promise<void> {
+    const started = Date.now();
+    const requestId = headerOf(req, headers.requestId) ?? crypto.randomUUID();
+    const { customer, entitlement } = this.admit(req, requestId);
+    const [, serviceName = "", callName = ""] = match;
+    const service = entitlement.services.get(serviceName);
+    const call = service?.calls.find((candidate) => candidate.name === callName);
+    if (service === undefined || call === undefined) {
+      throw new Failure(
+        "unknown-service",
+        `${customer}'s templates do not name ${serviceName}/${callName}`,
+        requestId,
+      );
+    }
+    const body = await readJson(req);
+    try {
+      const answer = await this.parts.services.run({
+        customer,
+        service,
+        call,
+        idempotencyKey: headerOf(req, headers.idempotencyKey),
+        requestId,
+        body,
+        deadline: started + this.deadlineMs(req),
+      });
+      this.record(customer, `${serviceName}/${callName}`, "ok", null, true, started);
+      sendJson(res, 200, answer);
+    } catch (error) {
+      const failure = toFailure(error);
+      this.record(customer, `${serviceName}/${callName}`, failure.kind, null, false, started);
+      throw failure;
+    }
+  }
+
+  private addresses(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    const zone = new URL(req.url ?? "/", "http://x").searchParams.get("zone") ?? undefined;
+    const members = this.parts.membership.addresses(zone);
+    res.setHeader("cache-control", `max-age=${this.parts.addressesTtlSeconds}`);
+    sendJson(res, 200, {
+      ttlSeconds: this.parts.addressesTtlSeconds,
+      addresses: members.map((member) => ({ address: member.address, zone: member.zone })),
+    });
+    return Promise.resolve();
+  }
+
+  private health(res: http.ServerResponse): Promise<void> {
+    sendJson(res, this.draining ? 503 : 200, { ok: !this.draining });
+    return Promise.resolve();
+  }
+
+  private async metrics(res: http.ServerResponse): Promise<void> {
+    this.parts.metrics.configRevision.set(this.parts.config.revision);
+    const text = await this.parts.metrics.registry.metrics();
+    res.writeHead(200, { "content-type": this.parts.metrics.registry.contentType });
+    res.end(text);
+  }
+
+  private admit(
+    req: http.IncomingMessage,
+    requestId: string,
+  ): { customer: string; entitlement: Entitlement } {
+    // Guards "a stopping node cuts requests": while draining, new work is refused at once with a retry hint.
+    if (this.draining)
+      throw new Failure("draining", "this entry node is stopping; ask /v1/addresses for another", requestId);
+    const bearer = headerOf(req, "authorization")?.replace(/^Bearer\s+/i, "");
+    const customer = headerOf(req, headers.customer) ?? bearer ?? "";
+    const entitlement = this.parts.config.entitlement(customer);
+    if (entitlement === undefined) {
+      throw new Failure("unknown-customer", `no live template names customer "${customer}"`, requestId);
+    }
+    return { customer, entitlement };
+  }
+
+  private deadlineMs(req: http.IncomingMessage): number {
+    const asked = Number(headerOf(req, headers.deadlineMs));
+    return Number.isFinite(asked) && asked > 0 ? asked : this.parts.defaultDeadlineMs;
+  }
+
+  private record(
+    customer: string,
+    target: string,
+    outcome: string,
+    engine: string | null,
+    met: boolean,
+    started: number,
+  ): void {
+    this.parts.metrics.requests.inc({ customer, target, outcome });
+    this.parts.metrics.latency.observe(
+      { kind: engine === null ? "service" : "completion" },
+      (Date.now() - started) / 1000,
+    );
+    if (engine !== null) this.parts.metrics.deadlines.inc({ engine, met: String(met) });
+  }
+}
--- /dev/null
+++ b/src/entry/fleet.ts
@@ -0,0 +1,122 @@
+/**
+ * The entry node's view of the backend engines: addresses from the host list, state from each engine's
+ * own status report. An engine that is leaving (host list) or unreachable is not offered for new work.
+ */
+import * as protocol from "../common/engineProtocol.ts";
+import type { Log } from "../common/log.ts";
+import type { Host, PlatformClient } from "../common/platformClient.ts";
+import { RpcClient } from "../common/rpc.ts";
+import { Loop } from "../common/supervisor.ts";
+
+/** One engine as this entry node sees it. */
+export interface Engine {
+  readonly address: string;
+  readonly zone: string;
+  readonly rpc: RpcClient;
+  status: protocol.EngineStatus | undefined;
+  leaving: boolean;
+  /** Consecutive failed status polls. */
+  failures: number;
+  /** Requests this entry node has in flight there. */
+  inFlight: number;
+}
+
+/** Options of a `Fleet`. */
+export interface FleetOptions {
+  readonly platform: PlatformClient;
+  readonly log: Log;
+  readonly pollMs?: number;
+  /** Timeout of one status call, in ms: a silent connection counts as a failure after it. */
+  readonly statusTimeoutMs?: number;
+}
+
+const defaults = { pollMs: 500, statusTimeoutMs: 1000 };
+/** Failed polls after which an engine is taken out of routing. */
+const failuresToEject = 2;
+
+/** Keeps engines' statuses fresh; owns one RPC client per engine. */
+export class Fleet {
+  readonly name = "fleet";
+  private readonly engines = new Map<string, Engine>();
+  private readonly loop: Loop;
+  private readonly options: FleetOptions & typeof defaults;
+
+  constructor(options: FleetOptions) {
+    this.options = { ...defaults, ...options };
+    this.loop = new Loop(this.name, this.options.pollMs, () => this.poll(), options.log);
+  }
+
+  /** Polls once, then periodically. */
+  async start(): Promise<void> {
+    await this.loop.start();
+  }
+
+  /** Stops polling. */
+  dispose(): Promise<void> {
+    this.loop.dispose();
+    return Promise.resolve();
+  }
+
+  /** Polls now. */
+  async refresh(): Promise<void> {
+    await this.loop.tick();
+  }
+
+  /** Engines that may take new work: reachable and not leaving. */
+  usable(): Engine[] {
+    return [...this.engines.values()].filter(
+      (engine) => !engine.leaving && engine.failures < failuresToEject && engine.status !== undefined,
+    );
+  }
+
+  /** Every known engine. */
+  all(): Engine[] {
+    return [...this.engines.values()];
+  }
+
+  /** Marks an engine leaving at once (its own drain notice, or a failed request), before the host list says so. */
+  markLeaving(address: string): void {
+    const engine = this.engines.get(address);
+    if (engine !== undefined) engine.leaving = true;
+  }
+
+  private async poll(): Promise<void> {
+    let hosts: readonly Host[] | undefined;
+    try {
+      hosts = await this.options.platform.hosts();
+    } catch (error) {
+      // The host list is down: keep polling the engines already known.
+      this.options.log.warn({ event: "host-list-unavailable", error: String(error) });
+    }
+    if (hosts !== undefined) this.reconcile(hosts.filter((host) => host.kind === "engine"));
+    await Promise.all([...this.engines.values()].map((engine) => this.pollEngine(engine)));
+  }
+
+  private reconcile(hosts: readonly Host[]): void {
+    for (const host of hosts) {
+      const known = this.engines.get(host.address);
+      if (known !== undefined) {
+        known.leaving = known.leaving || host.state === "leaving";
+        continue;
+      }
+      this.engines.set(host.address, {
+        address: host.address,
+        zone: host.zone,
+        rpc: new RpcClient({ url: host.address, timeoutMs: this.options.statusTimeoutMs }),
+        status: undefined,
+        leaving: host.state === "leaving",
+        failures: 0,
+        inFlight: 0,
+      });
+    }
+  }
+
+  private async pollEngine(engine: Engine): Promise<void> {
+    try {
+      engine.status = await engine.rpc.call("engine.status", {}, protocol.EngineStatus);
+      engine.failures = 0;
+    } catch {
+      engine.failures += 1;
+    }
+  }
+}
--- /dev/null
+++ b/src/entry/lease.ts
@@ -0,0 +1,68 @@
+/**
+ * A lease held through a row of the table service. Its row version is the fencing number: every renewal
+ * raises it, so an order from a holder that was paused past its lease carries a number engines refuse.
+ */
+import * as Schema from "effect/Schema";
+import type { PlatformClient } from "../common/platformClient.ts";
+
+const LeaseValue = Schema.Struct({ holder: Schema.String, expiresAt: Schema.Number });
+
+/** Options of a `Lease`. */
+export interface LeaseOptions {
+  readonly platform: PlatformClient;
+  readonly key: string;
+  readonly holder: string;
+  /** Lease duration in ms. */
+  readonly ttlMs?: number;
+}
+
+const defaults = { ttlMs: 3000 };
+/** Part of the lease kept as a safety margin against clock drift between holder and table service. */
+const marginRatio = 0.2;
+
+/** Acquires and renews one lease; `fencing` is valid only while `held()` is true. */
+export class Lease {
+  /** Fencing number of the current term (the lease row's version), 0 if never held. */
+  fencing = 0;
+  private expiresAt = 0;
+  private readonly ttlMs: number;
+
+  constructor(private readonly options: LeaseOptions) {
+    this.ttlMs = options.ttlMs ?? defaults.ttlMs;
+  }
+
+  /** Whether this holder may act now, by its own clock with a margin. */
+  held(): boolean {
+    return Date.now() < this.expiresAt - this.ttlMs * marginRatio;
+  }
+
+  /** Takes the lease if free or expired, or renews it if ours; returns whether it is held after. */
+  async renew(): Promise<boolean> {
+    const now = Date.now();
+    const row = await this.options.platform.get(this.options.key);
+    const current = row === null ? undefined : Schema.decodeUnknownOption(LeaseValue)(row.value);
+    const theirs = current?._tag === "Some" && current.value.holder !== this.options.holder;
+    if (theirs && current.value.expiresAt > now) {
+      this.expiresAt = 0;
+      return false;
+    }
+    const value = { holder: this.options.holder, expiresAt: now + this.ttlMs };
+    try {
+      const result = await this.options.platform.commit([
+        { key: this.options.key, value, expectVersion: row?.version ?? 0 },
+      ]);
+      this.fencing = result.rows[0]?.version ?? 0;
+      this.expiresAt = now + this.ttlMs;
+    } catch (error) {
+      // Outcome unknown or lost race: act as not holding until a renewal is confirmed.
+      this.expiresAt = 0;
+      throw error;
+    }
+    return true;
+  }
+
+  /** Gives the lease up locally (the row expires by itself). */
+  release(): void {
+    this.expiresAt = 0;
+  }
+}
--- /dev/null
+++ b/src/entry/ledger.ts
@@ -0,0 +1,112 @@
+/**
+ * The idempotency ledger: a non-idempotent call is recorded in the table service before it is dispatched,
+ * so a retried key gets the first answer (or "in progress") and never a second run.
+ */
+import * as Schema from "effect/Schema";
+import { Failure, toFailure } from "../common/errors.ts";
+import type { PlatformClient } from "../common/platformClient.ts";
+import type { Row } from "../common/table.ts";
+
+const Entry = Schema.Struct({
+  state: Schema.Literals(["started", "done", "not-run", "unknown"]),
+  requestId: Schema.String,
+  answer: Schema.optionalKey(Schema.Unknown),
+});
+type Entry = typeof Entry.Type;
+
+/** The outcome of `begin`: run it now (`claim`, holding the row version), or answer from the ledger. */
+export type Begin =
+  | { readonly kind: "claim"; readonly version: number }
+  | { readonly kind: "done"; readonly answer: unknown }
+  | { readonly kind: "in-progress"; readonly requestId: string }
+  | { readonly kind: "unknown"; readonly requestId: string };
+
+/** Records per (customer, idempotency key) in rows `idempotency/<customer>/<key>`. */
+export class Ledger {
+  constructor(private readonly platform: PlatformClient) {}
+
+  /**
+   * Claims the key for `requestId`. Throws `not-run` when the table service cannot be reached and the
+   * claim is not known to have been written: nothing was dispatched, so "not run" is true.
+   */
+  async begin(customer: string, key: string, requestId: string): Promise<Begin> {
+    const rowKey = keyOf(customer, key);
+    try {
+      const result = await this.platform.commit([
+        { key: rowKey, value: entry("started", requestId), expectVersion: 0 },
+      ]);
+      return { kind: "claim", version: result.rows[0]?.version ?? 1 };
+    } catch (error) {
+      const failure = toFailure(error);
+      if (failure.kind !== "conflict" && failure.kind !== "platform-unavailable") throw failure;
+      return this.afterFailedClaim(rowKey, requestId);
+    }
+  }
+
+  /** Records the answer of a claimed key. Best effort: on failure the row stays `started`, so no rerun. */
+  async finish(
+    customer: string,
+    key: string,
+    requestId: string,
+    version: number,
+    answer: unknown,
+  ): Promise<void> {
+    await this.write(customer, key, { state: "done", requestId, answer }, version);
+  }
+
+  /** Records that a claimed call was provably not run, so a retry may claim it again. */
+  async release(customer: string, key: string, requestId: string, version: number): Promise<void> {
+    await this.write(customer, key, entry("not-run", requestId), version);
+  }
+
+  /** Records that a claimed call may or may not have run. */
+  async markUnknown(customer: string, key: string, requestId: string, version: number): Promise<void> {
+    await this.write(customer, key, entry("unknown", requestId), version);
+  }
+
+  private async write(customer: string, key: string, value: Entry, version: number): Promise<void> {
+    try {
+      await this.platform.commit([{ key: keyOf(customer, key), value, expectVersion: version }]);
+    } catch {
+      // The row keeps its earlier state; a retry is answered from it and never runs twice.
+    }
+  }
+
+  private async afterFailedClaim(rowKey: string, requestId: string): Promise<Begin> {
+    let row: Row | null;
+    try {
+      row = await this.platform.get(rowKey);
+    } catch {
+      throw new Failure("not-run", "the idempotency ledger is unreachable; nothing was run", requestId);
+    }
+    if (row === null)
+      throw new Failure("not-run", "the idempotency claim was not recorded; nothing was run", requestId);
+    const held = Schema.decodeUnknownSync(Entry)(row.value);
+    // Guards "lost acknowledgement runs twice": a claim whose answer was lost is found here as our own.
+    if (held.state === "started" && held.requestId === requestId)
+      return { kind: "claim", version: row.version };
+    if (held.state === "started") return { kind: "in-progress", requestId: held.requestId };
+    if (held.state === "unknown") return { kind: "unknown", requestId: held.requestId };
+    if (held.state === "done") return { kind: "done", answer: held.answer };
+    return this.reclaim(rowKey, requestId, row.version);
+  }
+
+  private async reclaim(rowKey: string, requestId: string, version: number): Promise<Begin> {
+    try {
+      const result = await this.platform.commit([
+        { key: rowKey, value: entry("started", requestId), expectVersion: version },
+      ]);
+      return { kind: "claim", version: result.rows[0]?.version ?? version + 1 };
+    } catch {
+      throw new Failure("not-run", "could not claim the idempotency key again; nothing was run", requestId);
+    }
+  }
+}
+
+function entry(state: Entry["state"], requestId: string): Entry {
+  return { state, requestId };
+}
+
+function keyOf(customer: string, key: string): string {
+  return `idempotency/${customer}/${encodeURIComponent(key)}`;
+}
--- /dev/null
+++ b/src/entry/placer.ts
@@ -0,0 +1,179 @@
+/**
+ * Placement: the entry node holding the placement lease keeps every model of every live template resident
+ * on as many engines as its template asks, within each engine's memory, and unloads what no template
+ * names. Orders carry the lease's fencing number. Each decision is a JSON log line.
+ */
+import * as protocol from "../common/engineProtocol.ts";
+import { toFailure } from "../common/errors.ts";
+import type { Log } from "../common/log.ts";
+import type { PlatformClient } from "../common/platformClient.ts";
+import { Loop } from "../common/supervisor.ts";
+import type { ModelSpec } from "../common/template.ts";
+import type { ConfigWatcher } from "./configWatcher.ts";
+import type { Engine, Fleet } from "./fleet.ts";
+import { Lease } from "./lease.ts";
+import type { EntryMetrics } from "./metrics.ts";
+
+/** Options of a `Placer`. */
+export interface PlacerOptions {
+  readonly platform: PlatformClient;
+  readonly config: ConfigWatcher;
+  readonly fleet: Fleet;
+  readonly metrics: EntryMetrics;
+  readonly log: Log;
+  readonly nodeId: string;
+  readonly everyMs?: number;
+  /** Load orders started per round, to stay within the weight store's rate limit. */
+  readonly loadsPerRound?: number;
+}
+
+const defaults = { everyMs: 500, loadsPerRound: 2 };
+
+/** The placement task: lease, plan, orders. */
+export class Placer {
+  readonly name = "placer";
+  private readonly lease: Lease;
+  private readonly loop: Loop;
+  private readonly options: PlacerOptions & typeof defaults;
+
+  constructor(options: PlacerOptions) {
+    this.options = { ...defaults, ...options };
+    this.lease = new Lease({ platform: options.platform, key: "leases/placement", holder: options.nodeId });
+    this.loop = new Loop(this.name, this.options.everyMs, () => this.round(), options.log);
+  }
+
+  /** Runs a first round, then periodically. */
+  async start(): Promise<void> {
+    await this.loop.start();
+  }
+
+  /** Stops placing and gives up the lease locally. */
+  dispose(): Promise<void> {
+    this.loop.dispose();
+    this.lease.release();
+    return Promise.resolve();
+  }
+
+  /** Runs one round now. */
+  async refresh(): Promise<void> {
+    await this.loop.tick();
+  }
+
+  private async round(): Promise<void> {
+    if (!(await this.lease.renew())) return;
+    await this.options.fleet.refresh();
+    const wanted = this.wanted();
+    let loads = 0;
+    for (const spec of wanted.values()) {
+      const missing = spec.replicas - this.hosting(spec).length;
+      for (let i = 0; i < missing && loads < this.options.loadsPerRound; i += 1) {
+        if (await this.load(spec)) loads += 1;
+        else break;
+      }
+    }
+    await this.unloadUnwanted(wanted);
+  }
+
+  private wanted(): Map<string, ModelSpec> {
+    const wanted = new Map<string, ModelSpec>();
+    for (const template of this.options.config.live()) {
+      for (const model of template.models) {
+        const held = wanted.get(model.name);
+        if (held === undefined || held.replicas < model.replicas) wanted.set(model.name, model);
+      }
+    }
+    return wanted;
+  }
+
+  private hosting(spec: ModelSpec): Engine[] {
+    return this.options.fleet
+      .usable()
+      .filter((engine) =>
+        engine.status?.residents.some((r) => r.model === spec.name && r.version === spec.version),
+      );
+  }
+
+  private async load(spec: ModelSpec): Promise<boolean> {
+    const need = spec.sizeMb + spec.adapters.reduce((sum, adapter) => sum + adapter.sizeMb, 0);
+    const candidates = this.options.fleet
+      .usable()
+      .filter((engine) => !engine.status?.residents.some((r) => r.model === spec.name))
+      .filter((engine) => free(engine) >= need)
+      .sort((a, b) => free(b) - free(a));
+    const engine = candidates[0];
+    this.options.log.info({
+      event: "place",
+      model: spec.name,
+      version: spec.version,
+      engine: engine?.address ?? null,
+      reason: engine === undefined ? "no-engine-with-room" : "most-free-memory",
+      needMb: need,
+      alternatives: candidates.slice(1).map((candidate) => candidate.address),
+      fencing: this.lease.fencing,
+    });
+    if (engine === undefined || !this.lease.held()) return false;
+    const order: protocol.LoadOrder = {
+      model: spec.name,
+      version: spec.version,
+      sizeMb: spec.sizeMb,
+      adapters: spec.adapters,
+      fencing: this.lease.fencing,
+    };
+    // Guards "memory over capacity while placing": this node's view of free memory may be stale, so the
+    // reservation is counted locally at once and the engine checks capacity again before it accepts.
+    engine.status = engine.status && { ...engine.status, usedMb: engine.status.usedMb + need };
+    try {
+      engine.status = await engine.rpc.call("engine.load", order, protocol.EngineStatus);
+      this.options.metrics.moves.inc({ kind: "load" });
+      return true;
+    } catch (error) {
+      this.options.log.warn({
+        event: "load-failed",
+        model: spec.name,
+        engine: engine.address,
+        error: toFailure(error).kind,
+      });
+      return false;
+    }
+  }
+
+  private async unloadUnwanted(wanted: ReadonlyMap<string, ModelSpec>): Promise<void> {
+    for (const engine of this.options.fleet.usable()) {
+      for (const resident of engine.status?.residents ?? []) {
+        const spec = wanted.get(resident.model);
+        const stale =
+          spec !== undefined &&
+          spec.version !== resident.version &&
+          this.hosting(spec).length >= spec.replicas;
+        if (spec !== undefined && !stale) continue;
+        if (!this.lease.held()) return;
+        this.options.log.info({
+          event: "unplace",
+          model: resident.model,
+          version: resident.version,
+          engine: engine.address,
+          reason: spec === undefined ? "no-template-names-it" : "old-version",
+          fencing: this.lease.fencing,
+        });
+        try {
+          await engine.rpc.call(
+            "engine.unload",
+            { model: resident.model, fencing: this.lease.fencing },
+            protocol.EngineStatus,
+          );
+          this.options.metrics.moves.inc({ kind: "unload" });
+        } catch (error) {
+          this.options.log.warn({
+            event: "unload-failed",
+            model: resident.model,
+            error: toFailure(error).kind,
+          });
+        }
+      }
+    }
+  }
+}
+
+function free(engine: Engine): number {
+  return engine.status === undefined ? 0 : engine.status.capacityMb - engine.status.usedMb;
+}
