--- /dev/null
+++ b/test/faults.spec.ts
@@ -0,0 +1,137 @@
+import { expect } from "chai";
+import { Failure } from "../src/common/errors.ts";
+import { PlatformClient } from "../src/common/platformClient.ts";
+import { createLog } from "../src/common/log.ts";
+import { andes } from "../src/cli/sampleTemplates.ts";
+import { TemplateStore } from "../src/cli/templateStore.ts";
+import { Memory } from "../src/engine/memory.ts";
+import { ConfigWatcher } from "../src/entry/configWatcher.ts";
+import { Ledger } from "../src/entry/ledger.ts";
+import { ServiceCaller } from "../src/entry/serviceCaller.ts";
+import { PlatformServer } from "../src/platform/platformServer.ts";
+import { ServiceServer } from "../src/service/serviceServer.ts";
+
+const order = { model: "m", version: "v1", sizeMb: 10_000, adapters: [], fencing: 5 };
+
+describe("guards under failure", () => {
+  let platform: PlatformServer;
+  let client: PlatformClient;
+  let service: ServiceServer;
+  let serviceUrl: string;
+
+  beforeEach(async () => {
+    platform = new PlatformServer({ hostLagMs: 0 });
+    client = new PlatformClient({ url: `http://127.0.0.1:${await platform.start()}` });
+    service = new ServiceServer({ name: "slips" });
+    serviceUrl = `http://127.0.0.1:${await service.start()}`;
+  });
+
+  afterEach(async () => {
+    await platform.dispose();
+    await service.dispose();
+  });
+
+  const slipCall = (requestId: string) => ({
+    customer: "ovaseker",
+    service: { name: "slips", servers: [serviceUrl] as [string], calls: [] },
+    call: { name: "sugar-slip", idempotent: false },
+    idempotencyKey: "slip-1",
+    requestId,
+    body: { delivery: "D-1" },
+    deadline: Date.now() + 5000,
+  });
+
+  it("should print a sugar-content slip once when the ledger's write acknowledgement is lost", async () => {
+    // A clerk prints a slip; the ledger claim is written but its answer is lost on the way back.
+    // Without the guard the entry node sees a failure, reports it, and the clerk's retry prints again.
+    // The guard reads the row back, finds its own claim, and goes on: one print, one answer.
+    await client.setFaults({ down: false, slowMs: 0, loseAcks: 1 });
+    const caller = new ServiceCaller(new Ledger(client));
+    const first = await caller.run(slipCall("req-1"));
+    const retry = await caller.run(slipCall("req-2"));
+    expect(retry).to.deep.equal(first);
+    expect(service.executions).to.have.length(1);
+  });
+
+  it("should answer not-run at once, and run nothing, while the table service is down", async () => {
+    // The platform store is down when a clerk asks for a slip. The key cannot be claimed, so the call
+    // is not dispatched; the clerk is told "not run" with a retry hint instead of waiting to a timeout.
+    await client.setFaults({ down: true, slowMs: 0, loseAcks: 0 });
+    const caller = new ServiceCaller(new Ledger(client));
+    const started = Date.now();
+    const error = await caller.run(slipCall("req-1")).catch((e: unknown) => e);
+    expect(error).to.be.instanceOf(Failure);
+    expect((error as Failure).kind).to.equal("not-run");
+    expect((error as Failure).answer.retryAfterSeconds).to.be.greaterThan(0);
+    expect(Date.now() - started).to.be.lessThan(1000);
+    expect(service.executions).to.have.length(0);
+  });
+
+  it("should give one racing operator a conflict instead of a silent overwrite", async () => {
+    // Two operators change the same template at once, both based on version 1. Without conditional
+    // writes the later one silently replaces the earlier. With them, one wins and the other is told.
+    const templates = new TemplateStore(client);
+    const template = andes({ catalog: "http://a", weighbridge: "http://b", slips: "http://c" });
+    await templates.create(template);
+    const results = await Promise.allSettled([
+      templates.apply({ ...template, share: 0.3 }, 1),
+      templates.apply({ ...template, share: 0.7 }, 1),
+    ]);
+    expect(results.filter((r) => r.status === "fulfilled")).to.have.length(1);
+    const rejected = results.find((r) => r.status === "rejected");
+    expect((rejected?.reason as Failure).kind).to.equal("conflict");
+  });
+
+  it("should keep the newer configuration when an older version is read afterwards", async () => {
+    // An entry node has applied version 2; a late or replayed row carries version 1. Without the
+    // guard the node would step back to version 1; with it the newer version stays in force.
+    const template = andes({ catalog: "http://a", weighbridge: "http://b", slips: "http://c" });
+    const key = `templates/${template.name}`;
+    await client.commit([
+      { key, value: { template: { ...template, share: 0.9 }, version: 2, retired: false } },
+    ]);
+    const watcher = new ConfigWatcher({ platform: client, log: createLog("test"), pollMs: 60_000 });
+    await watcher.start();
+    await client.commit([{ key, value: { template, version: 1, retired: false } }]);
+    await watcher.refresh();
+    expect(watcher.versions()[template.name]).to.equal(2);
+    expect(watcher.live()[0]?.share).to.equal(0.9);
+    await watcher.dispose();
+  });
+});
+
+describe("accelerator memory", () => {
+  it("should refuse a load that would commit memory beyond capacity", () => {
+    // Placement's view of free memory is stale, and it orders a model onto a full engine. Without
+    // the engine's own check the accelerator would be over-committed; with it the order is refused.
+    const memory = new Memory(15_000, "refuse");
+    memory.reserve(order);
+    expect(() => memory.reserve({ ...order, model: "other" }))
+      .to.throw(Failure)
+      .with.property("kind", "over-capacity");
+    expect(memory.usedMb).to.equal(10_000);
+  });
+
+  it("should refuse an order from a placer whose lease lapsed while it was paused", () => {
+    // A placer is paused past its lease; another node takes the lease (fencing 6) and orders a load.
+    // The old placer wakes and orders with fencing 5. An engine that refuses stale numbers rejects it.
+    const memory = new Memory(80_000, "refuse");
+    memory.reserve({ ...order, fencing: 6 });
+    expect(() => {
+      memory.release({ model: "m", fencing: 5 });
+    })
+      .to.throw(Failure)
+      .with.property("kind", "stale-fencing");
+    expect(memory.list()).to.have.length(1);
+  });
+
+  it("should never over-commit an engine that ignores fencing numbers, even from a stale placer", () => {
+    // The same stale order reaches an engine that ignores fencing numbers: it is applied, but the
+    // capacity check still holds, so the accelerator's memory is never over-committed.
+    const memory = new Memory(15_000, "ignore");
+    memory.reserve({ ...order, fencing: 6 });
+    expect(() => memory.reserve({ ...order, model: "other", fencing: 5 }))
+      .to.throw(Failure)
+      .with.property("kind", "over-capacity");
+  });
+});
--- /dev/null
+++ b/test/setup.ts
@@ -0,0 +1,1 @@
+process.env.PARSLEYNOTCH_LOG_LEVEL ??= "warn";
