--- /dev/null
+++ b/test/configAndLease.spec.ts
@@ -0,0 +1,101 @@
+import { expect } from "chai";
+import { PlatformClient } from "../src/common/platformClient.ts";
+import { TemplateStore } from "../src/cli/templateStore.ts";
+import { EngineServer } from "../src/engine/engineServer.ts";
+import { EntryNode } from "../src/entry/entryNode.ts";
+import { Lease } from "../src/entry/lease.ts";
+import { PlatformServer } from "../src/platform/platformServer.ts";
+import { Failure } from "../src/common/errors.ts";
+import { oneModel } from "./fixtures/cluster.ts";
+import { until } from "./fixtures/processes.ts";
+
+describe("configuration across entry nodes", function () {
+  this.timeout(30_000);
+  let platform: PlatformServer;
+  let client: PlatformClient;
+  let entries: EntryNode[];
+
+  beforeEach(async () => {
+    platform = new PlatformServer({ hostLagMs: 0 });
+    const url = `http://127.0.0.1:${await platform.start()}`;
+    client = new PlatformClient({ url });
+    await new TemplateStore(client).create(oneModel);
+    entries = [0, 1].map((i) => new EntryNode({ id: `entry-${i + 1}`, zone: "zone-a", platformUrl: url }));
+    for (const entry of entries) await entry.start();
+  });
+
+  afterEach(async () => {
+    for (const entry of entries) await entry.dispose();
+    await platform.dispose();
+  });
+
+  it("should put an accepted change in force on every entry node within seconds", async () => {
+    // An operator changes a template. Each entry node must apply it on its own, with no push from
+    // the operator; the letter's bound is 7 s. Here each node polls every 500 ms (the default).
+    const version = await new TemplateStore(client).apply({ ...oneModel, share: 0.25 });
+    const accepted = Date.now();
+    await until(
+      () => Promise.resolve(entries.every((entry) => entry.config.versions()[oneModel.name] === version)),
+      7000,
+    );
+    expect(Date.now() - accepted).to.be.lessThan(7000);
+  });
+
+  it("should keep the accepted configuration in force while the table service is down", async () => {
+    // The platform store goes down after a change was accepted. The entry nodes' polls fail; without
+    // care a node could drop its templates and refuse every customer. They keep the last accepted one.
+    await client.setFaults({ down: true, slowMs: 0, loseAcks: 0 });
+    for (const entry of entries) await entry.config.refresh();
+    for (const entry of entries) expect(entry.config.entitlement("andes")?.models.has("m1")).to.equal(true);
+    await client.setFaults({ down: false, slowMs: 0, loseAcks: 0 });
+  });
+});
+
+describe("the placement lease", () => {
+  let platform: PlatformServer;
+  let client: PlatformClient;
+  let engine: EngineServer;
+
+  beforeEach(async () => {
+    platform = new PlatformServer();
+    client = new PlatformClient({ url: `http://127.0.0.1:${await platform.start()}` });
+    engine = new EngineServer({ capacityMb: 40_000 });
+    await engine.start();
+  });
+
+  afterEach(async () => {
+    await engine.dispose();
+    await platform.dispose();
+  });
+
+  it("should stop a holder that wakes after its lease lapsed from changing an engine", async () => {
+    // Placer A checks its lease and is paused before it sends an unload. Its lease lapses, B takes the
+    // lease and loads a model. A wakes still believing it holds the lease and sends its unload. The
+    // lease row's version is the fencing number, so A's order carries an older number and is refused.
+    const a = new Lease({ platform: client, key: "leases/placement", holder: "a", ttlMs: 200 });
+    const b = new Lease({ platform: client, key: "leases/placement", holder: "b", ttlMs: 200 });
+    expect(await a.renew()).to.equal(true);
+    const pausedFencing = a.fencing;
+    await new Promise((resolve) => setTimeout(resolve, 250));
+    expect(await b.renew()).to.equal(true);
+    expect(b.fencing).to.be.greaterThan(pausedFencing);
+    engine.memory.reserve({ model: "m1", version: "v1", sizeMb: 10_000, adapters: [], fencing: b.fencing });
+    expect(() => {
+      engine.memory.release({ model: "m1", fencing: pausedFencing });
+    })
+      .to.throw(Failure)
+      .with.property("kind", "stale-fencing");
+    expect(engine.memory.list().map((r) => r.model)).to.deep.equal(["m1"]);
+  });
+
+  it("should refuse a second holder while the first holder's lease is live", async () => {
+    // Two entry nodes start together and both try to take the placement lease. Only one may place;
+    // the other must see the lease as taken until it expires.
+    const a = new Lease({ platform: client, key: "leases/placement", holder: "a", ttlMs: 5000 });
+    const b = new Lease({ platform: client, key: "leases/placement", holder: "b", ttlMs: 5000 });
+    const results = await Promise.allSettled([a.renew(), b.renew()]);
+    const held = results.filter((r) => r.status === "fulfilled" && r.value);
+    expect(held).to.have.length(1);
+    expect(a.held() !== b.held()).to.equal(true);
+  });
+});
