--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,6 +5,8 @@
 import tseslint from "typescript-eslint";
 
 const roles = ["entry", "platform", "engine", "service", "bench", "cli"];
+/** Folders that compose roles (the CLI and the bench run them); no role imports these. */
+const composers = ["cli", "bench"];
 
 /** One block per role folder: it may import common/ and itself, never another role. */
 const layering = roles.map((role) => ({
@@ -14,7 +16,7 @@
       "error",
       {
         patterns: roles
-          .filter((other) => other !== role && role !== "cli")
+          .filter((other) => other !== role && !composers.includes(role))
           .map((other) => ({ group: [`../${other}/*`], message: `${role}/ may not import ${other}/` })),
       },
     ],
--- a/src/cli/embedded.ts
+++ b/src/cli/embedded.ts
@@ -9,7 +9,7 @@
 import { PlatformServer } from "../platform/platformServer.ts";
 import { ServiceServer } from "../service/serviceServer.ts";
 import { andes, ovaseker, type ServiceAddresses } from "./sampleTemplates.ts";
-import { TemplateStore } from "./templateStore.ts";
+import { TemplateStore } from "../common/templateStore.ts";
 
 /** The running parts of an embedded system. */
 export class Embedded {
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -2,6 +2,7 @@
 import * as commander from "commander";
 import { toFailure } from "../common/errors.ts";
 import { createLog } from "../common/log.ts";
+import { benchCommand } from "./benchCommand.ts";
 import { demoCommand } from "./demoCommand.ts";
 import { engineCommand, entryCommand, platformCommand, serviceCommand } from "./roleCommands.ts";
 import { templateCommand } from "./templateCommand.ts";
@@ -17,6 +18,7 @@
 program.addCommand(serviceCommand());
 program.addCommand(templateCommand());
 program.addCommand(demoCommand());
+program.addCommand(benchCommand());
 
 try {
   await program.parseAsync(process.argv);
--- a/src/cli/templateCommand.ts
+++ b/src/cli/templateCommand.ts
@@ -3,7 +3,7 @@
 import * as commander from "commander";
 import { Failure } from "../common/errors.ts";
 import { PlatformClient } from "../common/platformClient.ts";
-import { TemplateStore } from "./templateStore.ts";
+import { TemplateStore } from "../common/templateStore.ts";
 
 const platformOption = (): commander.Option =>
   new commander.Option("--platform <url>", "platform (table service) base URL")
--- a/src/common/rpc.ts
+++ b/src/common/rpc.ts
@@ -38,8 +38,22 @@
   }
 }
 
+/** Control-plane traffic of one node: calls made and bytes sent and received, summed over its clients. */
+export class Traffic {
+  calls = 0;
+  bytesSent = 0;
+  bytesReceived = 0;
+
+  /** Bytes both ways so far. */
+  get bytes(): number {
+    return this.bytesSent + this.bytesReceived;
+  }
+}
+
 /** Options of an `RpcClient`. */
 export interface RpcClientOptions {
+  /** Where this client adds its calls and bytes; none by default. */
+  readonly traffic?: Traffic;
   /** Base URL of the peer, e.g. `http://127.0.0.1:7000`. */
   readonly url: string;
   /** Per-call timeout in ms; a silent connection fails the call instead of hanging it. */
@@ -56,14 +70,20 @@
   constructor(options: RpcClientOptions) {
     this.timeoutMs = options.timeoutMs ?? clientDefaults.timeoutMs;
     const endpoint = `${options.url}/rpc`;
+    const traffic = options.traffic ?? new Traffic();
     this.client = new jsonrpc.JSONRPCClient(async (request) => {
+      const body = JSON.stringify(request);
       const response = await fetch(endpoint, {
         method: "POST",
         headers: { "content-type": "application/json" },
-        body: JSON.stringify(request),
+        body,
         signal: AbortSignal.timeout(this.timeoutMs),
       });
-      this.client.receive((await response.json()) as jsonrpc.JSONRPCResponse);
+      const text = await response.text();
+      traffic.calls += 1;
+      traffic.bytesSent += Buffer.byteLength(body);
+      traffic.bytesReceived += Buffer.byteLength(text);
+      this.client.receive(JSON.parse(text) as jsonrpc.JSONRPCResponse);
     });
   }
 
--- a/src/cli/templateStore.ts
+++ b/src/common/templateStore.ts
@@ -2,10 +2,10 @@
  * Operator template commands against the table service: create, apply (change), retire, list. Writes are
  * conditional on the version read, so operators racing on one template get one winner and a `conflict`.
  */
-import { decode } from "../common/decode.ts";
-import { Failure } from "../common/errors.ts";
-import type { PlatformClient } from "../common/platformClient.ts";
-import { StoredTemplate, Template, templatePrefix } from "../common/template.ts";
+import { decode } from "./decode.ts";
+import { Failure } from "./errors.ts";
+import type { PlatformClient } from "./platformClient.ts";
+import { StoredTemplate, Template, templatePrefix } from "./template.ts";
 
 /** Template commands over one platform client. */
 export class TemplateStore {
--- a/src/entry/entryNode.ts
+++ b/src/entry/entryNode.ts
@@ -7,6 +7,7 @@
 import { close, listen } from "../common/http.ts";
 import { createLog } from "../common/log.ts";
 import { PlatformClient } from "../common/platformClient.ts";
+import { Traffic } from "../common/rpc.ts";
 import { Supervisor } from "../common/supervisor.ts";
 import { CompletionProxy } from "./completionProxy.ts";
 import { ConfigWatcher } from "./configWatcher.ts";
@@ -49,6 +50,8 @@
 /** Builds, starts and stops one entry node. */
 export class EntryNode {
   readonly metrics = new EntryMetrics();
+  /** Control-plane calls and bytes of this node (platform and engine RPCs). */
+  readonly traffic = new Traffic();
   readonly config: ConfigWatcher;
   readonly fleet: Fleet;
   readonly placer: Placer;
@@ -64,9 +67,14 @@
   constructor(options: EntryNodeOptions) {
     this.options = { ...defaults, ...options };
     this.log = createLog(`entry:${options.id}`);
-    this.platform = new PlatformClient({ url: options.platformUrl });
+    this.platform = new PlatformClient({ url: options.platformUrl, traffic: this.traffic });
     this.config = new ConfigWatcher({ platform: this.platform, log: this.log, pollMs: this.options.pollMs });
-    this.fleet = new Fleet({ platform: this.platform, log: this.log, pollMs: this.options.pollMs });
+    this.fleet = new Fleet({
+      platform: this.platform,
+      log: this.log,
+      pollMs: this.options.pollMs,
+      traffic: this.traffic,
+    });
     this.placer = new Placer({
       platform: this.platform,
       config: this.config,
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -5,7 +5,7 @@
 import * as protocol from "../common/engineProtocol.ts";
 import type { Log } from "../common/log.ts";
 import type { Host, PlatformClient } from "../common/platformClient.ts";
-import { RpcClient } from "../common/rpc.ts";
+import { RpcClient, type Traffic } from "../common/rpc.ts";
 import { Loop } from "../common/supervisor.ts";
 
 /** One engine as this entry node sees it. */
@@ -28,6 +28,8 @@
   readonly pollMs?: number;
   /** Timeout of one status call, in ms: a silent connection counts as a failure after it. */
   readonly statusTimeoutMs?: number;
+  /** Where status polls are counted. */
+  readonly traffic?: Traffic;
 }
 
 const defaults = { pollMs: 500, statusTimeoutMs: 1000 };
@@ -102,7 +104,11 @@
       this.engines.set(host.address, {
         address: host.address,
         zone: host.zone,
-        rpc: new RpcClient({ url: host.address, timeoutMs: this.options.statusTimeoutMs }),
+        rpc: new RpcClient({
+          url: host.address,
+          timeoutMs: this.options.statusTimeoutMs,
+          traffic: this.options.traffic,
+        }),
         status: undefined,
         leaving: host.state === "leaving",
         failures: 0,
--- a/test/configAndLease.spec.ts
+++ b/test/configAndLease.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { PlatformClient } from "../src/common/platformClient.ts";
-import { TemplateStore } from "../src/cli/templateStore.ts";
+import { TemplateStore } from "../src/common/templateStore.ts";
 import { EngineServer } from "../src/engine/engineServer.ts";
 import { EntryNode } from "../src/entry/entryNode.ts";
 import { Lease } from "../src/entry/lease.ts";
--- a/test/faults.spec.ts
+++ b/test/faults.spec.ts
@@ -3,7 +3,7 @@
 import { PlatformClient } from "../src/common/platformClient.ts";
 import { createLog } from "../src/common/log.ts";
 import { andes } from "../src/cli/sampleTemplates.ts";
-import { TemplateStore } from "../src/cli/templateStore.ts";
+import { TemplateStore } from "../src/common/templateStore.ts";
 import { Memory } from "../src/engine/memory.ts";
 import { ConfigWatcher } from "../src/entry/configWatcher.ts";
 import { Ledger } from "../src/entry/ledger.ts";
