--- a/src/cli/settings.ts
+++ b/src/cli/settings.ts
@@ -1,5 +1,6 @@
 /** Settings of each subcommand: flags and `PARSLEYNOTCH_*` env vars (commander), checked by schema at start. */
 import * as Schema from "effect/Schema";
+import { decodeEither } from "../common/decode.ts";
 import { Failure } from "../common/errors.ts";
 
 /** A TCP port given as a string (0: any free port). */
@@ -18,7 +19,14 @@
 
 /** Checks raw settings against `schema`; throws `bad-settings` naming the setting and what was expected. */
 export function checkSettings<A>(schema: Schema.Codec<A, unknown>, raw: unknown): A {
-  const decoded = Schema.decodeUnknownExit(schema)(raw);
-  if (decoded._tag === "Success") return decoded.value;
-  throw new Failure("bad-settings", `bad setting: ${String(decoded.cause)}`);
+  return decodeEither(schema, raw, "bad-settings")
+    .mapLeft(
+      (failure) => new Failure("bad-settings", failure.message.replace("input does not fit", "bad setting")),
+    )
+    .caseOf({
+      Left: (failure) => {
+        throw failure;
+      },
+      Right: (settings) => settings,
+    });
 }
--- a/src/common/decode.ts
+++ b/src/common/decode.ts
@@ -1,10 +1,32 @@
-/** Decoding untrusted input with a schema, failing with a `Failure` of a chosen kind. */
+/** Decoding untrusted input with a schema into a purify-ts `Either` of a `Failure` or the value. */
+import * as purify from "purify-ts";
 import * as Schema from "effect/Schema";
 import { Failure, type ErrorKind } from "./errors.ts";
 
-/** Decodes `input` with `schema`; on mismatch throws `kind` (default `bad-request`) with the schema's message. */
-export function decode<A>(schema: Schema.Codec<A>, input: unknown, kind: ErrorKind = "bad-request"): A {
-  const decoded = Schema.decodeUnknownExit(schema)(input);
-  if (decoded._tag === "Success") return decoded.value;
-  throw new Failure(kind, `input does not fit: ${String(decoded.cause)}`);
+/** Decodes `input` with `schema`: `Right` the value, or `Left` a `Failure` of `kind` with the schema's message. */
+export function decodeEither<A>(
+  schema: Schema.Codec<A, unknown>,
+  input: unknown,
+  kind: ErrorKind = "bad-request",
+): purify.Either<Failure, A> {
+  try {
+    return purify.Right(Schema.decodeUnknownSync(schema)(input));
+  } catch (error) {
+    const detail = (error instanceof Error ? error.message : String(error)).replace(/\s+/g, " ");
+    return purify.Left(new Failure(kind, `input does not fit: ${detail}`));
+  }
+}
+
+/** Like `decodeEither`, but throws the `Failure`; for handlers whose failures are answered in one place. */
+export function decode<A>(
+  schema: Schema.Codec<A, unknown>,
+  input: unknown,
+  kind: ErrorKind = "bad-request",
+): A {
+  return decodeEither(schema, input, kind).caseOf({
+    Left: (failure) => {
+      throw failure;
+    },
+    Right: (value) => value,
+  });
 }
