--- a/src/entry/placer.ts
+++ b/src/entry/placer.ts
@@ -102,18 +102,20 @@
 
   private async load(spec: ModelSpec): Promise<boolean> {
     const need = spec.sizeMb + spec.adapters.reduce((sum, adapter) => sum + adapter.sizeMb, 0);
-    const candidates = this.options.fleet
-      .usable()
-      .filter((engine) => !engine.status?.residents.some((r) => r.model === spec.name))
+    const usable = this.options.fleet.usable();
+    const fresh = usable
+      .filter((engine) => residentOf(engine, spec.name) === undefined)
       .filter((engine) => free(engine) >= need)
       .sort((a, b) => free(b) - free(a));
+    const replaceable = usable.filter((engine) => this.canReplace(engine, spec, need, usable));
+    const candidates = [...fresh, ...replaceable];
     const engine = candidates[0];
     this.options.log.info({
       event: "place",
       model: spec.name,
       version: spec.version,
       engine: engine?.address ?? null,
-      reason: engine === undefined ? "no-engine-with-room" : "most-free-memory",
+      reason: placeReason(engine, fresh),
       needMb: need,
       alternatives: candidates.slice(1).map((candidate) => candidate.address),
       fencing: this.lease.fencing,
@@ -144,6 +146,20 @@
     }
   }
 
+  /**
+   * Whether `engine` may swap its old version of the model for `spec` in place. Guards "a rollout
+   * stalls" (every engine left holds the old version, so none is free for the new one) without
+   * breaking "models stay reachable": the swap drops this copy while the new one loads, so it is
+   * allowed only while a ready copy of the model stays on another engine. Memory stays within
+   * capacity because the engine frees the old copy in the same step as it reserves the new one.
+   */
+  private canReplace(engine: Engine, spec: ModelSpec, need: number, usable: readonly Engine[]): boolean {
+    const old = residentOf(engine, spec.name);
+    if (old === undefined || old.version === spec.version) return false;
+    if (free(engine) + old.sizeMb < need) return false;
+    return usable.some((other) => other !== engine && residentOf(other, spec.name)?.state === "ready");
+  }
+
   private async unloadUnwanted(wanted: ReadonlyMap<string, ModelSpec>): Promise<void> {
     for (const engine of this.options.fleet.usable()) {
       for (const resident of engine.status?.residents ?? []) {
@@ -181,6 +197,15 @@
   }
 }
 
+function placeReason(engine: Engine | undefined, fresh: readonly Engine[]): string {
+  if (engine === undefined) return "no-engine-with-room";
+  return fresh.includes(engine) ? "most-free-memory" : "replace-old-version";
+}
+
+function residentOf(engine: Engine, model: string): protocol.Resident | undefined {
+  return engine.status?.residents.find((resident) => resident.model === model);
+}
+
 function free(engine: Engine): number {
   return engine.status === undefined ? 0 : engine.status.capacityMb - engine.status.usedMb;
 }
--- /dev/null
+++ b/test/rollout.spec.ts
@@ -0,0 +1,74 @@
+import { expect } from "chai";
+import { PlatformClient } from "../src/common/platformClient.ts";
+import { TemplateStore } from "../src/common/templateStore.ts";
+import { EngineServer } from "../src/engine/engineServer.ts";
+import { EntryNode } from "../src/entry/entryNode.ts";
+import { PlatformServer } from "../src/platform/platformServer.ts";
+import { oneModel } from "./fixtures/cluster.ts";
+import { until } from "./fixtures/processes.ts";
+
+describe("rolling a model to a new version", function () {
+  this.timeout(30_000);
+  let platform: PlatformServer;
+  let engines: EngineServer[];
+  let entry: EntryNode;
+  let client: PlatformClient;
+
+  beforeEach(async () => {
+    platform = new PlatformServer({ hostLagMs: 0, weights: { loadsPerSecond: 100, concurrent: 10 } });
+    const url = `http://127.0.0.1:${await platform.start()}`;
+    client = new PlatformClient({ url });
+    engines = [1, 2, 3].map((i) => new EngineServer({ id: `e${i}`, capacityMb: 25_000, loadMs: 100 }));
+    for (const engine of engines) {
+      await client.setHost({
+        address: `http://127.0.0.1:${await engine.start()}`,
+        zone: "z",
+        kind: "engine",
+        state: "live",
+      });
+    }
+    await new TemplateStore(client).create(oneModel);
+    entry = new EntryNode({ id: "n1", zone: "z", platformUrl: url, pollMs: 100 });
+    await entry.start();
+    await until(() => Promise.resolve(residents("v1") === 2));
+  });
+
+  afterEach(async () => {
+    await entry.dispose();
+    for (const engine of engines) await engine.dispose();
+    await platform.dispose();
+  });
+
+  const residents = (version: string): number =>
+    engines
+      .flatMap((engine) => engine.memory.list())
+      .filter((r) => r.version === version && r.state === "ready").length;
+
+  it("should finish a rollout with every replica on the new version, never over capacity, model always reachable", async () => {
+    // An operator rolls m1 (2 replicas) from v1 to v2 on three engines, one of them free; each engine
+    // holds one copy at most. Without in-place replacement the rollout stalls at one v2 copy, as the
+    // only engines left hold v1. Callers must reach m1 throughout, and no engine may go over capacity.
+    await new TemplateStore(client).apply({
+      ...oneModel,
+      models: oneModel.models.map((model) => ({ ...model, version: "v2" })),
+    });
+    const failures: number[] = [];
+    let overCapacity = 0;
+    const deadline = Date.now() + 10_000;
+    while (residents("v2") < 2 || residents("v1") > 0) {
+      if (Date.now() > deadline) break;
+      overCapacity += engines.filter((engine) => engine.memory.usedMb > engine.memory.capacityMb).length;
+      const response = await fetch(`http://127.0.0.1:${entry.port}/v1/completions`, {
+        method: "POST",
+        headers: { "content-type": "application/json", "x-customer": "andes" },
+        body: JSON.stringify({ model: "m1", prompt: "x", max_tokens: 1 }),
+      });
+      if (response.status !== 200) failures.push(response.status);
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+    expect(residents("v2"), "ready v2 copies").to.equal(2);
+    expect(residents("v1"), "v1 copies left").to.equal(0);
+    expect(overCapacity).to.equal(0);
+    expect(failures).to.deep.equal([]);
+  });
+});
