--- a/test/faults.spec.ts
+++ b/test/faults.spec.ts
@@ -67,6 +67,24 @@
     expect(service.executions).to.have.length(0);
   });
 
+  it("should answer outcome-unknown, never not-run, when a slip call times out after it was sent", async () => {
+    // The slip server is slow: the entry node gives up at the caller's deadline while the slip is
+    // still printing. Saying "not run" would invite a second print. The caller is told the outcome is
+    // unknown (with the request id), and a retry with the same key is told the same and prints nothing.
+    await service.dispose();
+    service = new ServiceServer({ name: "slips", callMs: 300, port: Number(new URL(serviceUrl).port) });
+    await service.start();
+    const caller = new ServiceCaller(new Ledger(client));
+    const first = await caller
+      .run({ ...slipCall("req-1"), deadline: Date.now() + 100 })
+      .catch((e: unknown) => e);
+    expect((first as Failure).kind).to.equal("outcome-unknown");
+    await new Promise((resolve) => setTimeout(resolve, 400));
+    const retry = await caller.run(slipCall("req-2")).catch((e: unknown) => e);
+    expect((retry as Failure).kind).to.equal("outcome-unknown");
+    expect(service.executions).to.have.length(1);
+  });
+
   it("should give one racing operator a conflict instead of a silent overwrite", async () => {
     // Two operators change the same template at once, both based on version 1. Without conditional
     // writes the later one silently replaces the earlier. With them, one wins and the other is told.
