--- a/src/common/template.ts
+++ b/src/common/template.ts
@@ -60,6 +60,8 @@
   template: Template,
   version: Schema.Number,
   retired: Schema.Boolean,
+  /** Random id of the write that stored this version, so a writer can recognise its own write. */
+  writeId: Schema.optionalKey(Schema.String),
 });
 /** A decoded stored template. */
 export type StoredTemplate = typeof StoredTemplate.Type;
--- a/src/common/templateStore.ts
+++ b/src/common/templateStore.ts
@@ -2,8 +2,9 @@
  * Operator template commands against the table service: create, apply (change), retire, list. Writes are
  * conditional on the version read, so operators racing on one template get one winner and a `conflict`.
  */
+import * as crypto from "node:crypto";
 import { decode } from "./decode.ts";
-import { Failure } from "./errors.ts";
+import { Failure, toFailure } from "./errors.ts";
 import type { PlatformClient } from "./platformClient.ts";
 import { StoredTemplate, Template, templatePrefix } from "./template.ts";
 
@@ -47,8 +48,25 @@
 
   private async write(template: Template, expectVersion: number, retired: boolean): Promise<number> {
     const version = expectVersion + 1;
-    const value: StoredTemplate = { template, version, retired };
-    await this.platform.commit([{ key: templatePrefix + template.name, value, expectVersion }]);
+    const writeId = crypto.randomUUID();
+    const value: StoredTemplate = { template, version, retired, writeId };
+    try {
+      await this.platform.commit([{ key: templatePrefix + template.name, value, expectVersion }]);
+    } catch (error) {
+      // Guards "an applied change reported as failed": when the answer is lost the write may still
+      // have landed; the row is read back and our own write id proves it did.
+      if (toFailure(error).kind !== "platform-unavailable" || !(await this.landed(template.name, writeId)))
+        throw error;
+    }
     return version;
   }
+
+  private async landed(name: string, writeId: string): Promise<boolean> {
+    try {
+      const row = await this.platform.get(templatePrefix + name);
+      return row !== null && decode(StoredTemplate, row.value, "internal").writeId === writeId;
+    } catch {
+      return false;
+    }
+  }
 }
--- a/test/faults.spec.ts
+++ b/test/faults.spec.ts
@@ -100,6 +100,21 @@
     expect((rejected?.reason as Failure).kind).to.equal("conflict");
   });
 
+  it("should confirm an operator's change whose acknowledgement was lost", async () => {
+    // An operator applies a change; the table service writes it but the answer is lost. Told it
+    // failed, the operator applies again and is told "conflict" by their own earlier write. The
+    // command reads the row back and recognises its own write, so it reports the change as applied.
+    const templates = new TemplateStore(client);
+    const template = andes({ catalog: "http://a", weighbridge: "http://b", slips: "http://c" });
+    await templates.create(template);
+    await client.setFaults({ down: false, slowMs: 0, loseAcks: 1 });
+    const version = await templates.apply({ ...template, share: 0.4 });
+    expect(version).to.equal(2);
+    const [stored] = await templates.list();
+    expect(stored?.version).to.equal(2);
+    expect(stored?.template.share).to.equal(0.4);
+  });
+
   it("should keep the newer configuration when an older version is read afterwards", async () => {
     // An entry node has applied version 2; a late or replayed row carries version 1. Without the
     // guard the node would step back to version 1; with it the newer version stays in force.
