--- a/src/entry/ledger.ts
+++ b/src/entry/ledger.ts
@@ -10,10 +10,15 @@
 const Entry = Schema.Struct({
   state: Schema.Literals(["started", "done", "not-run", "unknown"]),
   requestId: Schema.String,
+  /** Epoch ms after which a `started` call can no longer be running under its owner. */
+  deadline: Schema.optionalKey(Schema.Number),
   answer: Schema.optionalKey(Schema.Unknown),
 });
 type Entry = typeof Entry.Type;
 
+/** Time past a claim's deadline before its owner is taken to be gone, in ms (covers clock skew between nodes). */
+const deadlineGraceMs = 250;
+
 /** The outcome of `begin`: run it now (`claim`, holding the row version), or answer from the ledger. */
 export type Begin =
   | { readonly kind: "claim"; readonly version: number }
@@ -29,17 +34,17 @@
    * Claims the key for `requestId`. Throws `not-run` when the table service cannot be reached and the
    * claim is not known to have been written: nothing was dispatched, so "not run" is true.
    */
-  async begin(customer: string, key: string, requestId: string): Promise<Begin> {
+  async begin(customer: string, key: string, requestId: string, deadline: number): Promise<Begin> {
     const rowKey = keyOf(customer, key);
     try {
       const result = await this.platform.commit([
-        { key: rowKey, value: entry("started", requestId), expectVersion: 0 },
+        { key: rowKey, value: { ...entry("started", requestId), deadline }, expectVersion: 0 },
       ]);
       return { kind: "claim", version: result.rows[0]?.version ?? 1 };
     } catch (error) {
       const failure = toFailure(error);
       if (failure.kind !== "conflict" && failure.kind !== "platform-unavailable") throw failure;
-      return this.afterFailedClaim(rowKey, requestId);
+      return this.afterFailedClaim(rowKey, requestId, deadline);
     }
   }
 
@@ -72,7 +77,7 @@
     }
   }
 
-  private async afterFailedClaim(rowKey: string, requestId: string): Promise<Begin> {
+  private async afterFailedClaim(rowKey: string, requestId: string, deadline: number): Promise<Begin> {
     let row: Row | null;
     try {
       row = await this.platform.get(rowKey);
@@ -85,16 +90,26 @@
     // Guards "lost acknowledgement runs twice": a claim whose answer was lost is found here as our own.
     if (held.state === "started" && held.requestId === requestId)
       return { kind: "claim", version: row.version };
+    // Guards "in progress forever": the owner of a claim past its deadline has finished or died without
+    // recording it, so whether the call ran is unknown; saying so lets the caller check instead of wait.
+    if (held.state === "started" && (held.deadline ?? 0) + deadlineGraceMs < Date.now()) {
+      return { kind: "unknown", requestId: held.requestId };
+    }
     if (held.state === "started") return { kind: "in-progress", requestId: held.requestId };
     if (held.state === "unknown") return { kind: "unknown", requestId: held.requestId };
     if (held.state === "done") return { kind: "done", answer: held.answer };
-    return this.reclaim(rowKey, requestId, row.version);
+    return this.reclaim(rowKey, requestId, row.version, deadline);
   }
 
-  private async reclaim(rowKey: string, requestId: string, version: number): Promise<Begin> {
+  private async reclaim(
+    rowKey: string,
+    requestId: string,
+    version: number,
+    deadline: number,
+  ): Promise<Begin> {
     try {
       const result = await this.platform.commit([
-        { key: rowKey, value: entry("started", requestId), expectVersion: version },
+        { key: rowKey, value: { ...entry("started", requestId), deadline }, expectVersion: version },
       ]);
       return { kind: "claim", version: result.rows[0]?.version ?? version + 1 };
     } catch {
--- a/src/entry/serviceCaller.ts
+++ b/src/entry/serviceCaller.ts
@@ -38,7 +38,7 @@
   }
 
   private async runOnce(call: Call, key: string): Promise<unknown> {
-    const begun = await this.ledger.begin(call.customer, key, call.requestId);
+    const begun = await this.ledger.begin(call.customer, key, call.requestId, call.deadline);
     if (begun.kind === "done") return begun.answer;
     if (begun.kind === "in-progress")
       throw new Failure("in-progress", "this key's call is still running", begun.requestId);
--- a/test/processFaults.spec.ts
+++ b/test/processFaults.spec.ts
@@ -88,4 +88,26 @@
     cluster.engines[0]?.process.kill("SIGCONT");
     cluster.engines[1]?.process.kill("SIGCONT");
   });
+
+  it("should tell a caller whose entry node died mid-slip that the outcome is unknown, and print once", async () => {
+    // A clerk sends a slip through entry-1; while it prints, entry-1 is killed (SIGKILL) and the clerk
+    // retries through entry-2 with the same key. The claim row stays "started" with nobody to finish
+    // it. Without a bound the retry is told "in progress" forever; past the call's deadline it is told
+    // the outcome is unknown, with the request id, and the slip prints once.
+    cluster = new Cluster({ entries: 2, slipsCallMs: 600 });
+    await cluster.start();
+    const first = cluster.slip(0, "slip-k1", 400).catch((error: unknown) => error);
+    await sleep(200);
+    cluster.entries[0]?.process.kill("SIGKILL");
+    expect(await first).to.be.instanceOf(Error);
+    const during = await cluster.slip(1, "slip-k1");
+    expect(during.status).to.equal(409);
+    await sleep(600);
+    const after = await cluster.slip(1, "slip-k1");
+    const body = (await after.json()) as { error: { kind: string; requestId?: string } };
+    expect(after.status).to.equal(504);
+    expect(body.error.kind).to.equal("outcome-unknown");
+    expect(body.error.requestId).to.be.a("string");
+    expect(await cluster.slipExecutions()).to.equal(1);
+  });
 });
