--- a/src/engine/engineServer.ts
+++ b/src/engine/engineServer.ts
@@ -49,6 +49,16 @@
 
 const RoleParams = Schema.Struct({ role: Schema.String, fencing: Schema.Number });
 
+/**
+ * Fault switch for tests: the next `lateOrders` orders are held `delayMs` (past the sender's timeout),
+ * then applied late, or with `lose` never applied at all.
+ */
+const OrderFaults = Schema.Struct({
+  lateOrders: Schema.Number,
+  delayMs: Schema.Number,
+  lose: Schema.Boolean,
+});
+
 /** Serves completions and orders until disposed. */
 export class EngineServer {
   readonly memory: Memory;
@@ -60,6 +70,7 @@
   private readonly log;
   private readonly platform: PlatformClient | undefined;
   private role = "mixed";
+  private orderFaults: typeof OrderFaults.Type = { lateOrders: 0, delayMs: 0, lose: false };
   private drainedAt: number | undefined;
   private received = 0;
   private receivedAfterDrain = 0;
@@ -77,8 +88,18 @@
   /** Binds and serves; resolves with the port. */
   async start(): Promise<number> {
     const endpoint = new RpcEndpoint({
-      "engine.load": (p) => this.load(decodeParams(protocol.LoadOrder, p)),
-      "engine.unload": (p) => Promise.resolve(this.unload(decodeParams(protocol.UnloadOrder, p))),
+      "engine.load": async (p) => {
+        await this.delayOrder();
+        return this.load(decodeParams(protocol.LoadOrder, p));
+      },
+      "engine.unload": async (p) => {
+        await this.delayOrder();
+        return this.unload(decodeParams(protocol.UnloadOrder, p));
+      },
+      "engine.faults": (p) => {
+        this.orderFaults = decodeParams(OrderFaults, p);
+        return Promise.resolve(this.orderFaults);
+      },
       "engine.role": (p) => Promise.resolve(this.setRole(decodeParams(RoleParams, p))),
       "engine.status": () => Promise.resolve(this.status()),
       "engine.drain": () => Promise.resolve(this.drain()),
@@ -139,6 +160,13 @@
     };
   }
 
+  private async delayOrder(): Promise<void> {
+    if (this.orderFaults.lateOrders <= 0) return;
+    this.orderFaults = { ...this.orderFaults, lateOrders: this.orderFaults.lateOrders - 1 };
+    await new Promise((resolve) => setTimeout(resolve, this.orderFaults.delayMs));
+    if (this.orderFaults.lose) throw new Failure("upstream-failed", "order lost (fault switch)");
+  }
+
   private async load(order: protocol.LoadOrder): Promise<protocol.EngineStatus> {
     if (!this.memory.reserve(order)) return this.status();
     this.log.info({ event: "load", model: order.model, version: order.version, fencing: order.fencing });
--- a/src/entry/placer.ts
+++ b/src/entry/placer.ts
@@ -27,9 +27,11 @@
   readonly loadsPerRound?: number;
   /** Placement lease duration, in ms. */
   readonly leaseTtlMs?: number;
+  /** How long an engine that failed an order is passed over for new loads, in ms. */
+  readonly orderBackoffMs?: number;
 }
 
-const defaults = { everyMs: 500, loadsPerRound: 2, leaseTtlMs: 3000 };
+const defaults = { everyMs: 500, loadsPerRound: 2, leaseTtlMs: 3000, orderBackoffMs: 5000 };
 
 /** The placement task: lease, plan, orders. */
 export class Placer {
@@ -37,6 +39,8 @@
   private readonly lease: Lease;
   private readonly loop: Loop;
   private readonly options: PlacerOptions & typeof defaults;
+  /** Engines passed over for loads until the given epoch ms, after a failed order. */
+  private readonly avoidUntil = new Map<string, number>();
 
   constructor(options: PlacerOptions) {
     this.options = { ...defaults, ...options };
@@ -102,7 +106,13 @@
 
   private async load(spec: ModelSpec): Promise<boolean> {
     const need = spec.sizeMb + spec.adapters.reduce((sum, adapter) => sum + adapter.sizeMb, 0);
-    const usable = this.options.fleet.usable();
+    // Guards "a model is never placed": an engine that loses orders would otherwise be chosen first
+    // every round (its free memory never shrinks) and time out every time; passing it over for a while
+    // lets the next round choose another engine.
+    const now = Date.now();
+    const usable = this.options.fleet
+      .usable()
+      .filter((engine) => (this.avoidUntil.get(engine.address) ?? 0) <= now);
     const fresh = usable
       .filter((engine) => residentOf(engine, spec.name) === undefined)
       .filter((engine) => free(engine) >= need)
@@ -136,11 +146,13 @@
       this.options.metrics.moves.inc({ kind: "load" });
       return true;
     } catch (error) {
+      this.avoidUntil.set(engine.address, Date.now() + this.options.orderBackoffMs);
       this.options.log.warn({
         event: "load-failed",
         model: spec.name,
         engine: engine.address,
         error: toFailure(error).kind,
+        avoidMs: this.options.orderBackoffMs,
       });
       return false;
     }
--- a/test/rollout.spec.ts
+++ b/test/rollout.spec.ts
@@ -72,3 +72,45 @@
     expect(failures).to.deep.equal([]);
   });
 });
+
+describe("placement with lost orders", function () {
+  this.timeout(30_000);
+
+  it("should place a model elsewhere when every order to one engine is lost", async () => {
+    // One engine silently loses every order (they time out at the placer). It has the most free
+    // memory, so the placer picks it first every round, times out, and tries it again next round:
+    // the model is never placed, and its customer's callers find no replica. Placement must move on.
+    const platform = new PlatformServer({ hostLagMs: 0, weights: { loadsPerSecond: 100, concurrent: 10 } });
+    const url = `http://127.0.0.1:${await platform.start()}`;
+    const client = new PlatformClient({ url });
+    const engines = [30_000, 25_000, 25_000].map(
+      (capacityMb, i) => new EngineServer({ id: `e${i + 1}`, capacityMb, loadMs: 10 }),
+    );
+    for (const engine of engines) {
+      const port = await engine.start();
+      await client.setHost({ address: `http://127.0.0.1:${port}`, zone: "z", kind: "engine", state: "live" });
+    }
+    const blackHole = engines[0];
+    await fetch(`http://127.0.0.1:${blackHole?.port ?? 0}/rpc`, {
+      method: "POST",
+      body: JSON.stringify({
+        jsonrpc: "2.0",
+        id: 1,
+        method: "engine.faults",
+        params: { lateOrders: 1000, delayMs: 1500, lose: true },
+      }),
+    });
+    await new TemplateStore(client).create(oneModel);
+    const entry = new EntryNode({ id: "n1", zone: "z", platformUrl: url, pollMs: 100 });
+    try {
+      await entry.start();
+      const copies = (): number => engines.filter((engine) => engine.memory.ready("m1") !== undefined).length;
+      await until(() => Promise.resolve(copies() >= 2), 8000).catch(() => undefined);
+      expect(copies(), "ready copies of m1 within 8 s").to.equal(2);
+    } finally {
+      await entry.dispose();
+      for (const engine of engines) await engine.dispose();
+      await platform.dispose();
+    }
+  });
+});
