--- a/src/entry/placer.ts
+++ b/src/entry/placer.ts
@@ -74,14 +74,17 @@
     if (!(await this.lease.renew())) return;
     await this.options.fleet.refresh();
     const wanted = this.wanted();
-    let loads = 0;
+    // Orders of one round run at once (the weight store allows several loads in parallel); each
+    // choice is recorded in the local view before the next is made, so two never pick the same room.
+    const orders: Promise<void>[] = [];
     for (const spec of wanted.values()) {
-      const missing = spec.replicas - this.hosting(spec).length;
-      for (let i = 0; i < missing && loads < this.options.loadsPerRound; i += 1) {
-        if (await this.load(spec)) loads += 1;
-        else break;
+      while (this.hosting(spec).length < spec.replicas && orders.length < this.options.loadsPerRound) {
+        const engine = this.choose(spec);
+        if (engine === undefined) break;
+        orders.push(this.order(engine, spec));
       }
     }
+    await Promise.all(orders);
     await this.unloadUnwanted(wanted);
   }
 
@@ -104,8 +107,9 @@
       );
   }
 
-  private async load(spec: ModelSpec): Promise<boolean> {
-    const need = spec.sizeMb + spec.adapters.reduce((sum, adapter) => sum + adapter.sizeMb, 0);
+  /** Picks the engine for one more copy of `spec` and records the copy as loading in the local view. */
+  private choose(spec: ModelSpec): Engine | undefined {
+    const need = footprint(spec);
     // Guards "a model is never placed": an engine that loses orders would otherwise be chosen first
     // every round (its free memory never shrinks) and time out every time; passing it over for a while
     // lets the next round choose another engine.
@@ -130,7 +134,29 @@
       alternatives: candidates.slice(1).map((candidate) => candidate.address),
       fencing: this.lease.fencing,
     });
-    if (engine === undefined || !this.lease.held()) return false;
+    if (engine?.status === undefined || !this.lease.held()) return undefined;
+    // Guards "memory over capacity while placing": this node's view may be stale, so the copy is
+    // counted locally at once, and the engine checks capacity again before it reserves.
+    const old = residentOf(engine, spec.name);
+    engine.status = {
+      ...engine.status,
+      usedMb: engine.status.usedMb - (old?.sizeMb ?? 0) + need,
+      residents: [
+        ...engine.status.residents.filter((resident) => resident.model !== spec.name),
+        {
+          model: spec.name,
+          version: spec.version,
+          sizeMb: need,
+          adapters: spec.adapters.map((a) => a.name),
+          state: "loading",
+        },
+      ],
+    };
+    return engine;
+  }
+
+  /** Sends the load order; on failure passes the engine over for a while (not for the weight store's limit). */
+  private async order(engine: Engine, spec: ModelSpec): Promise<void> {
     const order: protocol.LoadOrder = {
       model: spec.name,
       version: spec.version,
@@ -138,23 +164,16 @@
       adapters: spec.adapters,
       fencing: this.lease.fencing,
     };
-    // Guards "memory over capacity while placing": this node's view of free memory may be stale, so the
-    // reservation is counted locally at once and the engine checks capacity again before it accepts.
-    engine.status = engine.status && { ...engine.status, usedMb: engine.status.usedMb + need };
     try {
       engine.status = await engine.rpc.call("engine.load", order, protocol.EngineStatus);
       this.options.metrics.moves.inc({ kind: "load" });
-      return true;
     } catch (error) {
-      this.avoidUntil.set(engine.address, Date.now() + this.options.orderBackoffMs);
-      this.options.log.warn({
-        event: "load-failed",
-        model: spec.name,
-        engine: engine.address,
-        error: toFailure(error).kind,
-        avoidMs: this.options.orderBackoffMs,
-      });
-      return false;
+      const kind = toFailure(error).kind;
+      // rate-limited is the weight store's limit, shared by all engines: passing this one over would
+      // only move the same wait elsewhere.
+      if (kind !== "rate-limited")
+        this.avoidUntil.set(engine.address, Date.now() + this.options.orderBackoffMs);
+      this.options.log.warn({ event: "load-failed", model: spec.name, engine: engine.address, error: kind });
     }
   }
 
@@ -218,6 +237,10 @@
   return engine.status?.residents.find((resident) => resident.model === model);
 }
 
+function footprint(spec: ModelSpec): number {
+  return spec.sizeMb + spec.adapters.reduce((sum, adapter) => sum + adapter.sizeMb, 0);
+}
+
 function free(engine: Engine): number {
   return engine.status === undefined ? 0 : engine.status.capacityMb - engine.status.usedMb;
 }
