--- a/test/configAndLease.spec.ts
+++ b/test/configAndLease.spec.ts
@@ -41,6 +41,24 @@
     expect(Date.now() - accepted).to.be.lessThan(7000);
   });
 
+  it("should stop advertising a draining entry node to callers", async () => {
+    // An operator stops entry-2. Callers ask entry-1 which addresses to use; without unadvertising,
+    // entry-2 stays in the list until its heartbeat goes stale (5 s) and callers keep being sent to a
+    // node that refuses them. Its drain removes its row, so the next list leaves it out.
+    const listed = async (): Promise<string[]> => {
+      const body = (await (await fetch(`http://127.0.0.1:${entries[0]?.port ?? 0}/v1/addresses`)).json()) as {
+        addresses: { address: string }[];
+      };
+      return body.addresses.map((a) => a.address);
+    };
+    const second = `http://127.0.0.1:${entries[1]?.port ?? 0}`;
+    await until(async () => (await listed()).includes(second), 3000);
+    const drained = Date.now();
+    await entries[1]?.drain();
+    await until(async () => !(await listed()).includes(second), 3000);
+    expect(Date.now() - drained).to.be.lessThan(3000);
+  });
+
   it("should keep the accepted configuration in force while the table service is down", async () => {
     // The platform store goes down after a change was accepted. The entry nodes' polls fail; without
     // care a node could drop its templates and refuse every customer. They keep the last accepted one.
