--- a/src/common/supervisor.ts
+++ b/src/common/supervisor.ts
@@ -81,3 +81,38 @@
     clearInterval(this.timer);
   }
 }
+
+/**
+ * A task whose work is one `step` repeated every `everyMs` (polls, heartbeats, placement rounds).
+ * `refresh` runs a step now, for tests and for pushing a change through without waiting.
+ */
+export abstract class PeriodicTask implements Task {
+  private readonly loop: Loop;
+
+  constructor(
+    readonly name: string,
+    everyMs: number,
+    log: Log,
+  ) {
+    this.loop = new Loop(name, everyMs, () => this.step(), log);
+  }
+
+  /** Runs the first step, then one every period. */
+  async start(): Promise<void> {
+    await this.loop.start();
+  }
+
+  /** Stops scheduling steps. */
+  dispose(): Promise<void> {
+    this.loop.dispose();
+    return Promise.resolve();
+  }
+
+  /** Runs one step now (unless one is running). */
+  async refresh(): Promise<void> {
+    await this.loop.tick();
+  }
+
+  /** One round of the task's work; a throw is logged and the next round runs as planned. */
+  protected abstract step(): Promise<void>;
+}
--- a/src/entry/configWatcher.ts
+++ b/src/entry/configWatcher.ts
@@ -6,7 +6,7 @@
 import * as Schema from "effect/Schema";
 import type { Log } from "../common/log.ts";
 import type { PlatformClient } from "../common/platformClient.ts";
-import { Loop } from "../common/supervisor.ts";
+import { PeriodicTask } from "../common/supervisor.ts";
 import {
   StoredTemplate,
   templatePrefix,
@@ -34,32 +34,14 @@
 const defaults = { pollMs: 500 };
 
 /** Holds the accepted templates; `entitlement(customer)` answers what a customer may call. */
-export class ConfigWatcher {
-  readonly name = "config-watcher";
+export class ConfigWatcher extends PeriodicTask {
   /** Revision of the table up to which changes are applied. */
   revision = 0;
   private readonly templates = new Map<string, StoredTemplate>();
   private entitlements = new Map<string, Entitlement>();
-  private readonly loop: Loop;
 
   constructor(private readonly options: ConfigWatcherOptions) {
-    this.loop = new Loop(this.name, options.pollMs ?? defaults.pollMs, () => this.poll(), options.log);
-  }
-
-  /** Loads the configuration once, then keeps polling. */
-  async start(): Promise<void> {
-    await this.loop.start();
-  }
-
-  /** Stops polling. */
-  dispose(): Promise<void> {
-    this.loop.dispose();
-    return Promise.resolve();
-  }
-
-  /** Polls now; for tests and after a local write. */
-  async refresh(): Promise<void> {
-    await this.loop.tick();
+    super("config-watcher", options.pollMs ?? defaults.pollMs, options.log);
   }
 
   /** What `customer` may use, or undefined if no live template names it. */
@@ -77,7 +59,7 @@
     return Object.fromEntries([...this.templates].map(([name, stored]) => [name, stored.version]));
   }
 
-  private async poll(): Promise<void> {
+  protected async step(): Promise<void> {
     const { rows, revision } = await this.options.platform.scan(templatePrefix, this.revision);
     let changed = false;
     for (const row of rows) changed = this.accept(row.key.slice(templatePrefix.length), row.value) || changed;
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -6,7 +6,7 @@
 import type { Log } from "../common/log.ts";
 import type { Host, PlatformClient } from "../common/platformClient.ts";
 import { RpcClient, type Traffic } from "../common/rpc.ts";
-import { Loop } from "../common/supervisor.ts";
+import { PeriodicTask } from "../common/supervisor.ts";
 
 /** One engine as this entry node sees it. */
 export interface Engine {
@@ -37,31 +37,13 @@
 const failuresToEject = 2;
 
 /** Keeps engines' statuses fresh; owns one RPC client per engine. */
-export class Fleet {
-  readonly name = "fleet";
+export class Fleet extends PeriodicTask {
   private readonly engines = new Map<string, Engine>();
-  private readonly loop: Loop;
   private readonly options: FleetOptions & typeof defaults;
 
   constructor(options: FleetOptions) {
+    super("fleet", options.pollMs ?? defaults.pollMs, options.log);
     this.options = { ...defaults, ...options };
-    this.loop = new Loop(this.name, this.options.pollMs, () => this.poll(), options.log);
-  }
-
-  /** Polls once, then periodically. */
-  async start(): Promise<void> {
-    await this.loop.start();
-  }
-
-  /** Stops polling. */
-  dispose(): Promise<void> {
-    this.loop.dispose();
-    return Promise.resolve();
-  }
-
-  /** Polls now. */
-  async refresh(): Promise<void> {
-    await this.loop.tick();
   }
 
   /** Engines that may take new work: reachable and not leaving. */
@@ -82,7 +64,7 @@
     if (engine !== undefined) engine.leaving = true;
   }
 
-  private async poll(): Promise<void> {
+  protected async step(): Promise<void> {
     let hosts: readonly Host[] | undefined;
     try {
       hosts = await this.options.platform.hosts();
--- a/src/entry/membership.ts
+++ b/src/entry/membership.ts
@@ -5,7 +5,7 @@
 import * as Schema from "effect/Schema";
 import type { Log } from "../common/log.ts";
 import type { PlatformClient } from "../common/platformClient.ts";
-import { Loop } from "../common/supervisor.ts";
+import { PeriodicTask } from "../common/supervisor.ts";
 
 /** One entry node as advertised. */
 export const Member = Schema.Struct({
@@ -31,33 +31,20 @@
 const prefix = "entries/";
 
 /** Heartbeats this node and caches the others. */
-export class Membership {
-  readonly name = "membership";
+export class Membership extends PeriodicTask {
   private members: Member[] = [];
   private draining = false;
-  private readonly loop: Loop;
   private readonly options: MembershipOptions & typeof defaults;
 
   constructor(options: MembershipOptions) {
+    super("membership", options.heartbeatMs ?? defaults.heartbeatMs, options.log);
     this.options = { ...defaults, ...options };
-    this.loop = new Loop(this.name, this.options.heartbeatMs, () => this.beat(), options.log);
-  }
-
-  /** Heartbeats once, then periodically. */
-  async start(): Promise<void> {
-    await this.loop.start();
-  }
-
-  /** Stops heartbeating. */
-  dispose(): Promise<void> {
-    this.loop.dispose();
-    return Promise.resolve();
   }
 
   /** Stops advertising this node: removes its row so callers stop being sent here. */
   async drain(): Promise<void> {
     this.draining = true;
-    this.loop.dispose();
+    await super.dispose();
     try {
       await this.options.platform.commit([{ key: prefix + this.options.self.id, value: null }]);
     } catch (error) {
@@ -75,7 +62,7 @@
       .sort((a, b) => Number(b.zone === zone) - Number(a.zone === zone) || a.id.localeCompare(b.id));
   }
 
-  private async beat(): Promise<void> {
+  protected async step(): Promise<void> {
     if (this.draining) return;
     await this.options.platform.commit([
       { key: prefix + this.options.self.id, value: { ...this.options.self, at: Date.now() } },
--- a/src/entry/placer.ts
+++ b/src/entry/placer.ts
@@ -7,7 +7,7 @@
 import { toFailure } from "../common/errors.ts";
 import type { Log } from "../common/log.ts";
 import type { PlatformClient } from "../common/platformClient.ts";
-import { Loop } from "../common/supervisor.ts";
+import { PeriodicTask } from "../common/supervisor.ts";
 import type { ModelSpec } from "../common/template.ts";
 import type { ConfigWatcher } from "./configWatcher.ts";
 import type { Engine, Fleet } from "./fleet.ts";
@@ -34,15 +34,14 @@
 const defaults = { everyMs: 500, loadsPerRound: 2, leaseTtlMs: 3000, orderBackoffMs: 5000 };
 
 /** The placement task: lease, plan, orders. */
-export class Placer {
-  readonly name = "placer";
+export class Placer extends PeriodicTask {
   private readonly lease: Lease;
-  private readonly loop: Loop;
   private readonly options: PlacerOptions & typeof defaults;
   /** Engines passed over for loads until the given epoch ms, after a failed order. */
   private readonly avoidUntil = new Map<string, number>();
 
   constructor(options: PlacerOptions) {
+    super("placer", options.everyMs ?? defaults.everyMs, options.log);
     this.options = { ...defaults, ...options };
     this.lease = new Lease({
       platform: options.platform,
@@ -50,27 +49,15 @@
       holder: options.nodeId,
       ttlMs: this.options.leaseTtlMs,
     });
-    this.loop = new Loop(this.name, this.options.everyMs, () => this.round(), options.log);
-  }
-
-  /** Runs a first round, then periodically. */
-  async start(): Promise<void> {
-    await this.loop.start();
   }
 
   /** Stops placing and gives up the lease locally. */
-  dispose(): Promise<void> {
-    this.loop.dispose();
+  override async dispose(): Promise<void> {
+    await super.dispose();
     this.lease.release();
-    return Promise.resolve();
-  }
-
-  /** Runs one round now. */
-  async refresh(): Promise<void> {
-    await this.loop.tick();
   }
 
-  private async round(): Promise<void> {
+  protected async step(): Promise<void> {
     if (!(await this.lease.renew())) return;
     await this.options.fleet.refresh();
     const wanted = this.wanted();
