--- a/src/common/http.ts
+++ b/src/common/http.ts
@@ -1,6 +1,7 @@
 /** Small helpers over Node's `http` for JSON bodies with a size limit and failure answers. */
-import type * as http from "node:http";
-import { Failure } from "./errors.ts";
+import * as http from "node:http";
+import type { DisposableStore } from "./disposables.ts";
+import { Failure, toFailure } from "./errors.ts";
 
 /** Largest request body accepted by default, in bytes. */
 export const defaultBodyLimit = 1024 * 1024;
@@ -77,3 +78,24 @@
   const value = req.headers[name];
   return Array.isArray(value) ? value[0] : value;
 }
+
+/** What `serve` needs: where to bind, the request handler, and the store that will close the server. */
+export interface ServeOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly store: DisposableStore;
+  /** Handles one request; a throw is answered as a `Failure` with its kind's status. */
+  readonly handle: (req: http.IncomingMessage, res: http.ServerResponse) => Promise<void>;
+}
+
+/** Creates, binds and registers an HTTP server for closing; resolves with the bound port. */
+export async function serve(options: ServeOptions): Promise<number> {
+  const server = http.createServer((req, res) => {
+    options.handle(req, res).catch((error: unknown) => {
+      sendFailure(res, toFailure(error));
+    });
+  });
+  const port = await listen(server, options.host, options.port);
+  options.store.add(() => close(server));
+  return port;
+}
--- a/src/engine/engineServer.ts
+++ b/src/engine/engineServer.ts
@@ -7,9 +7,9 @@
 import * as Schema from "effect/Schema";
 import { DisposableStore } from "../common/disposables.ts";
 import * as protocol from "../common/engineProtocol.ts";
-import { Failure, toFailure } from "../common/errors.ts";
+import { Failure } from "../common/errors.ts";
 import { decode } from "../common/decode.ts";
-import { close, headerOf, listen, readJson, sendFailure, sendJson } from "../common/http.ts";
+import { headerOf, readJson, serve, sendJson } from "../common/http.ts";
 import { createLog } from "../common/log.ts";
 import { CompletionRequest, headers, promptOf } from "../common/openai.ts";
 import { PlatformClient } from "../common/platformClient.ts";
@@ -104,14 +104,12 @@
       "engine.status": () => Promise.resolve(this.status()),
       "engine.drain": () => Promise.resolve(this.drain()),
     });
-    const server = http.createServer((req, res) => {
-      const route = req.url === "/rpc" ? endpoint.handle(req, res) : this.complete(req, res);
-      route.catch((error: unknown) => {
-        sendFailure(res, toFailure(error));
-      });
+    this.port = await serve({
+      host: this.options.host,
+      port: this.options.port,
+      store: this.store,
+      handle: (req, res) => (req.url === "/rpc" ? endpoint.handle(req, res) : this.complete(req, res)),
     });
-    this.port = await listen(server, this.options.host, this.options.port);
-    this.store.add(() => close(server));
     this.store.add(() => {
       this.batcher.dispose();
     });
--- a/src/platform/platformServer.ts
+++ b/src/platform/platformServer.ts
@@ -2,11 +2,10 @@
  * The platform stand-in process: table service, object store, weight store and host list behind one
  * JSON-RPC endpoint (`POST /rpc`), with fault switches. Protocol: docs/PLATFORM.md.
  */
-import * as http from "node:http";
 import * as Schema from "effect/Schema";
 import { DisposableStore } from "../common/disposables.ts";
-import { Failure, toFailure } from "../common/errors.ts";
-import { close, listen, sendFailure } from "../common/http.ts";
+import { Failure } from "../common/errors.ts";
+import { serve } from "../common/http.ts";
 import { createLog } from "../common/log.ts";
 import { decodeParams, RpcEndpoint, type Handler } from "../common/rpc.ts";
 import * as table from "../common/table.ts";
@@ -52,13 +51,13 @@
   /** Binds and serves; resolves with the port. */
   async start(): Promise<number> {
     const endpoint = new RpcEndpoint(this.handlers());
-    const server = http.createServer((req, res) => {
-      endpoint.handle(req, res).catch((error: unknown) => {
-        sendFailure(res, toFailure(error));
-      });
+    const { host, port } = this.options;
+    this.port = await serve({
+      host,
+      port,
+      store: this.store,
+      handle: (req, res) => endpoint.handle(req, res),
     });
-    this.port = await listen(server, this.options.host, this.options.port);
-    this.store.add(() => close(server));
     this.log.info({ event: "listening", port: this.port });
     return this.port;
   }
--- a/src/service/serviceServer.ts
+++ b/src/service/serviceServer.ts
@@ -4,8 +4,8 @@
  */
 import * as http from "node:http";
 import { DisposableStore } from "../common/disposables.ts";
-import { Failure, toFailure } from "../common/errors.ts";
-import { close, headerOf, listen, readJson, sendFailure, sendJson } from "../common/http.ts";
+import { Failure } from "../common/errors.ts";
+import { headerOf, readJson, serve, sendJson } from "../common/http.ts";
 import { createLog } from "../common/log.ts";
 import { headers } from "../common/openai.ts";
 
@@ -45,13 +45,8 @@
 
   /** Binds and serves; resolves with the port. */
   async start(): Promise<number> {
-    const server = http.createServer((req, res) => {
-      this.route(req, res).catch((error: unknown) => {
-        sendFailure(res, toFailure(error));
-      });
-    });
-    this.port = await listen(server, this.options.host, this.options.port);
-    this.store.add(() => close(server));
+    const { host, port } = this.options;
+    this.port = await serve({ host, port, store: this.store, handle: (req, res) => this.route(req, res) });
     this.log.info({ event: "listening", port: this.port });
     return this.port;
   }
