--- a/src/engine/engineServer.ts
+++ b/src/engine/engineServer.ts
@@ -9,7 +9,7 @@
 import * as protocol from "../common/engineProtocol.ts";
 import { Failure } from "../common/errors.ts";
 import { decode } from "../common/decode.ts";
-import { headerOf, readJson, serve, sendJson } from "../common/http.ts";
+import { headerOf, readJson, serve } from "../common/http.ts";
 import { createLog } from "../common/log.ts";
 import { CompletionRequest, headers, promptOf } from "../common/openai.ts";
 import { PlatformClient } from "../common/platformClient.ts";
@@ -17,6 +17,7 @@
 import { Priority } from "../common/template.ts";
 import { Batcher, type BatcherOptions } from "./batcher.ts";
 import { Memory, type FencingPolicy } from "./memory.ts";
+import { Reply } from "./reply.ts";
 
 /** Options of an `EngineServer`. */
 export interface EngineServerOptions {
@@ -227,53 +228,3 @@
     });
   }
 }
-
-/** Writes one request's answer, streamed as SSE or whole as JSON. */
-class Reply {
-  private text = "";
-  private readonly created = Math.floor(Date.now() / 1000);
-
-  constructor(
-    private readonly res: http.ServerResponse,
-    private readonly id: string,
-    private readonly model: string,
-    private readonly chat: boolean,
-    private readonly streaming: boolean,
-  ) {
-    if (streaming) res.writeHead(200, { "content-type": "text/event-stream", "cache-control": "no-cache" });
-  }
-
-  token(token: string): void {
-    this.text += token;
-    if (this.streaming) this.send({ content: token }, null);
-  }
-
-  end(reason: "stop" | "length" | "cancelled"): void {
-    if (this.res.destroyed) return;
-    if (this.streaming) {
-      this.send({}, reason);
-      this.res.end("data: [DONE]\n\n");
-      return;
-    }
-    const choice = this.chat
-      ? { index: 0, message: { role: "assistant", content: this.text }, finish_reason: reason }
-      : { index: 0, text: this.text, finish_reason: reason };
-    sendJson(this.res, 200, {
-      id: this.id,
-      object: this.chat ? "chat.completion" : "text_completion",
-      created: this.created,
-      model: this.model,
-      choices: [choice],
-    });
-  }
-
-  private send(delta: { content?: string }, finishReason: string | null): void {
-    const chunk = {
-      id: this.id,
-      object: this.chat ? "chat.completion.chunk" : "text_completion.chunk",
-      model: this.model,
-      choices: [{ index: 0, delta, finish_reason: finishReason }],
-    };
-    this.res.write(`data: ${JSON.stringify(chunk)}\n\n`);
-  }
-}
