--- a/src/common/engineProtocol.ts
+++ b/src/common/engineProtocol.ts
@@ -23,7 +23,8 @@
   version: Schema.String,
   sizeMb: Schema.Number,
   adapters: Schema.Array(Schema.String),
-  state: Schema.Literals(["loading", "ready"]),
+  /** `unloading`: takes no new stream; its space is freed once the streams on it have ended. */
+  state: Schema.Literals(["loading", "ready", "unloading"]),
 });
 /** A decoded resident model. */
 export type Resident = typeof Resident.Type;
@@ -36,6 +37,10 @@
   usedMb: Schema.Number,
   residents: Schema.Array(Resident),
   load: Schema.Number,
+  /** Streams the engine runs at once; more wait in its queue. */
+  slots: Schema.Number,
+  /** Random id of this engine process; a new one means it restarted. */
+  boot: Schema.String,
   fencing: Schema.Number,
   role: Schema.String,
   /** True once the engine has had notice to leave: it finishes streams in flight and takes no new ones. */
--- a/src/common/http.ts
+++ b/src/common/http.ts
@@ -34,7 +34,7 @@
 /** Writes a failure with its status and, where retrying helps, a `Retry-After` header in seconds. */
 export function sendFailure(res: http.ServerResponse, failure: Failure): void {
   if (res.headersSent) {
-    res.destroy();
+    if (!res.writableEnded) res.destroy();
     return;
   }
   const { status, retryAfterSeconds } = failure.answer;
--- a/src/common/openai.ts
+++ b/src/common/openai.ts
@@ -12,6 +12,8 @@
   stream: Schema.optionalKey(Schema.Boolean),
   max_tokens: Schema.optionalKey(Schema.Int.check(Schema.isBetween({ minimum: 1, maximum: 4096 }))),
   adapter: Schema.optionalKey(Schema.String),
+  /** Tokens of this answer the caller already has: a resumed stream starts after them. */
+  resume: Schema.optionalKey(Schema.Int.check(Schema.isGreaterThanOrEqualTo(0))),
 });
 /** A decoded completion request. */
 export type CompletionRequest = typeof CompletionRequest.Type;
@@ -31,6 +33,11 @@
   idempotencyKey: "idempotency-key",
 } as const;
 
+/** Why an answer ended. */
+export const FinishReason = Schema.Literals(["stop", "length", "cancelled"]);
+/** A decoded finish reason. */
+export type FinishReason = typeof FinishReason.Type;
+
 /** One streamed chunk (SSE `data:` line) of a chat completion. */
 export const Chunk = Schema.Struct({
   id: Schema.String,
@@ -40,9 +47,49 @@
     Schema.Struct({
       index: Schema.Number,
       delta: Schema.Struct({ content: Schema.optionalKey(Schema.String) }),
-      finish_reason: Schema.NullOr(Schema.String),
+      finish_reason: Schema.NullOr(FinishReason),
     }),
   ),
 });
 /** A decoded chunk. */
 export type Chunk = typeof Chunk.Type;
+
+/** What identifies an answer in its wire shapes. */
+export interface AnswerIdentity {
+  readonly id: string;
+  readonly model: string;
+  /** Chat completion, or text completion. */
+  readonly chat: boolean;
+}
+
+/** One SSE event of a streamed answer: a token, or the end with its reason. */
+export function chunkEvent(
+  identity: AnswerIdentity,
+  content: string | undefined,
+  reason?: FinishReason,
+): string {
+  const chunk: Chunk = {
+    id: identity.id,
+    object: identity.chat ? "chat.completion.chunk" : "text_completion.chunk",
+    model: identity.model,
+    choices: [{ index: 0, delta: content === undefined ? {} : { content }, finish_reason: reason ?? null }],
+  };
+  return `data: ${JSON.stringify(chunk)}\n\n`;
+}
+
+/** The SSE event that ends a stream. */
+export const doneEvent = "data: [DONE]\n\n";
+
+/** A whole answer as one JSON body. */
+export function wholeAnswer(identity: AnswerIdentity, text: string, reason: FinishReason): unknown {
+  const choice = identity.chat
+    ? { index: 0, message: { role: "assistant", content: text }, finish_reason: reason }
+    : { index: 0, text, finish_reason: reason };
+  return {
+    id: identity.id,
+    object: identity.chat ? "chat.completion" : "text_completion",
+    created: Math.floor(Date.now() / 1000),
+    model: identity.model,
+    choices: [choice],
+  };
+}
--- a/src/engine/batcher.ts
+++ b/src/engine/batcher.ts
@@ -2,21 +2,27 @@
  * Continuous batching of the engine stand-in: every tick, up to `maxBatch` streams each get one token,
  * highest priority first; a prompt whose prefix is cached skips most of its prefill.
  */
+import type { FinishReason } from "../common/openai.ts";
 import type { Priority } from "../common/template.ts";
 
 /** One generation in progress. */
 export interface Stream {
   readonly requestId: string;
   readonly priority: Priority;
+  readonly model: string;
   readonly prompt: string;
   readonly maxTokens: number;
+  /** Tokens the caller already has (a resumed stream); the first token made is the one after them. */
+  readonly resume: number;
   /** Called with each token as it is made. */
   readonly onToken: (token: string, index: number) => void;
   /** Called once when done or cancelled. */
-  readonly onEnd: (reason: "stop" | "length" | "cancelled") => void;
+  readonly onEnd: (reason: FinishReason) => void;
+  /** Called about once a second while the stream waits for its first token. */
+  readonly onWait: () => void;
   produced: number;
   prefillTicks: number;
-  cancelled: boolean;
+  waitedTicks: number;
 }
 
 /** Options of a `Batcher`. */
@@ -47,16 +53,21 @@
     return this.streams.length;
   }
 
+  /** Streams that run at once. */
+  get maxBatch(): number {
+    return this.options.maxBatch;
+  }
+
   /** Admits a stream; it starts in the next tick that has room. */
-  add(stream: Omit<Stream, "produced" | "prefillTicks" | "cancelled">): Stream {
-    const prefix = stream.prompt.slice(0, prefixChars);
+  add(stream: Omit<Stream, "produced" | "prefillTicks" | "waitedTicks">): Stream {
+    const prefix = `${stream.model}\n${stream.prompt.slice(0, prefixChars)}`;
     const cached = this.prefixes.has(prefix);
     this.remember(prefix);
     const admitted: Stream = {
       ...stream,
-      produced: 0,
+      produced: stream.resume,
       prefillTicks: cached ? 1 : this.options.prefillTicks,
-      cancelled: false,
+      waitedTicks: 0,
     };
     this.streams.push(admitted);
     this.timer ??= setInterval(() => {
@@ -65,6 +76,11 @@
     return admitted;
   }
 
+  /** Ends a stream whose caller has gone, running or queued, and frees its place. */
+  cancel(stream: Stream): void {
+    if (this.streams.includes(stream)) this.finish(stream, "cancelled");
+  }
+
   /** Stops every stream and the timer. */
   dispose(): void {
     for (const stream of this.streams.splice(0)) stream.onEnd("cancelled");
@@ -75,6 +91,7 @@
   private tick(): void {
     const order = [...this.streams].sort((a, b) => priorityRank[a.priority] - priorityRank[b.priority]);
     for (const stream of order.slice(0, this.options.maxBatch)) this.step(stream);
+    for (const stream of order) this.remind(stream);
     if (this.streams.length === 0) {
       clearInterval(this.timer);
       this.timer = undefined;
@@ -82,20 +99,25 @@
   }
 
   private step(stream: Stream): void {
-    if (stream.cancelled) {
-      this.finish(stream, "cancelled");
-      return;
-    }
     if (stream.prefillTicks > 0) {
       stream.prefillTicks -= 1;
       return;
     }
-    stream.onToken(tokenFor(stream, stream.produced), stream.produced);
-    stream.produced += 1;
+    if (stream.produced < stream.maxTokens) {
+      stream.onToken(tokenFor(stream, stream.produced), stream.produced);
+      stream.produced += 1;
+    }
     if (stream.produced >= stream.maxTokens) this.finish(stream, "length");
   }
 
-  private finish(stream: Stream, reason: "stop" | "length" | "cancelled"): void {
+  /** Lets the caller of a stream without a token yet know, about once a second, that it is not lost. */
+  private remind(stream: Stream): void {
+    if (stream.produced > stream.resume) return;
+    stream.waitedTicks += 1;
+    if (stream.waitedTicks % Math.ceil(1000 / this.options.tokenMs) === 0) stream.onWait();
+  }
+
+  private finish(stream: Stream, reason: FinishReason): void {
     const index = this.streams.indexOf(stream);
     if (index >= 0) this.streams.splice(index, 1);
     stream.onEnd(reason);
--- a/src/engine/engineServer.ts
+++ b/src/engine/engineServer.ts
@@ -4,6 +4,7 @@
  */
 import * as http from "node:http";
 import * as crypto from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
 import * as Schema from "effect/Schema";
 import { DisposableStore } from "../common/disposables.ts";
 import * as protocol from "../common/engineProtocol.ts";
@@ -48,6 +49,11 @@
   reportLagMs: 500,
 };
 
+/** Longest transfer of one model's weights, in ms. */
+const weightsTimeoutMs = 60_000;
+/** Pause before an engine asks the weight store again after a refusal or a failure, in ms. */
+const weightsRetryMs = 200;
+
 const RoleParams = Schema.Struct({ role: Schema.String, fencing: Schema.Number });
 
 /**
@@ -75,6 +81,8 @@
   private drainedAt: number | undefined;
   private received = 0;
   private receivedAfterDrain = 0;
+  private stopped = false;
+  private readonly boot = crypto.randomUUID();
   private reportedLoad = 0;
 
   constructor(options: EngineServerOptions = {}) {
@@ -83,7 +91,9 @@
     this.batcher = new Batcher(options.batcher);
     this.log = createLog(`engine:${this.options.id}`);
     this.platform =
-      this.options.platformUrl === "" ? undefined : new PlatformClient({ url: this.options.platformUrl });
+      this.options.platformUrl === ""
+        ? undefined
+        : new PlatformClient({ url: this.options.platformUrl, timeoutMs: weightsTimeoutMs });
   }
 
   /** Binds and serves; resolves with the port. */
@@ -134,11 +144,12 @@
   /** Resolves once no stream is in flight (or after `timeoutMs`). */
   async drained(timeoutMs: number): Promise<void> {
     const until = Date.now() + timeoutMs;
-    while (this.batcher.inFlight > 0 && Date.now() < until) await new Promise((r) => setTimeout(r, 20));
+    while (this.batcher.inFlight > 0 && Date.now() < until) await sleep(20);
   }
 
   /** Stops serving and cancels streams. */
   async dispose(): Promise<void> {
+    this.stopped = true;
     await this.store.dispose();
   }
 
@@ -151,6 +162,8 @@
       usedMb: this.memory.usedMb,
       residents: this.memory.list(),
       load: this.reportedLoad,
+      slots: this.batcher.maxBatch,
+      boot: this.boot,
       fencing: this.memory.fencing,
       role: this.role,
       draining: this.drainedAt !== undefined,
@@ -162,24 +175,37 @@
   private async delayOrder(): Promise<void> {
     if (this.orderFaults.lateOrders <= 0) return;
     this.orderFaults = { ...this.orderFaults, lateOrders: this.orderFaults.lateOrders - 1 };
-    await new Promise((resolve) => setTimeout(resolve, this.orderFaults.delayMs));
+    await sleep(this.orderFaults.delayMs);
     if (this.orderFaults.lose) throw new Failure("upstream-failed", "order lost (fault switch)");
   }
 
-  private async load(order: protocol.LoadOrder): Promise<protocol.EngineStatus> {
-    if (!this.memory.reserve(order)) return this.status();
-    this.log.info({ event: "load", model: order.model, version: order.version, fencing: order.fencing });
-    try {
-      await this.platform?.fetchWeights(order.sizeMb);
-      await new Promise((resolve) => setTimeout(resolve, this.options.loadMs));
-    } catch (error) {
-      this.memory.release({ model: order.model, fencing: order.fencing });
-      throw error;
+  /** Reserves the space and answers at once (`loading`); the weights arrive in the background. */
+  private load(order: protocol.LoadOrder): protocol.EngineStatus {
+    if (this.memory.reserve(order)) {
+      this.log.info({ event: "load", model: order.model, version: order.version, fencing: order.fencing });
+      void this.fetch(order);
     }
-    this.memory.markReady(order.model);
     return this.status();
   }
 
+  /**
+   * Fetches the weights until they are here or the model is unloaded again: the weight store is limited
+   * in rate and may be down, and both pass. The reservation ends with the fetch, not with a later order.
+   */
+  private async fetch(order: protocol.LoadOrder): Promise<void> {
+    while (this.memory.wanted(order.model) && !this.stopped) {
+      try {
+        await this.platform?.fetchWeights(order.sizeMb);
+        await sleep(this.options.loadMs);
+        break;
+      } catch (error) {
+        this.log.warn({ event: "weights-retry", model: order.model, error: String(error) });
+        await sleep(weightsRetryMs);
+      }
+    }
+    this.memory.markReady(order.model);
+  }
+
   private unload(order: protocol.UnloadOrder): protocol.EngineStatus {
     this.memory.release(order);
     this.log.info({ event: "unload", model: order.model, fencing: order.fencing });
@@ -209,22 +235,29 @@
       o._tag === "Some" ? o.value : "normal",
     );
     const chat = req.url === "/v1/chat/completions";
-    const reply = new Reply(res, requestId, request.model, chat, request.stream === true);
+    const reply = new Reply(res, { id: requestId, model: request.model, chat }, request.stream === true);
+    this.memory.hold(request.model);
     const stream = this.batcher.add({
       requestId,
       priority,
+      model: request.model,
       prompt: promptOf(request),
+      resume: request.resume ?? 0,
       maxTokens: request.max_tokens ?? 16,
       onToken: (token) => {
         reply.token(token);
       },
+      onWait: () => {
+        reply.waiting();
+      },
       onEnd: (reason) => {
+        this.memory.drop(request.model);
         reply.end(reason);
       },
     });
     // A caller that hangs up cancels its stream, freeing its batch slot.
     res.on("close", () => {
-      stream.cancelled = true;
+      this.batcher.cancel(stream);
     });
   }
 }
--- a/test/faults.spec.ts
+++ b/test/faults.spec.ts
@@ -1,9 +1,12 @@
 import { expect } from "chai";
+import { EngineStatus } from "../src/common/engineProtocol.ts";
 import { Failure } from "../src/common/errors.ts";
 import { PlatformClient } from "../src/common/platformClient.ts";
+import { RpcClient } from "../src/common/rpc.ts";
 import { createLog } from "../src/common/log.ts";
 import { andes } from "../src/cli/sampleTemplates.ts";
 import { TemplateStore } from "../src/common/templateStore.ts";
+import { EngineServer } from "../src/engine/engineServer.ts";
 import { Memory } from "../src/engine/memory.ts";
 import { ConfigWatcher } from "../src/entry/configWatcher.ts";
 import { Ledger } from "../src/entry/ledger.ts";
@@ -11,6 +14,8 @@
 import { PlatformServer } from "../src/platform/platformServer.ts";
 import { ServiceServer } from "../src/service/serviceServer.ts";
 
+import { until } from "./fixtures/processes.ts";
+
 const order = { model: "m", version: "v1", sizeMb: 10_000, adapters: [], fencing: 5 };
 
 describe("guards under failure", () => {
@@ -134,6 +139,28 @@
 });
 
 describe("accelerator memory", () => {
+  it("should keep a reservation's load going through a weight store outage and a newer fencing number", async () => {
+    // The weight store is down when a load starts, and a newer lease holder's order arrives meanwhile.
+    // The failed load's own clean-up was refused as stale, so its space stayed reserved for ever with
+    // nothing in it, and the model was never ready. The load now goes on until the weights are here.
+    const platform = new PlatformServer();
+    const url = `http://127.0.0.1:${await platform.start()}`;
+    const engine = new EngineServer({ platformUrl: url, loadMs: 1 });
+    const rpc = new RpcClient({ url: `http://127.0.0.1:${await engine.start()}` });
+    try {
+      platform.faults = { down: true, slowMs: 0, loseAcks: 0 };
+      await rpc.call("engine.load", order, EngineStatus);
+      await rpc.call("engine.unload", { model: "other", fencing: 9 }, EngineStatus);
+      platform.faults = { down: false, slowMs: 0, loseAcks: 0 };
+      await until(() => Promise.resolve(engine.memory.ready("m") !== undefined), 3000);
+      expect(engine.memory.usedMb).to.equal(10_000);
+      expect(platform.weights.fetches).to.equal(1);
+    } finally {
+      await engine.dispose();
+      await platform.dispose();
+    }
+  });
+
   it("should refuse a load that would commit memory beyond capacity", () => {
     // Placement's view of free memory is stale, and it orders a model onto a full engine. Without
     // the engine's own check the accelerator would be over-committed; with it the order is refused.
@@ -158,6 +185,46 @@
     expect(memory.list()).to.have.length(1);
   });
 
+  it("should count a model's memory until the streams on it have ended", () => {
+    // Placement swaps one model for another while a clerk's answer is still being written on the first.
+    // The space was freed at the order, so the next load was committed on top of memory still in use.
+    // It is freed with the last stream; until then the load is refused and the model takes no new stream.
+    const memory = new Memory(15_000, "refuse");
+    memory.reserve(order);
+    memory.markReady("m");
+    memory.hold("m");
+    memory.release({ model: "m", fencing: 5 });
+    expect(memory.ready("m")).to.equal(undefined);
+    expect(() => memory.reserve({ ...order, model: "other" }))
+      .to.throw(Failure)
+      .with.property("kind", "over-capacity");
+    memory.drop("m");
+    expect(memory.reserve({ ...order, model: "other" })).to.equal(true);
+    expect(memory.usedMb).to.equal(10_000);
+  });
+
+  it("should count a model's memory until its weights have arrived, though it was unloaded meanwhile", () => {
+    // An order to unload overtakes a load in progress. The weights still arrive into the space; were it
+    // freed at the order, the next load would be committed on top of them.
+    const memory = new Memory(15_000, "refuse");
+    memory.reserve(order);
+    memory.release({ model: "m", fencing: 5 });
+    expect(memory.wanted("m")).to.equal(false);
+    expect(memory.usedMb).to.equal(10_000);
+    memory.markReady("m");
+    expect(memory.usedMb).to.equal(0);
+  });
+
+  it("should refuse a new version while the old one still holds its space", () => {
+    // A new version is ordered onto an engine that holds the old one. Counting the old one as freed in
+    // the same step commits both at once while the old one's streams run: unload first, then load.
+    const memory = new Memory(80_000, "refuse");
+    memory.reserve(order);
+    expect(() => memory.reserve({ ...order, version: "v2" }))
+      .to.throw(Failure)
+      .with.property("kind", "conflict");
+  });
+
   it("should never over-commit an engine that ignores fencing numbers, even from a stale placer", () => {
     // The same stale order reaches an engine that ignores fencing numbers: it is applied, but the
     // capacity check still holds, so the accelerator's memory is never over-committed.
