--- a/src/entry/configWatcher.ts
+++ b/src/entry/configWatcher.ts
@@ -11,6 +11,7 @@
   StoredTemplate,
   templatePrefix,
   type ModelSpec,
+  type Priority,
   type ServiceSpec,
   type Template,
 } from "../common/template.ts";
@@ -18,7 +19,9 @@
 /** What one customer may use, merged from its live templates. */
 export interface Entitlement {
   readonly customer: string;
-  readonly priority: Template["priority"];
+  readonly priority: Priority;
+  /** Share of the pool, in [0, 1]. */
+  readonly share: number;
   readonly models: ReadonlyMap<string, ModelSpec>;
   readonly services: ReadonlyMap<string, ServiceSpec>;
 }
@@ -100,10 +103,16 @@
     for (const service of template.services) services.set(service.name, service);
     byCustomer.set(template.customer, {
       customer: template.customer,
-      priority: template.priority,
+      priority: higher(held?.priority, template.priority),
+      share: Math.max(template.share, held?.share ?? 0),
       models,
       services,
     });
   }
   return byCustomer;
 }
+
+function higher(a: Priority | undefined, b: Priority): Priority {
+  const order: readonly Priority[] = ["high", "normal", "low"];
+  return a !== undefined && order.indexOf(a) < order.indexOf(b) ? a : b;
+}
--- a/src/entry/entryServer.ts
+++ b/src/entry/entryServer.ts
@@ -9,28 +9,25 @@
 import { headerOf, readJson, sendFailure, sendJson } from "../common/http.ts";
 import type { Log } from "../common/log.ts";
 import { CompletionRequest, headers } from "../common/openai.ts";
-import type { CompletionProxy } from "./completionProxy.ts";
+import type { RpcEndpoint } from "../common/rpc.ts";
+import type { Completions } from "./completions.ts";
 import type { ConfigWatcher, Entitlement } from "./configWatcher.ts";
 import type { Membership } from "./membership.ts";
 import type { EntryMetrics } from "./metrics.ts";
-import type { Fleet } from "./fleet.ts";
-import type { Router } from "./router.ts";
 import type { ServiceCaller } from "./serviceCaller.ts";
 
 /** What the routes use. */
 export interface EntryParts {
   readonly config: ConfigWatcher;
-  readonly router: Router;
-  readonly fleet: Fleet;
-  readonly proxy: CompletionProxy;
+  readonly completions: Completions;
+  /** Answers the RPCs of other entry nodes. */
+  readonly rpc: RpcEndpoint;
   readonly services: ServiceCaller;
   readonly membership: Membership;
   readonly metrics: EntryMetrics;
   readonly log: Log;
   /** Default deadline of a request without `x-deadline-ms`, in ms. */
   readonly defaultDeadlineMs: number;
-  /** Attempts per completion across replicas (first try included). */
-  readonly attempts: number;
   /** TTL callers may keep the address list, in seconds. */
   readonly addressesTtlSeconds: number;
 }
@@ -54,6 +51,7 @@
       ],
       ["GET", /^\/v1\/addresses(\?.*)?$/, (req, res) => this.addresses(req, res)],
       ["GET", /^\/metrics$/, (_req, res) => this.metrics(res)],
+      ["POST", /^\/rpc$/, (req, res) => this.parts.rpc.handle(req, res)],
       ["GET", /^\/healthz$/, (_req, res) => this.health(res)],
     ];
   }
@@ -85,39 +83,22 @@
       throw new Failure("unknown-model", `${customer}'s templates do not name ${request.model}`, requestId);
     }
     const deadline = started + this.deadlineMs(req);
-    const tried = new Set<string>();
-    let last: Failure | undefined;
-    for (let attempt = 0; attempt < this.parts.attempts; attempt += 1) {
-      const decision = this.parts.router.choose(requestId, customer, request.model, tried);
-      if (decision.engine === undefined) break;
-      const engine = decision.engine;
-      tried.add(engine.address);
-      engine.inFlight += 1;
-      try {
-        await this.parts.proxy.forward({
-          engine,
-          path: req.url ?? "/v1/chat/completions",
-          body: JSON.stringify(request),
-          requestId,
-          priority: entitlement.priority,
-          deadline,
-          res,
-        });
-        this.record(customer, request.model, "ok", engine.address, Date.now() <= deadline, started);
-        return;
-      } catch (error) {
-        last = toFailure(error);
-        if (last.kind === "draining") this.parts.fleet.markLeaving(engine.address);
-        // A request that has started to answer cannot move: the caller already holds part of it.
-        if (res.headersSent || last.kind === "deadline-exceeded") break;
-      } finally {
-        engine.inFlight -= 1;
-      }
+    const { model } = request;
+    try {
+      const engine = await this.parts.completions.serve({
+        requestId,
+        entitlement,
+        request,
+        path: req.url ?? "/v1/chat/completions",
+        deadline,
+        res,
+      });
+      this.record(customer, model, "ok", engine.address, Date.now() <= deadline, started);
+    } catch (error) {
+      const failure = toFailure(error);
+      this.record(customer, model, failure.kind, null, false, started);
+      throw new Failure(failure.kind, failure.message, requestId);
     }
-    const failure =
-      last ?? new Failure("no-replica", `no engine has ${request.model} ready; retry shortly`, requestId);
-    this.record(customer, request.model, failure.kind, null, false, started);
-    throw new Failure(failure.kind, failure.message, requestId);
   }
 
   private async service(
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -14,11 +14,25 @@
   readonly zone: string;
   readonly rpc: RpcClient;
   status: protocol.EngineStatus | undefined;
-  leaving: boolean;
+  /** The host list says it is leaving. */
+  listedLeaving: boolean;
+  /** The engine itself gave notice to leave, in the boot it is still in. */
+  noticed: boolean;
   /** Consecutive failed status polls. */
   failures: number;
   /** Requests this entry node has in flight there. */
   inFlight: number;
+  /** The same when its last report arrived: what the report's load already counts of ours. */
+  inFlightAtReport: number;
+}
+
+/**
+ * Streams running or queued on an engine: its lagging report plus what this node sent since. Its own
+ * streams in the report are not counted twice, and never fewer than it knows of itself.
+ */
+export function estimatedLoad(engine: Engine): number {
+  const since = engine.inFlight - engine.inFlightAtReport;
+  return Math.max(engine.inFlight, (engine.status?.load ?? 0) + since);
 }
 
 /** Options of a `Fleet`. */
@@ -49,7 +63,11 @@
   /** Engines that may take new work: reachable and not leaving. */
   usable(): Engine[] {
     return [...this.engines.values()].filter(
-      (engine) => !engine.leaving && engine.failures < failuresToEject && engine.status !== undefined,
+      (engine) =>
+        !engine.listedLeaving &&
+        !engine.noticed &&
+        engine.failures < failuresToEject &&
+        engine.status !== undefined,
     );
   }
 
@@ -61,7 +79,16 @@
   /** Marks an engine leaving at once (its own drain notice, or a failed request), before the host list says so. */
   markLeaving(address: string): void {
     const engine = this.engines.get(address);
-    if (engine !== undefined) engine.leaving = true;
+    if (engine !== undefined) engine.noticed = true;
+  }
+
+  /**
+   * A request to the engine broke. Guards "requests keep going to a dead engine until the next polls":
+   * broken requests count like failed polls, and the next good poll clears them.
+   */
+  noteFailure(address: string): void {
+    const engine = this.engines.get(address);
+    if (engine !== undefined) engine.failures += 1;
   }
 
   protected async step(): Promise<void> {
@@ -77,10 +104,14 @@
   }
 
   private reconcile(hosts: readonly Host[]): void {
+    const listed = new Set(hosts.map((host) => host.address));
+    for (const engine of this.engines.values())
+      if (!listed.has(engine.address) && engine.failures >= failuresToEject)
+        this.engines.delete(engine.address);
     for (const host of hosts) {
       const known = this.engines.get(host.address);
       if (known !== undefined) {
-        known.leaving = known.leaving || host.state === "leaving";
+        known.listedLeaving = host.state === "leaving";
         continue;
       }
       this.engines.set(host.address, {
@@ -92,20 +123,26 @@
           traffic: this.options.traffic,
         }),
         status: undefined,
-        leaving: host.state === "leaving",
+        listedLeaving: host.state === "leaving",
+        noticed: false,
         failures: 0,
         inFlight: 0,
+        inFlightAtReport: 0,
       });
     }
   }
 
   private async pollEngine(engine: Engine): Promise<void> {
     try {
-      engine.status = await engine.rpc.call("engine.status", {}, protocol.EngineStatus);
-      engine.failures = 0;
+      const status = await engine.rpc.call("engine.status", {}, protocol.EngineStatus);
       // Guards "a leaving server keeps getting work": the host list lags by seconds, the engine's own
       // drain notice is seen on the next poll (pollMs), so routing stops well inside the 3 s bound.
-      if (engine.status.draining) engine.leaving = true;
+      // Guards "a restarted server gets no work ever again": notice given ends with the boot that gave it.
+      const restarted = engine.status?.boot !== status.boot;
+      engine.noticed = status.draining || (engine.noticed && !restarted);
+      engine.status = status;
+      engine.failures = 0;
+      engine.inFlightAtReport = engine.inFlight;
     } catch {
       engine.failures += 1;
     }
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -1,19 +1,18 @@
 /**
- * Picks the engine replica for each request: among usable engines with the model ready, the one with the
- * least work (its lagging report plus this node's own in-flight count), same zone first on a tie.
- * Writes one JSON log line per decision.
+ * Picks the engine for each request among the usable engines that have the model ready, by the routing
+ * policy of the settings. Writes one JSON log line per decision.
  */
+import type { Resident } from "../common/engineProtocol.ts";
 import type { Log } from "../common/log.ts";
 import type { Engine, Fleet } from "./fleet.ts";
+import { rankings, type RoutingPolicy } from "./routingPolicies.ts";
 
-/** A routing decision, as logged. */
-export interface Decision {
+/** A request to route. */
+export interface Routable {
   readonly requestId: string;
   readonly customer: string;
   readonly model: string;
-  readonly engine: Engine | undefined;
-  readonly reason: "least-loaded" | "no-replica";
-  readonly alternatives: readonly string[];
+  readonly prompt: string;
 }
 
 /** Options of a `Router`. */
@@ -22,47 +21,57 @@
   readonly log: Log;
   /** This entry node's availability zone. */
   readonly zone: string;
+  readonly policy?: RoutingPolicy;
 }
 
-/** Chooses replicas; stateless apart from the fleet it reads. */
+const defaults = { policy: "balanced" as RoutingPolicy };
+/** Leading characters of a prompt that are taken for its prefix. */
+const prefixChars = 64;
+
+/** Chooses engines; its only state is the count of its choices. */
 export class Router {
-  constructor(private readonly options: RouterOptions) {}
+  private readonly options: RouterOptions & typeof defaults;
+  private turn = 0;
+
+  constructor(options: RouterOptions) {
+    this.options = { ...defaults, ...options };
+  }
 
-  /** Chooses an engine for `model`, skipping `exclude` (engines already tried for this request). */
-  choose(
-    requestId: string,
-    customer: string,
-    model: string,
-    exclude: ReadonlySet<string> = new Set(),
-  ): Decision {
-    const candidates = this.options.fleet
+  /** Chooses an engine for the request, skipping `exclude` (engines already tried for it). */
+  choose(request: Routable, exclude: ReadonlySet<string> = new Set()): Engine | undefined {
+    const { fleet, log, zone, policy } = this.options;
+    const { requestId, customer, model } = request;
+    const candidates = fleet
       .usable()
       .filter((engine) => !exclude.has(engine.address))
-      .filter((engine) => engine.status?.residents.some((r) => r.model === model && r.state === "ready"));
-    candidates.sort((a, b) => this.cost(a) - this.cost(b));
-    const engine = candidates[0];
-    const decision: Decision = {
-      requestId,
-      customer,
-      model,
-      engine,
-      reason: engine === undefined ? "no-replica" : "least-loaded",
-      alternatives: candidates.slice(1).map((candidate) => candidate.address),
-    };
-    this.options.log.info({
+      .filter((engine) => holds(engine, model, "ready"));
+    this.turn += 1;
+    const choice = { candidates, zone, prefix: request.prompt.slice(0, prefixChars), turn: this.turn };
+    const ranked = candidates.length === 0 ? [] : rankings[policy](choice);
+    const engine = ranked[0];
+    log.info({
       event: "route",
       requestId,
       customer,
       model,
       engine: engine?.address ?? null,
-      reason: decision.reason,
-      alternatives: decision.alternatives,
+      reason: engine === undefined ? "no-replica" : policy,
+      alternatives: ranked.slice(1).map((alternative) => alternative.address),
     });
-    return decision;
+    return engine;
+  }
+
+  /** Whether some engine has `model` ready. */
+  ready(model: string): boolean {
+    return this.options.fleet.usable().some((engine) => holds(engine, model, "ready"));
   }
 
-  private cost(engine: Engine): number {
-    const zonePenalty = engine.zone === this.options.zone ? 0 : 0.5;
-    return (engine.status?.load ?? 0) + engine.inFlight + zonePenalty;
+  /** Whether a copy of `model` is on its way to some engine. */
+  arriving(model: string): boolean {
+    return this.options.fleet.usable().some((engine) => holds(engine, model, "loading"));
   }
 }
+
+function holds(engine: Engine, model: string, state: Resident["state"]): boolean {
+  return engine.status?.residents.some((r) => r.model === model && r.state === state) ?? false;
+}
