--- a/src/entry/entryNode.ts
+++ b/src/entry/entryNode.ts
@@ -7,17 +7,28 @@
 import { close, listen } from "../common/http.ts";
 import { createLog } from "../common/log.ts";
 import { PlatformClient } from "../common/platformClient.ts";
-import { Traffic } from "../common/rpc.ts";
+import { decodeParams, RpcEndpoint, Traffic } from "../common/rpc.ts";
 import { Supervisor } from "../common/supervisor.ts";
+import { planners, type PlacementPolicy } from "../placement/planners.ts";
+import { Admission } from "./admission.ts";
 import { CompletionProxy } from "./completionProxy.ts";
+import { Completions } from "./completions.ts";
 import { ConfigWatcher } from "./configWatcher.ts";
+import { DemandBoard } from "./demandBoard.ts";
+import { DemandMeter } from "./demandMeter.ts";
+import { DemandReport } from "./demandReport.ts";
+import { DemandReporter } from "./demandReporter.ts";
 import { EntryServer } from "./entryServer.ts";
 import { Fleet } from "./fleet.ts";
+import { Lease } from "./lease.ts";
 import { Ledger } from "./ledger.ts";
+import { LoadBudget } from "./loadBudget.ts";
 import { Membership } from "./membership.ts";
 import { EntryMetrics } from "./metrics.ts";
 import { Placer } from "./placer.ts";
+import { RetryBudget } from "./retryBudget.ts";
 import { Router } from "./router.ts";
+import type { RoutingPolicy } from "./routingPolicies.ts";
 import { ServiceCaller } from "./serviceCaller.ts";
 
 /** Options of an `EntryNode`. */
@@ -35,6 +46,15 @@
   readonly drainMs?: number;
   readonly idleTimeoutMs?: number;
   readonly leaseTtlMs?: number;
+  /** Placement policy, from the lookup table in `placement/planners.ts`. */
+  readonly placement?: PlacementPolicy;
+  /** Routing policy, from the lookup table in `routingPolicies.ts`. */
+  readonly routing?: RoutingPolicy;
+  /** Whether requests that cannot be served in time are refused on arrival. */
+  readonly admission?: boolean;
+  /** The weight store's limits, which placement keeps within. */
+  readonly loadsPerSecond?: number;
+  readonly loadsAtOnce?: number;
 }
 
 const defaults = {
@@ -45,6 +65,11 @@
   attempts: 2,
   drainMs: 20_000,
   idleTimeoutMs: 5000,
+  placement: "demand" as PlacementPolicy,
+  routing: "balanced" as RoutingPolicy,
+  admission: true,
+  loadsPerSecond: 1,
+  loadsAtOnce: 5,
 };
 
 /** Builds, starts and stops one entry node. */
@@ -54,13 +79,14 @@
   readonly traffic = new Traffic();
   readonly config: ConfigWatcher;
   readonly fleet: Fleet;
-  readonly placer: Placer;
   /** The bound port, after `start`. */
   port = 0;
   private readonly options: EntryNodeOptions & typeof defaults;
   private readonly log;
   private readonly store = new DisposableStore();
   private readonly platform: PlatformClient;
+  private readonly meter: DemandMeter;
+  private readonly board = new DemandBoard();
   private membership: Membership | undefined;
   private server: EntryServer | undefined;
 
@@ -75,24 +101,11 @@
       pollMs: this.options.pollMs,
       traffic: this.traffic,
     });
-    this.placer = new Placer({
-      platform: this.platform,
-      config: this.config,
-      fleet: this.fleet,
-      metrics: this.metrics,
-      log: this.log,
-      nodeId: options.id,
-      everyMs: this.options.pollMs,
-      leaseTtlMs: this.options.leaseTtlMs,
-    });
+    this.meter = new DemandMeter({ node: options.id });
   }
 
   /** Binds the port, then starts the tasks; resolves with the port. */
   async start(): Promise<number> {
-    const proxy = new CompletionProxy({ idleTimeoutMs: this.options.idleTimeoutMs });
-    this.store.add(() => {
-      proxy.dispose();
-    });
     const httpServer = http.createServer();
     this.port = await listen(httpServer, this.options.host, this.options.port);
     const advertise = this.options.advertise ?? `http://${this.options.host}:${this.port}`;
@@ -101,24 +114,41 @@
       log: this.log,
       self: { id: this.options.id, address: advertise, zone: this.options.zone },
     });
+    const lease = new Lease({
+      platform: this.platform,
+      key: "leases/placement",
+      holder: this.options.id,
+      address: advertise,
+      ttlMs: this.options.leaseTtlMs,
+    });
+    const placer = this.placer(lease);
+    const reporter = this.reporter(lease);
     this.server = new EntryServer({
       config: this.config,
-      router: new Router({ fleet: this.fleet, log: this.log, zone: this.options.zone }),
-      fleet: this.fleet,
-      proxy,
+      completions: this.completions(() => {
+        // A request waits for a model: tell the lease holder now instead of at the next period.
+        void reporter.refresh().then(() => (lease.held() ? placer.refresh() : undefined));
+      }),
       services: new ServiceCaller(new Ledger(this.platform)),
       membership: this.membership,
+      rpc: new RpcEndpoint({
+        "placement.demand": (params) => {
+          const report = decodeParams(DemandReport, params);
+          const receipt = this.board.record(report);
+          if (report.models.some((model) => model.waiting > 0)) void placer.refresh();
+          return Promise.resolve(receipt);
+        },
+      }),
       metrics: this.metrics,
       log: this.log,
       defaultDeadlineMs: this.options.defaultDeadlineMs,
-      attempts: this.options.attempts,
       addressesTtlSeconds: 5,
     });
     httpServer.on("request", this.server.listener);
     this.store.add(() => close(httpServer));
     const tasks = new Supervisor(
       `entry:${this.options.id}`,
-      [this.config, this.fleet, this.membership, this.placer],
+      [this.config, this.fleet, this.membership, placer, reporter],
       this.log,
     );
     await tasks.start();
@@ -142,4 +172,45 @@
   async dispose(): Promise<void> {
     await this.store.dispose();
   }
+
+  private completions(onWait: () => void): Completions {
+    const { attempts, idleTimeoutMs, zone, routing, admission } = this.options;
+    return new Completions({
+      router: new Router({ fleet: this.fleet, log: this.log, zone, policy: routing }),
+      fleet: this.fleet,
+      proxy: this.store.add(new CompletionProxy({ idleTimeoutMs })),
+      admission: new Admission({ enabled: admission }),
+      meter: this.meter,
+      retries: new RetryBudget(),
+      log: this.log,
+      attempts,
+      onWait,
+    });
+  }
+
+  private placer(lease: Lease): Placer {
+    const { loadsPerSecond, loadsAtOnce, placement, pollMs } = this.options;
+    return new Placer({
+      config: this.config,
+      fleet: this.fleet,
+      board: this.board,
+      lease,
+      budget: new LoadBudget({ loadsPerSecond, loadsAtOnce }),
+      planner: planners[placement],
+      metrics: this.metrics,
+      log: this.log,
+      everyMs: pollMs,
+    });
+  }
+
+  private reporter(lease: Lease): DemandReporter {
+    return new DemandReporter({
+      meter: this.meter,
+      board: this.board,
+      lease,
+      log: this.log,
+      everyMs: this.options.pollMs,
+      traffic: this.traffic,
+    });
+  }
 }
--- a/src/entry/lease.ts
+++ b/src/entry/lease.ts
@@ -5,13 +5,20 @@
 import * as Schema from "effect/Schema";
 import type { PlatformClient } from "../common/platformClient.ts";
 
-const LeaseValue = Schema.Struct({ holder: Schema.String, expiresAt: Schema.Number });
+const LeaseValue = Schema.Struct({
+  holder: Schema.String,
+  expiresAt: Schema.Number,
+  /** Where the holder answers RPCs of other entry nodes. */
+  address: Schema.optionalKey(Schema.String),
+});
 
 /** Options of a `Lease`. */
 export interface LeaseOptions {
   readonly platform: PlatformClient;
   readonly key: string;
   readonly holder: string;
+  /** Where this holder answers RPCs; told to the others through the lease row. */
+  readonly address?: string;
   /** Lease duration in ms. */
   readonly ttlMs?: number;
 }
@@ -24,6 +31,8 @@
 export class Lease {
   /** Fencing number of the current term (the lease row's version), 0 if never held. */
   fencing = 0;
+  /** Address of the holder as last read from the lease row, this node included. */
+  holderAddress: string | undefined;
   private expiresAt = 0;
   private readonly ttlMs: number;
 
@@ -41,18 +50,21 @@
     const now = Date.now();
     const row = await this.options.platform.get(this.options.key);
     const current = row === null ? undefined : Schema.decodeUnknownOption(LeaseValue)(row.value);
+    this.holderAddress = current?._tag === "Some" ? current.value.address : undefined;
     const theirs = current?._tag === "Some" && current.value.holder !== this.options.holder;
     if (theirs && current.value.expiresAt > now) {
       this.expiresAt = 0;
       return false;
     }
-    const value = { holder: this.options.holder, expiresAt: now + this.ttlMs };
+    const { holder, address } = this.options;
+    const value = { holder, expiresAt: now + this.ttlMs, ...(address === undefined ? {} : { address }) };
     try {
       const result = await this.options.platform.commit([
         { key: this.options.key, value, expectVersion: row?.version ?? 0 },
       ]);
       this.fencing = result.rows[0]?.version ?? 0;
       this.expiresAt = now + this.ttlMs;
+      this.holderAddress = address;
     } catch (error) {
       // Outcome unknown or lost race: act as not holding until a renewal is confirmed.
       this.expiresAt = 0;
--- /dev/null
+++ b/src/entry/loadBudget.ts
@@ -0,0 +1,35 @@
+/** Keeps placement within the weight store's limits: loads started per second, and loads at once. */
+
+/** Options of a `LoadBudget`. */
+export interface LoadBudgetOptions {
+  readonly loadsPerSecond?: number;
+  readonly loadsAtOnce?: number;
+}
+
+const defaults = { loadsPerSecond: 1, loadsAtOnce: 5 };
+
+/** A token bucket of loads, as deep as the loads allowed at once. */
+export class LoadBudget {
+  private readonly options: Required<LoadBudgetOptions>;
+  private tokens: number;
+  private refilledAt = Date.now();
+
+  constructor(options: LoadBudgetOptions = {}) {
+    this.options = { ...defaults, ...options };
+    this.tokens = this.options.loadsAtOnce;
+  }
+
+  /** Loads that may start now, with `running` on their way. */
+  available(running: number): number {
+    const now = Date.now();
+    const earned = ((now - this.refilledAt) / 1000) * this.options.loadsPerSecond;
+    this.tokens = Math.min(this.options.loadsAtOnce, this.tokens + earned);
+    this.refilledAt = now;
+    return Math.max(0, Math.min(Math.floor(this.tokens), this.options.loadsAtOnce - running));
+  }
+
+  /** Takes the token of one load. */
+  take(): void {
+    this.tokens -= 1;
+  }
+}
--- a/src/entry/placer.ts
+++ b/src/entry/placer.ts
@@ -1,233 +1,221 @@
 /**
- * Placement: the entry node holding the placement lease keeps every model of every live template resident
- * on as many engines as its template asks, within each engine's memory, and unloads what no template
- * names. Orders carry the lease's fencing number. Each decision is a JSON log line.
+ * The placement loop: the holder of the placement lease plans from what engines report and what entry
+ * nodes measure, and orders loads and unloads, each with its fencing number. It reconciles: every round
+ * starts from the engines' own reports, so an order that was lost or came late is simply planned again.
  */
 import * as protocol from "../common/engineProtocol.ts";
 import { toFailure } from "../common/errors.ts";
 import type { Log } from "../common/log.ts";
-import type { PlatformClient } from "../common/platformClient.ts";
 import { PeriodicTask } from "../common/supervisor.ts";
-import type { ModelSpec } from "../common/template.ts";
+import type { Accelerator, Copy, Load, Need, Planner, Unload } from "../placement/snapshot.ts";
 import type { ConfigWatcher } from "./configWatcher.ts";
+import type { DemandBoard } from "./demandBoard.ts";
 import type { Engine, Fleet } from "./fleet.ts";
-import { Lease } from "./lease.ts";
+import type { Lease } from "./lease.ts";
+import type { LoadBudget } from "./loadBudget.ts";
 import type { EntryMetrics } from "./metrics.ts";
+import { needsOf, type PlacedModel } from "./needs.ts";
 
 /** Options of a `Placer`. */
 export interface PlacerOptions {
-  readonly platform: PlatformClient;
   readonly config: ConfigWatcher;
   readonly fleet: Fleet;
+  readonly board: DemandBoard;
+  readonly lease: Lease;
+  readonly budget: LoadBudget;
+  readonly planner: Planner;
   readonly metrics: EntryMetrics;
   readonly log: Log;
-  readonly nodeId: string;
   readonly everyMs?: number;
-  /** Load orders started per round, to stay within the weight store's rate limit. */
-  readonly loadsPerRound?: number;
-  /** Placement lease duration, in ms. */
-  readonly leaseTtlMs?: number;
   /** How long an engine that failed an order is passed over for new loads, in ms. */
   readonly orderBackoffMs?: number;
+  /** How long a planned copy may wait for its room (streams of the evicted model end first), in ms. */
+  readonly planMs?: number;
 }
 
-const defaults = { everyMs: 500, loadsPerRound: 2, leaseTtlMs: 3000, orderBackoffMs: 5000 };
+const defaults = { everyMs: 500, orderBackoffMs: 5000, planMs: 15_000 };
+
+/** A copy planned and not yet reported by its engine. */
+interface Planned {
+  readonly engine: string;
+  readonly need: Need;
+  /** Copies that make room for it. */
+  readonly evict: readonly Unload[];
+  readonly until: number;
+}
 
 /** The placement task: lease, plan, orders. */
 export class Placer extends PeriodicTask {
-  private readonly lease: Lease;
   private readonly options: PlacerOptions & typeof defaults;
   /** Engines passed over for loads until the given epoch ms, after a failed order. */
   private readonly avoidUntil = new Map<string, number>();
+  private planned: Planned[] = [];
+  /** When each copy (engine, model, version) was first seen. */
+  private seen = new Map<string, number>();
 
   constructor(options: PlacerOptions) {
     super("placer", options.everyMs ?? defaults.everyMs, options.log);
     this.options = { ...defaults, ...options };
-    this.lease = new Lease({
-      platform: options.platform,
-      key: "leases/placement",
-      holder: options.nodeId,
-      ttlMs: this.options.leaseTtlMs,
-    });
   }
 
   /** Stops placing and gives up the lease locally. */
   override async dispose(): Promise<void> {
     await super.dispose();
-    this.lease.release();
+    this.options.lease.release();
   }
 
   protected async step(): Promise<void> {
-    if (!(await this.lease.renew())) return;
-    await this.options.fleet.refresh();
-    const wanted = this.wanted();
-    // Orders of one round run at once (the weight store allows several loads in parallel); each
-    // choice is recorded in the local view before the next is made, so two never pick the same room.
-    const orders: Promise<void>[] = [];
-    for (const spec of wanted.values()) {
-      while (this.hosting(spec).length < spec.replicas && orders.length < this.options.loadsPerRound) {
-        const engine = this.choose(spec);
-        if (engine === undefined) break;
-        orders.push(this.order(engine, spec));
-      }
+    const { lease, fleet, budget, planner } = this.options;
+    if (!(await lease.renew())) {
+      this.planned = [];
+      return;
     }
-    await Promise.all(orders);
-    await this.unloadUnwanted(wanted);
+    await fleet.refresh();
+    const models = needsOf(this.options.config.live(), this.options.board.totals());
+    this.dropFinished();
+    await this.evictForPlanned();
+    await this.orderPlanned(models);
+    const accelerators = this.accelerators();
+    const running = accelerators.flatMap((a) => a.copies).filter((copy) => copy.state === "loading").length;
+    const moves = planner({
+      now: Date.now(),
+      accelerators,
+      needs: [...models.values()].map((model) => model.need),
+      loads: budget.available(running + this.planned.length),
+    });
+    const unloads = moves.filter((move) => move.kind === "unload");
+    const loads = moves.filter((move) => move.kind === "load");
+    await Promise.all(unloads.map((move) => this.unload(move)));
+    for (const move of loads) this.plan(move);
+    await this.evictForPlanned();
+    await this.orderPlanned(models);
   }
 
-  private wanted(): Map<string, ModelSpec> {
-    const wanted = new Map<string, ModelSpec>();
-    for (const template of this.options.config.live()) {
-      for (const model of template.models) {
-        const held = wanted.get(model.name);
-        if (held === undefined || held.replicas < model.replicas) wanted.set(model.name, model);
-      }
-    }
-    return wanted;
+  /** The engines' accelerators as last reported, with the copies planned for them. */
+  private accelerators(): Accelerator[] {
+    const now = Date.now();
+    const seen = new Map<string, number>();
+    const accelerators = this.options.fleet.usable().flatMap((engine) => {
+      if (engine.status === undefined) return [];
+      const copies = engine.status.residents.map((resident): Copy => {
+        const key = `${engine.address} ${resident.model} ${resident.version}`;
+        const since = this.seen.get(key) ?? now;
+        seen.set(key, since);
+        return { ...resident, since };
+      });
+      const planned = this.planned
+        .filter((plan) => plan.engine === engine.address)
+        .map(({ need }): Copy => ({ ...need, state: "planned", since: now }));
+      return [
+        {
+          address: engine.address,
+          capacityMb: engine.status.capacityMb,
+          slots: engine.status.slots,
+          loadable: (this.avoidUntil.get(engine.address) ?? 0) <= now,
+          copies: [...copies, ...planned],
+        },
+      ];
+    });
+    this.seen = seen;
+    return accelerators;
   }
 
-  private hosting(spec: ModelSpec): Engine[] {
-    return this.options.fleet
-      .usable()
-      .filter((engine) =>
-        engine.status?.residents.some((r) => r.model === spec.name && r.version === spec.version),
+  private plan(move: Load): void {
+    const { need, address, reason, evict } = move;
+    this.options.budget.take();
+    this.planned.push({ engine: address, need, evict, until: Date.now() + this.options.planMs });
+    this.options.log.info({
+      event: "place",
+      model: need.model,
+      version: need.version,
+      engine: address,
+      reason,
+      evict: evict.map((evicted) => evicted.model),
+      demand: need.demand,
+      usual: need.usual,
+      waiting: need.waiting,
+      fencing: this.options.lease.fencing,
+    });
+  }
+
+  /** Orders out the copies that make room, again each round until the engine reports them on their way out. */
+  private async evictForPlanned(): Promise<void> {
+    const due = this.planned
+      .flatMap((plan) => plan.evict)
+      .filter((evicted) =>
+        this.engine(evicted.address)?.status?.residents.some(
+          (r) => r.model === evicted.model && r.version === evicted.version && r.state !== "unloading",
+        ),
       );
+    await Promise.all(due.map((evicted) => this.unload(evicted)));
   }
 
-  /** Picks the engine for one more copy of `spec` and records the copy as loading in the local view. */
-  private choose(spec: ModelSpec): Engine | undefined {
-    const need = footprint(spec);
-    // Guards "a model is never placed": an engine that loses orders would otherwise be chosen first
-    // every round (its free memory never shrinks) and time out every time; passing it over for a while
-    // lets the next round choose another engine.
+  /** Drops plans whose copy is there, whose engine is gone, or whose time is up. */
+  private dropFinished(): void {
     const now = Date.now();
-    const usable = this.options.fleet
-      .usable()
-      .filter((engine) => (this.avoidUntil.get(engine.address) ?? 0) <= now);
-    const fresh = usable
-      .filter((engine) => residentOf(engine, spec.name) === undefined)
-      .filter((engine) => free(engine) >= need)
-      .sort((a, b) => free(b) - free(a));
-    const replaceable = usable.filter((engine) => this.canReplace(engine, spec, need, usable));
-    const candidates = [...fresh, ...replaceable];
-    const engine = candidates[0];
-    this.options.log.info({
-      event: "place",
-      model: spec.name,
-      version: spec.version,
-      engine: engine?.address ?? null,
-      reason: placeReason(engine, fresh),
-      needMb: need,
-      alternatives: candidates.slice(1).map((candidate) => candidate.address),
-      fencing: this.lease.fencing,
+    this.planned = this.planned.filter((plan) => {
+      const engine = this.engine(plan.engine);
+      if (engine?.status === undefined || plan.until <= now) return false;
+      return !engine.status.residents.some(
+        (r) => r.model === plan.need.model && r.version === plan.need.version && r.state !== "unloading",
+      );
     });
-    if (engine?.status === undefined || !this.lease.held()) return undefined;
-    // Guards "memory over capacity while placing": this node's view may be stale, so the copy is
-    // counted locally at once, and the engine checks capacity again before it reserves.
-    const old = residentOf(engine, spec.name);
-    engine.status = {
-      ...engine.status,
-      usedMb: engine.status.usedMb - (old?.sizeMb ?? 0) + need,
-      residents: [
-        ...engine.status.residents.filter((resident) => resident.model !== spec.name),
-        {
-          model: spec.name,
-          version: spec.version,
-          sizeMb: need,
-          adapters: spec.adapters.map((a) => a.name),
-          state: "loading",
-        },
-      ],
-    };
-    return engine;
   }
 
-  /** Sends the load order; on failure passes the engine over for a while (not for the weight store's limit). */
-  private async order(engine: Engine, spec: ModelSpec): Promise<void> {
-    const order: protocol.LoadOrder = {
-      model: spec.name,
-      version: spec.version,
-      sizeMb: spec.sizeMb,
-      adapters: spec.adapters,
-      fencing: this.lease.fencing,
-    };
+  /** Sends the load orders whose room is free by the engine's own report. */
+  private async orderPlanned(models: ReadonlyMap<string, PlacedModel>): Promise<void> {
+    const ready = this.planned.flatMap((plan) => {
+      const engine = this.engine(plan.engine);
+      const model = models.get(plan.need.model);
+      // Guards "space reused before the unload is done": the order waits until the engine itself reports
+      // the room free and the old copy gone; the engine checks again before it reserves.
+      const fits = engine?.status !== undefined && roomOn(engine.status) >= plan.need.sizeMb;
+      const gone = !engine?.status?.residents.some((r) => r.model === plan.need.model);
+      return engine !== undefined && model !== undefined && fits && gone ? [{ engine, model }] : [];
+    });
+    await Promise.all(ready.map(({ engine, model }) => this.load(engine, model)));
+    this.dropFinished();
+  }
+
+  private engine(address: string): Engine | undefined {
+    return this.options.fleet.usable().find((engine) => engine.address === address);
+  }
+
+  /** Sends a load order; on failure the plan is dropped and the engine passed over for a while. */
+  private async load(engine: Engine, model: PlacedModel): Promise<void> {
+    const { lease } = this.options;
+    if (!lease.held()) return;
+    const { name, version, sizeMb, adapters } = model.spec;
+    const order: protocol.LoadOrder = { model: name, version, sizeMb, adapters, fencing: lease.fencing };
     try {
       engine.status = await engine.rpc.call("engine.load", order, protocol.EngineStatus);
       this.options.metrics.moves.inc({ kind: "load" });
     } catch (error) {
+      // Guards "a model is never placed": an engine that loses orders would otherwise be chosen again
+      // every round (its free memory never shrinks); passed over, the next round chooses another.
+      this.avoidUntil.set(engine.address, Date.now() + this.options.orderBackoffMs);
+      this.planned = this.planned.filter((p) => p.engine !== engine.address || p.need.model !== name);
       const kind = toFailure(error).kind;
-      // rate-limited is the weight store's limit, shared by all engines: passing this one over would
-      // only move the same wait elsewhere.
-      if (kind !== "rate-limited")
-        this.avoidUntil.set(engine.address, Date.now() + this.options.orderBackoffMs);
-      this.options.log.warn({ event: "load-failed", model: spec.name, engine: engine.address, error: kind });
+      this.options.log.warn({ event: "load-failed", model: name, engine: engine.address, error: kind });
     }
   }
 
-  /**
-   * Whether `engine` may swap its old version of the model for `spec` in place. Guards "a rollout
-   * stalls" (every engine left holds the old version, so none is free for the new one) without
-   * breaking "models stay reachable": the swap drops this copy while the new one loads, so it is
-   * allowed only while a ready copy of the model stays on another engine. Memory stays within
-   * capacity because the engine frees the old copy in the same step as it reserves the new one.
-   */
-  private canReplace(engine: Engine, spec: ModelSpec, need: number, usable: readonly Engine[]): boolean {
-    const old = residentOf(engine, spec.name);
-    if (old === undefined || old.version === spec.version) return false;
-    if (free(engine) + old.sizeMb < need) return false;
-    return usable.some((other) => other !== engine && residentOf(other, spec.name)?.state === "ready");
-  }
-
-  private async unloadUnwanted(wanted: ReadonlyMap<string, ModelSpec>): Promise<void> {
-    for (const engine of this.options.fleet.usable()) {
-      for (const resident of engine.status?.residents ?? []) {
-        const spec = wanted.get(resident.model);
-        const stale =
-          spec !== undefined &&
-          spec.version !== resident.version &&
-          this.hosting(spec).length >= spec.replicas;
-        if (spec !== undefined && !stale) continue;
-        if (!this.lease.held()) return;
-        this.options.log.info({
-          event: "unplace",
-          model: resident.model,
-          version: resident.version,
-          engine: engine.address,
-          reason: spec === undefined ? "no-template-names-it" : "old-version",
-          fencing: this.lease.fencing,
-        });
-        try {
-          await engine.rpc.call(
-            "engine.unload",
-            { model: resident.model, fencing: this.lease.fencing },
-            protocol.EngineStatus,
-          );
-          this.options.metrics.moves.inc({ kind: "unload" });
-        } catch (error) {
-          this.options.log.warn({
-            event: "unload-failed",
-            model: resident.model,
-            error: toFailure(error).kind,
-          });
-        }
-      }
+  private async unload(move: Unload): Promise<void> {
+    const { lease, log, metrics } = this.options;
+    const engine = this.engine(move.address);
+    if (engine === undefined || !lease.held()) return;
+    const { model, version, reason } = move;
+    log.info({ event: "unplace", model, version, engine: move.address, reason, fencing: lease.fencing });
+    try {
+      const order: protocol.UnloadOrder = { model, fencing: lease.fencing };
+      engine.status = await engine.rpc.call("engine.unload", order, protocol.EngineStatus);
+      metrics.moves.inc({ kind: "unload" });
+    } catch (error) {
+      log.warn({ event: "unload-failed", model, engine: move.address, error: toFailure(error).kind });
     }
   }
 }
 
-function placeReason(engine: Engine | undefined, fresh: readonly Engine[]): string {
-  if (engine === undefined) return "no-engine-with-room";
-  return fresh.includes(engine) ? "most-free-memory" : "replace-old-version";
-}
-
-function residentOf(engine: Engine, model: string): protocol.Resident | undefined {
-  return engine.status?.residents.find((resident) => resident.model === model);
-}
-
-function footprint(spec: ModelSpec): number {
-  return spec.sizeMb + spec.adapters.reduce((sum, adapter) => sum + adapter.sizeMb, 0);
-}
-
-function free(engine: Engine): number {
-  return engine.status === undefined ? 0 : engine.status.capacityMb - engine.status.usedMb;
+function roomOn(status: protocol.EngineStatus): number {
+  return status.capacityMb - status.usedMb;
 }
