--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,6 +5,8 @@
 import tseslint from "typescript-eslint";
 
 const roles = ["entry", "platform", "engine", "service", "bench", "cli"];
+/** Library folders between common/ and the roles: they import common/ and themselves, roles may import them. */
+const libraries = ["placement"];
 /** Folders that compose roles (the CLI and the bench run them); no role imports these. */
 const composers = ["cli", "bench"];
 
@@ -40,11 +42,30 @@
     rules: {
       "no-restricted-imports": [
         "error",
-        { patterns: roles.map((role) => ({ group: [`../${role}/*`], message: "common/ imports no role" })) },
+        {
+          patterns: [...roles, ...libraries].map((folder) => ({
+            group: [`../${folder}/*`],
+            message: "common/ imports no other folder",
+          })),
+        },
       ],
     },
   },
   ...layering,
+  ...libraries.map((library) => ({
+    files: [`src/${library}/**/*.ts`],
+    rules: {
+      "no-restricted-imports": [
+        "error",
+        {
+          patterns: roles.map((role) => ({
+            group: [`../${role}/*`],
+            message: `${library}/ imports no role`,
+          })),
+        },
+      ],
+    },
+  })),
   { files: ["test/**/*.ts"], rules: { "@typescript-eslint/no-unused-expressions": "off" } },
   prettier,
 );
--- a/src/common/engineProtocol.ts
+++ b/src/common/engineProtocol.ts
@@ -41,6 +41,8 @@
   slots: Schema.Number,
   /** Random id of this engine process; a new one means it restarted. */
   boot: Schema.String,
+  /** Rises with every change of the residents within one boot. */
+  revision: Schema.Number,
   fencing: Schema.Number,
   role: Schema.String,
   /** True once the engine has had notice to leave: it finishes streams in flight and takes no new ones. */
@@ -51,3 +53,18 @@
 });
 /** A decoded engine status. */
 export type EngineStatus = typeof EngineStatus.Type;
+
+/** `engine.report` params: the boot and revision the asker knows; none at first. */
+export const ReportParams = Schema.Struct({
+  boot: Schema.optionalKey(Schema.String),
+  revision: Schema.optionalKey(Schema.Number),
+});
+
+/** `engine.report` result: what changes all the time, and the whole status only if the residents changed. */
+export const EngineReport = Schema.Struct({
+  load: Schema.Number,
+  draining: Schema.Boolean,
+  status: Schema.optionalKey(EngineStatus),
+});
+/** A decoded engine report. */
+export type EngineReport = typeof EngineReport.Type;
--- a/src/engine/engineServer.ts
+++ b/src/engine/engineServer.ts
@@ -113,6 +113,7 @@
       },
       "engine.role": (p) => Promise.resolve(this.setRole(decodeParams(RoleParams, p))),
       "engine.status": () => Promise.resolve(this.status()),
+      "engine.report": (p) => Promise.resolve(this.report(decodeParams(protocol.ReportParams, p))),
       "engine.drain": () => Promise.resolve(this.drain()),
     });
     this.port = await serve({
@@ -164,6 +165,7 @@
       load: this.reportedLoad,
       slots: this.batcher.maxBatch,
       boot: this.boot,
+      revision: this.memory.revision,
       fencing: this.memory.fencing,
       role: this.role,
       draining: this.drainedAt !== undefined,
@@ -172,6 +174,12 @@
     };
   }
 
+  private report(known: typeof protocol.ReportParams.Type): protocol.EngineReport {
+    const unchanged = known.boot === this.boot && known.revision === this.memory.revision;
+    const draining = this.drainedAt !== undefined;
+    return { load: this.reportedLoad, draining, ...(unchanged ? {} : { status: this.status() }) };
+  }
+
   private async delayOrder(): Promise<void> {
     if (this.orderFaults.lateOrders <= 0) return;
     this.orderFaults = { ...this.orderFaults, lateOrders: this.orderFaults.lateOrders - 1 };
--- a/src/engine/memory.ts
+++ b/src/engine/memory.ts
@@ -20,6 +20,8 @@
   private readonly slots = new Map<string, Slot>();
   /** Highest fencing number seen on an order. */
   fencing = 0;
+  /** Rises with every change of the residents. */
+  revision = 0;
 
   constructor(
     readonly capacityMb: number,
@@ -63,6 +65,7 @@
         `${order.model} needs ${need} MB, ${this.capacityMb - this.usedMb} MB free`,
       );
     }
+    this.revision += 1;
     this.slots.set(order.model, {
       resident: {
         model: order.model,
@@ -85,7 +88,7 @@
   markReady(model: string): void {
     const slot = this.slots.get(model);
     if (slot === undefined) return;
-    if (slot.resident.state === "loading") slot.resident = { ...slot.resident, state: "ready" };
+    if (slot.resident.state === "loading") this.move(slot, "ready");
     this.drop(model);
   }
 
@@ -114,12 +117,19 @@
     this.fence(order.fencing);
     const slot = this.slots.get(order.model);
     if (slot === undefined) return;
-    slot.resident = { ...slot.resident, state: "unloading" };
+    this.move(slot, "unloading");
     this.freeUnused(order.model, slot);
   }
 
   private freeUnused(model: string, slot: Slot): void {
-    if (slot.resident.state === "unloading" && slot.holders <= 0) this.slots.delete(model);
+    if (slot.resident.state !== "unloading" || slot.holders > 0) return;
+    this.revision += 1;
+    this.slots.delete(model);
+  }
+
+  private move(slot: Slot, state: protocol.Resident["state"]): void {
+    this.revision += 1;
+    slot.resident = { ...slot.resident, state };
   }
 
   private fence(fencing: number): void {
--- a/src/entry/demandBoard.ts
+++ b/src/entry/demandBoard.ts
@@ -1,5 +1,5 @@
 /** The lease holder's view of demand: every entry node's last report, summed by model. */
-import type { DemandReceipt, DemandReport, ModelDemand } from "./demandReport.ts";
+import type { DemandReport, ModelDemand } from "./demandReport.ts";
 
 interface NodeDemand {
   at: number;
@@ -23,13 +23,13 @@
     this.staleMs = options.staleMs ?? defaults.staleMs;
   }
 
-  /** Takes one node's report; asks for a full one if this is a partial report of a node not yet known. */
-  record(report: DemandReport): DemandReceipt {
+  /** Takes one node's report; true asks for a full one (this was a partial report of a node not yet known). */
+  record(report: DemandReport): boolean {
     const known = this.nodes.get(report.node);
     const models = (report.full ? undefined : known?.models) ?? new Map<string, ModelDemand>();
     for (const model of report.models) models.set(model.model, model);
     this.nodes.set(report.node, { at: Date.now(), models });
-    return { wantsFull: known === undefined && !report.full };
+    return known === undefined && !report.full;
   }
 
   /** Demand of every model, summed over the nodes heard from lately. */
--- a/src/entry/demandMeter.ts
+++ b/src/entry/demandMeter.ts
@@ -1,12 +1,16 @@
 /**
- * Measures, on one entry node, how many streams of each model its callers want at once. The averages live
- * here and not at the lease holder, so a new holder starts from full knowledge after one round of reports.
+ * Measures, on one entry node, how many streams of each model its callers want at once: their rate times
+ * the time one takes on an engine with a place free. Streams in flight would not do: a queue counts too
+ * much and refused requests too little. The averages live here and not at the lease holder, so a new
+ * holder starts from full knowledge after one round of reports.
  */
 import type { DemandReport, ModelDemand } from "./demandReport.ts";
 
 /** Options of a `DemandMeter`. */
 export interface DemandMeterOptions {
   readonly node: string;
+  /** The time one request for a model takes on an engine with a place free, in ms; 0 if not known. */
+  readonly serviceMs: (model: string) => number;
   /** Half-lives of the averages, in ms: demand when rising, when falling, and the usual demand. */
   readonly riseMs?: number;
   readonly fallMs?: number;
@@ -15,21 +19,22 @@
   readonly fullEvery?: number;
 }
 
-const defaults = { riseMs: 500, fallMs: 4000, usualMs: 60_000, fullEvery: 30 };
+const defaults = { riseMs: 1500, fallMs: 4000, usualMs: 60_000, fullEvery: 30 };
 /** A change of demand smaller than this part (and than this many streams) is not worth a report. */
 const reportedChange = { part: 0.1, streams: 0.1 };
+/** Least part of its window for which the long average is scaled up. */
+const leastKnown = 0.05;
 /** Usual demand below which an idle model is forgotten, in streams. */
 const forgotten = 0.0005;
 
 interface Gauge {
   inFlight: number;
   waiting: number;
+  /** Requests that arrived since the averages were last brought up to date. */
+  arrivals: number;
   demand: number;
   usual: number;
   lastUsed: number;
-  /** Stream-milliseconds since the averages were last brought up to date, and when the gauge last changed. */
-  area: number;
-  changedAt: number;
   reported: ModelDemand | undefined;
 }
 
@@ -37,7 +42,8 @@
 export class DemandMeter {
   private readonly gauges = new Map<string, Gauge>();
   private readonly options: DemandMeterOptions & typeof defaults;
-  private averagedAt = Date.now();
+  private readonly startedAt = Date.now();
+  private averagedAt = this.startedAt;
   private reports = 0;
   private fullNext = true;
 
@@ -48,10 +54,11 @@
   /** A request for `model` has arrived; call the result once when it is answered. */
   begin(model: string): () => void {
     const gauge = this.gauge(model);
-    this.change(gauge, "inFlight", 1);
+    gauge.inFlight += 1;
+    gauge.arrivals += 1;
     gauge.lastUsed = Date.now();
     return () => {
-      this.change(gauge, "inFlight", -1);
+      gauge.inFlight -= 1;
     };
   }
 
@@ -75,7 +82,7 @@
     const full = this.fullNext || this.reports % this.options.fullEvery === 0;
     const models: ModelDemand[] = [];
     for (const [model, gauge] of this.gauges) {
-      const current = demandOf(model, gauge);
+      const current = this.demandOf(model, gauge, now);
       if (!full && !differs(gauge.reported, current)) continue;
       gauge.reported = current;
       models.push(current);
@@ -89,26 +96,30 @@
   private gauge(model: string): Gauge {
     const known = this.gauges.get(model);
     if (known !== undefined) return known;
-    const now = Date.now();
     const gauge: Gauge = {
       inFlight: 0,
       waiting: 0,
+      arrivals: 0,
       demand: 0,
       usual: 0,
-      lastUsed: now,
-      area: 0,
-      changedAt: now,
+      lastUsed: Date.now(),
       reported: undefined,
     };
     this.gauges.set(model, gauge);
     return gauge;
   }
 
-  private change(gauge: Gauge, field: "inFlight", by: number): void {
-    const now = Date.now();
-    gauge.area += gauge.inFlight * (now - gauge.changedAt);
-    gauge.changedAt = now;
-    gauge[field] += by;
+  private demandOf(model: string, gauge: Gauge, now: number): ModelDemand {
+    const { waiting, lastUsed } = gauge;
+    // The long average starts from nothing; what of its window this node has not lived through is left out.
+    const known = Math.max(leastKnown, 1 - 0.5 ** ((now - this.startedAt) / this.options.usualMs));
+    return {
+      model,
+      demand: rounded(gauge.demand),
+      usual: rounded(gauge.usual / known),
+      waiting,
+      lastUsed,
+    };
   }
 
   private average(now: number): void {
@@ -116,9 +127,9 @@
     if (elapsed <= 0) return;
     this.averagedAt = now;
     for (const [model, gauge] of this.gauges) {
-      this.change(gauge, "inFlight", 0);
-      const streams = gauge.area / elapsed;
-      gauge.area = 0;
+      const serviceMs = this.options.serviceMs(model);
+      const streams = serviceMs > 0 ? (gauge.arrivals * serviceMs) / elapsed : gauge.inFlight;
+      gauge.arrivals = 0;
       const halfLife = streams > gauge.demand ? this.options.riseMs : this.options.fallMs;
       gauge.demand = decay(gauge.demand, streams, elapsed, halfLife);
       gauge.usual = decay(gauge.usual, streams, elapsed, this.options.usualMs);
@@ -132,13 +143,8 @@
   return to + (from - to) * 0.5 ** (elapsedMs / halfLifeMs);
 }
 
-function demandOf(model: string, gauge: Gauge): ModelDemand {
-  const { waiting, lastUsed } = gauge;
-  return { model, demand: rounded(gauge.demand), usual: rounded(gauge.usual), waiting, lastUsed };
-}
-
 function differs(reported: ModelDemand | undefined, current: ModelDemand): boolean {
-  if (reported?.waiting !== current.waiting) return true;
+  if (reported?.waiting !== current.waiting || current.waiting > 0) return true;
   const change = Math.abs(current.demand - reported.demand);
   return change > reportedChange.streams && change > reportedChange.part * reported.demand;
 }
--- a/src/entry/demandReport.ts
+++ b/src/entry/demandReport.ts
@@ -25,7 +25,14 @@
 /** A decoded demand report. */
 export type DemandReport = typeof DemandReport.Type;
 
-/** `placement.demand` result: whether the receiver lacks the node's full report (it has just taken over). */
-export const DemandReceipt = Schema.Struct({ wantsFull: Schema.Boolean });
+/**
+ * `placement.demand` result: whether the receiver lacks the node's full report (it has just taken over),
+ * and the models whose first copy is on its way. A model that is asked for and not among them is not
+ * going to be loaded now.
+ */
+export const DemandReceipt = Schema.Struct({
+  wantsFull: Schema.Boolean,
+  coming: Schema.Array(Schema.String),
+});
 /** A decoded demand receipt. */
 export type DemandReceipt = typeof DemandReceipt.Type;
--- a/src/entry/needs.ts
+++ b/src/entry/needs.ts
@@ -38,6 +38,7 @@
           usual: demand?.usual ?? 0,
           waiting: demand?.waiting ?? 0,
           lastUsed: demand?.lastUsed ?? 0,
+          unmetSince: 0,
         },
       });
     }
--- a/src/entry/placer.ts
+++ b/src/entry/placer.ts
@@ -10,7 +10,7 @@
 import type { Accelerator, Copy, Load, Need, Planner, Unload } from "../placement/snapshot.ts";
 import type { ConfigWatcher } from "./configWatcher.ts";
 import type { DemandBoard } from "./demandBoard.ts";
-import type { Engine, Fleet } from "./fleet.ts";
+import { learnStatus, type Engine, type Fleet } from "./fleet.ts";
 import type { Lease } from "./lease.ts";
 import type { LoadBudget } from "./loadBudget.ts";
 import type { EntryMetrics } from "./metrics.ts";
@@ -50,6 +50,10 @@
   /** Engines passed over for loads until the given epoch ms, after a failed order. */
   private readonly avoidUntil = new Map<string, number>();
   private planned: Planned[] = [];
+  /** Orders under way, by engine and model. */
+  private readonly ordering = new Set<string>();
+  /** Since when each model is asked for without any copy, epoch ms. */
+  private unmetSince = new Map<string, number>();
   /** When each copy (engine, model, version) was first seen. */
   private seen = new Map<string, number>();
 
@@ -58,44 +62,97 @@
     this.options = { ...defaults, ...options };
   }
 
+  /** Models with a copy planned or loading. */
+  coming(): string[] {
+    const loading = this.options.fleet
+      .usable()
+      .flatMap((engine) => engine.status?.residents ?? [])
+      .filter((resident) => resident.state === "loading")
+      .map((resident) => resident.model);
+    return [...new Set([...loading, ...this.planned.map((plan) => plan.need.model)])];
+  }
+
   /** Stops placing and gives up the lease locally. */
   override async dispose(): Promise<void> {
     await super.dispose();
     this.options.lease.release();
   }
 
-  protected async step(): Promise<void> {
-    const { lease, fleet, budget, planner } = this.options;
-    if (!(await lease.renew())) {
-      this.planned = [];
-      return;
-    }
-    await fleet.refresh();
-    const models = needsOf(this.options.config.live(), this.options.board.totals());
-    this.dropFinished();
-    await this.evictForPlanned();
-    await this.orderPlanned(models);
+  /**
+   * Plans from what is known now and sends the orders, without waiting for their answers. Does nothing
+   * unless the lease is held. A report of demand is planned for at once, so its sender can be told
+   * which models are coming.
+   */
+  plan(): void {
+    const { lease, budget, planner, config, board } = this.options;
+    if (!lease.held()) return;
+    const models = needsOf(config.live(), board.totals());
+    this.noteUnmet(models);
+    this.advance(models);
     const accelerators = this.accelerators();
     const running = accelerators.flatMap((a) => a.copies).filter((copy) => copy.state === "loading").length;
     const moves = planner({
       now: Date.now(),
       accelerators,
-      needs: [...models.values()].map((model) => model.need),
+      needs: [...models.values()].map(({ need }) => ({
+        ...need,
+        unmetSince: this.unmetSince.get(need.model) ?? 0,
+      })),
       loads: budget.available(running + this.planned.length),
     });
-    const unloads = moves.filter((move) => move.kind === "unload");
-    const loads = moves.filter((move) => move.kind === "load");
-    await Promise.all(unloads.map((move) => this.unload(move)));
-    for (const move of loads) this.plan(move);
-    await this.evictForPlanned();
-    await this.orderPlanned(models);
+    for (const move of moves) {
+      if (move.kind === "unload") this.order(move, () => this.unload(move));
+      else this.adopt(move);
+    }
+    this.advance(models);
+  }
+
+  protected async step(): Promise<void> {
+    if (!(await this.options.lease.renew())) {
+      this.planned = [];
+      return;
+    }
+    await this.options.fleet.refresh();
+    this.plan();
+  }
+
+  /** Takes every planned copy a step further: out with what is in its place, then in with it. */
+  private advance(models: ReadonlyMap<string, PlacedModel>): void {
+    this.dropFinished();
+    for (const evicted of this.dueEvictions()) this.order(evicted, () => this.unload(evicted));
+    for (const { engine, model } of this.dueLoads(models))
+      this.order({ address: engine.address, model: model.spec.name }, () => this.load(engine, model));
+  }
+
+  /** Sends an order unless the same is under way; once it is answered, planned copies go on. */
+  private order(target: { address: string; model: string }, send: () => Promise<void>): void {
+    const key = `${target.address} ${target.model}`;
+    if (this.ordering.has(key)) return;
+    this.ordering.add(key);
+    void send().finally(() => {
+      this.ordering.delete(key);
+      if (this.options.lease.held())
+        this.advance(needsOf(this.options.config.live(), this.options.board.totals()));
+    });
+  }
+
+  private noteUnmet(models: ReadonlyMap<string, PlacedModel>): void {
+    const now = Date.now();
+    const held = new Set(
+      this.options.fleet.present().flatMap((engine) => engine.status?.residents.map((r) => r.model) ?? []),
+    );
+    const unmet = [...models.values()]
+      .filter(({ need }) => !held.has(need.model) && (need.waiting > 0 || need.demand > 0))
+      .map(({ need }) => [need.model, this.unmetSince.get(need.model) ?? now] as const);
+    this.unmetSince = new Map(unmet);
   }
 
   /** The engines' accelerators as last reported, with the copies planned for them. */
   private accelerators(): Accelerator[] {
     const now = Date.now();
     const seen = new Map<string, number>();
-    const accelerators = this.options.fleet.usable().flatMap((engine) => {
+    const usable = new Set(this.options.fleet.usable());
+    const accelerators = this.options.fleet.present().flatMap((engine) => {
       if (engine.status === undefined) return [];
       const copies = engine.status.residents.map((resident): Copy => {
         const key = `${engine.address} ${resident.model} ${resident.version}`;
@@ -111,7 +168,7 @@
           address: engine.address,
           capacityMb: engine.status.capacityMb,
           slots: engine.status.slots,
-          loadable: (this.avoidUntil.get(engine.address) ?? 0) <= now,
+          loadable: usable.has(engine) && (this.avoidUntil.get(engine.address) ?? 0) <= now,
           copies: [...copies, ...planned],
         },
       ];
@@ -120,7 +177,7 @@
     return accelerators;
   }
 
-  private plan(move: Load): void {
+  private adopt(move: Load): void {
     const { need, address, reason, evict } = move;
     this.options.budget.take();
     this.planned.push({ engine: address, need, evict, until: Date.now() + this.options.planMs });
@@ -138,16 +195,15 @@
     });
   }
 
-  /** Orders out the copies that make room, again each round until the engine reports them on their way out. */
-  private async evictForPlanned(): Promise<void> {
-    const due = this.planned
+  /** Copies in the place of planned ones, until their engine reports them on their way out. */
+  private dueEvictions(): Unload[] {
+    return this.planned
       .flatMap((plan) => plan.evict)
       .filter((evicted) =>
         this.engine(evicted.address)?.status?.residents.some(
           (r) => r.model === evicted.model && r.version === evicted.version && r.state !== "unloading",
         ),
       );
-    await Promise.all(due.map((evicted) => this.unload(evicted)));
   }
 
   /** Drops plans whose copy is there, whose engine is gone, or whose time is up. */
@@ -162,9 +218,9 @@
     });
   }
 
-  /** Sends the load orders whose room is free by the engine's own report. */
-  private async orderPlanned(models: ReadonlyMap<string, PlacedModel>): Promise<void> {
-    const ready = this.planned.flatMap((plan) => {
+  /** Planned copies whose room is free by the engine's own report. */
+  private dueLoads(models: ReadonlyMap<string, PlacedModel>): { engine: Engine; model: PlacedModel }[] {
+    return this.planned.flatMap((plan) => {
       const engine = this.engine(plan.engine);
       const model = models.get(plan.need.model);
       // Guards "space reused before the unload is done": the order waits until the engine itself reports
@@ -173,8 +229,6 @@
       const gone = !engine?.status?.residents.some((r) => r.model === plan.need.model);
       return engine !== undefined && model !== undefined && fits && gone ? [{ engine, model }] : [];
     });
-    await Promise.all(ready.map(({ engine, model }) => this.load(engine, model)));
-    this.dropFinished();
   }
 
   private engine(address: string): Engine | undefined {
@@ -188,7 +242,7 @@
     const { name, version, sizeMb, adapters } = model.spec;
     const order: protocol.LoadOrder = { model: name, version, sizeMb, adapters, fencing: lease.fencing };
     try {
-      engine.status = await engine.rpc.call("engine.load", order, protocol.EngineStatus);
+      learnStatus(engine, await engine.rpc.call("engine.load", order, protocol.EngineStatus));
       this.options.metrics.moves.inc({ kind: "load" });
     } catch (error) {
       // Guards "a model is never placed": an engine that loses orders would otherwise be chosen again
@@ -208,7 +262,7 @@
     log.info({ event: "unplace", model, version, engine: move.address, reason, fencing: lease.fencing });
     try {
       const order: protocol.UnloadOrder = { model, fencing: lease.fencing };
-      engine.status = await engine.rpc.call("engine.unload", order, protocol.EngineStatus);
+      learnStatus(engine, await engine.rpc.call("engine.unload", order, protocol.EngineStatus));
       metrics.moves.inc({ kind: "unload" });
     } catch (error) {
       log.warn({ event: "unload-failed", model, engine: move.address, error: toFailure(error).kind });
--- a/src/placement/baselinePlanners.ts
+++ b/src/placement/baselinePlanners.ts
@@ -7,6 +7,8 @@
 export function staticPlanner(snapshot: Snapshot): Move[] {
   const draft = new Draft(snapshot);
   const moves: Move[] = retirements(draft);
+  const smallest = Math.min(...snapshot.needs.map((need) => need.sizeMb));
+  if (draft.accelerators.every((accelerator) => draft.free(accelerator) < smallest)) return moves;
   const most = Math.max(1, ...snapshot.needs.map((need) => need.replicas));
   for (let copies = 1; copies <= most; copies += 1) {
     for (const need of snapshot.needs) {
--- a/src/placement/demandPlanner.ts
+++ b/src/placement/demandPlanner.ts
@@ -14,7 +14,15 @@
   readonly targetUse?: number;
   /** Time over which a further copy must pay for its moves, in seconds. */
   readonly horizonSeconds?: number;
-  /** Cost of one move in stream-seconds, at moveWeight 0 and per unit of moveWeight. */
+  /** What serving one waiting request is worth, in stream-seconds. */
+  readonly requestSeconds?: number;
+  /**
+   * A model asked for in vain this long is loaded for its next request whatever it costs, in ms, at
+   * moveWeight 0 and more of it per unit of moveWeight.
+   */
+  readonly reachMs?: number;
+  readonly reachMsPerWeight?: number;
+  /** Cost of one move in stream-seconds, at moveWeight 0 and what its square adds. */
   readonly moveCost?: number;
   readonly moveCostPerWeight?: number;
   /** A copy younger than this is not evicted, in ms. */
@@ -24,14 +32,17 @@
 const defaults = {
   targetUse: 0.75,
   horizonSeconds: 15,
-  moveCost: 2,
-  moveCostPerWeight: 20,
+  requestSeconds: 0.3,
+  reachMs: 15_000,
+  reachMsPerWeight: 90_000,
+  moveCost: 0.05,
+  moveCostPerWeight: 6,
   minStayMs: 4000,
 };
 type Options = typeof defaults;
 
-/** How much more a waiting model must be worth than the last copies it pushes out. */
-const evictMargin = 1.2;
+/** What one request adds to the short average of demand when it arrives, in streams. */
+const requestDemand = 0.15;
 
 /** Makes a demand planner. */
 export function demandPlanner(options: DemandPlannerOptions = {}): Planner {
@@ -44,45 +55,68 @@
   const moves: Move[] = retirements(draft);
   let loads = snapshot.loads;
   const take = (load: Load | undefined): boolean => {
-    if (load === undefined) return false;
+    if (load === undefined || loads <= 0) return false;
     apply(draft, load);
     moves.push(load);
     loads -= 1;
     return true;
   };
-  for (const need of byUrgency(snapshot.needs)) {
-    if (loads <= 0) return moves;
-    if (draft.holders(need.model).length === 0) take(firstCopy(draft, need, options));
-  }
-  for (const need of snapshot.needs) {
+  const missing = byUrgency(snapshot.needs).filter((need) => draft.copies(need.model) === 0);
+  for (const need of missing) take(roomFor(draft, need, "first-copy"));
+  for (const need of snapshot.needs)
     while (loads > 0 && draft.current(need) < need.replicas)
       if (!take(roomFor(draft, need, "keep-replicas") ?? swap(draft, need))) break;
-  }
-  while (loads > 0 && take(furtherCopy(draft, options)));
+  while (loads > 0 && take(bestTrade(draft, missing, options)));
   return moves;
 }
 
-/** Models with requests waiting come first, then by what they are worth. */
-function byUrgency(needs: readonly Need[]): Need[] {
-  return [...needs].sort((a, b) => b.waiting - a.waiting || worth(b) - worth(a));
+/** A load in place of other copies, and what it gains over them, in weighted stream-seconds. */
+interface Trade {
+  readonly load: Load;
+  readonly net: number;
+}
+
+/** The trade that gains most: the first copy of a missing model, or a further copy of a crowded one. */
+function bestTrade(draft: Draft, missing: readonly Need[], options: Options): Load | undefined {
+  const trades = missing
+    .filter((need) => draft.copies(need.model) === 0)
+    .map((need) => firstCopy(draft, need, options));
+  return [...trades, furtherCopy(draft, options)]
+    .flatMap((trade) => trade ?? [])
+    .reduce<Trade | undefined>((best, trade) => (trade.net > (best?.net ?? 0) ? trade : best), undefined)
+    ?.load;
 }
 
-/** A first copy: where there is room, else in place of spare copies, else of the copies least worth keeping. */
-function firstCopy(draft: Draft, need: Need, options: Options): Load | undefined {
-  const room = roomFor(draft, need, "first-copy");
-  if (room !== undefined) return room;
-  const candidates = loadable(draft, need)
-    .map((accelerator) => ({ accelerator, victims: victims(draft, accelerator, need, options, true) }))
-    .filter((c) => c.victims !== undefined)
-    .map((c) => ({ ...c, cost: sum(c.victims ?? [], (copy) => keepValue(draft, copy)) }))
+/** Models by what they are worth, requests waiting for them included. */
+function byUrgency(needs: readonly Need[]): Need[] {
+  const urgency = (need: Need): number => worth(need) + need.weight * need.waiting;
+  return [...needs].sort((a, b) => urgency(b) - urgency(a));
+}
+
+/** A first copy in place of spare copies, else of those least worth keeping. */
+function firstCopy(draft: Draft, need: Need, options: Options): Trade | undefined {
+  const gain = worth(need) * options.horizonSeconds + need.weight * need.waiting * options.requestSeconds;
+  const due = overdue(draft, need, options);
+  if (gain <= movesCost(need, 2, options) && !due) return undefined;
+  const choices = loadable(draft, need)
+    .map((accelerator) => ({ accelerator, evicted: victims(draft, accelerator, need, options, true) }))
+    .flatMap(({ accelerator, evicted }) => (evicted === undefined ? [] : [{ accelerator, evicted }]))
+    .map((choice) => ({ ...choice, cost: tradeCost(draft, need, choice.evicted, options) }))
     .sort((a, b) => a.cost - b.cost);
-  const best = candidates[0];
+  const best = choices[0];
   if (best === undefined) return undefined;
-  // An idle model waits for room instead of pushing another out: evicting for it would only swap which
-  // of two idle models is away, for two moves.
-  const gain = need.waiting > 0 ? need.weight * (need.waiting + need.demand + need.usual) : 0;
-  if (gain <= best.cost * evictMargin) return undefined;
-  return replacing(best.accelerator, need, best.victims ?? [], "first-copy");
+  const load = replacing(best.accelerator, need, best.evicted, "first-copy");
+  return { load, net: due ? Number.POSITIVE_INFINITY : gain - best.cost };
+}
+
+/**
+ * Whether a model has been asked for in vain for too long. Guards "a rare model is never reachable": it
+ * is never worth the moves by its demand alone, so its next request gets it loaded whatever it costs.
+ */
+function overdue(draft: Draft, need: Need, options: Options): boolean {
+  const reachMs = options.reachMs + options.reachMsPerWeight * need.moveWeight;
+  const unmetMs = need.unmetSince > 0 ? draft.snapshot.now - need.unmetSince : 0;
+  return need.waiting > 0 && unmetMs >= reachMs;
 }
 
 /** The engine with room for `need` that expects the least load per slot. */
@@ -94,30 +128,34 @@
   return fits[0] === undefined ? undefined : replacing(fits[0], need, [], reason);
 }
 
-/** One more copy of the model whose engines are most over their target, if it pays for its moves. */
-function furtherCopy(draft: Draft, options: Options): Load | undefined {
+/** One more copy of a model that has an engine over its target, on an engine that is not. */
+function furtherCopy(draft: Draft, options: Options): Trade | undefined {
   const loads = draft.expectedLoads();
   const before = loss(draft, loads, options);
-  let best: { load: Load; net: number } | undefined;
+  // Guards "a further copy of one model makes another unreachable": last copies are left alone while the
+  // pool can hold every model. Where it cannot, models share it over time by what they are worth.
+  const last = draft.crowded;
+  let best: Trade | undefined;
   for (const need of draft.snapshot.needs) {
     const holders = draft.holders(need.model);
     if (holders.length === 0 || holders.every((h) => use(h, loads) < options.targetUse)) continue;
-    // Copies on their way count before more are ordered: load seen now was there before they were.
-    if (holders.some((h) => h.copies.some((c) => c.model === need.model && c.state !== "ready"))) continue;
     for (const accelerator of loadable(draft, need)) {
       if (use(accelerator, loads) >= options.targetUse) continue;
-      const evicted = victims(draft, accelerator, need, options, false);
+      const evicted = victims(draft, accelerator, need, options, last);
       if (evicted === undefined) continue;
       const load = replacing(accelerator, need, evicted, "demand");
-      const gain = before - lossAfter(draft, accelerator, load, options);
-      const cost =
-        (1 + evicted.length) * (options.moveCost + options.moveCostPerWeight * need.moveWeight) +
-        sum(evicted, (copy) => keepValue(draft, copy)) * options.horizonSeconds;
-      const net = need.weight * gain * options.horizonSeconds - cost;
+      const gain = need.weight * (before - lossAfter(draft, accelerator, load, options));
+      const net = gain * options.horizonSeconds - tradeCost(draft, need, evicted, options);
       if (net > (best?.net ?? 0)) best = { load, net };
     }
   }
-  return best?.load;
+  return best;
+}
+
+/** What a load costs: its moves, and what the evicted copies were worth over the horizon. */
+function tradeCost(draft: Draft, need: Need, evicted: readonly Copy[], options: Options): number {
+  const kept = sum(evicted, (copy) => keepValue(draft, copy));
+  return movesCost(need, 1 + evicted.length, options) + kept * options.horizonSeconds;
 }
 
 /** Engines that may get a copy of `need` and hold none. */
@@ -127,8 +165,7 @@
 
 /**
  * Copies to evict from an engine so that `need` fits, the least worth keeping first; undefined if none
- * will do. Last copies are taken only for a model that has no copy at all (`last`): a further copy of
- * one model never makes another unreachable.
+ * will do. Copies that templates ask for are taken only if `last` allows it.
  */
 function victims(
   draft: Draft,
@@ -154,19 +191,28 @@
 /** Whether the model keeps its asked-for copies without this one. */
 function spare(draft: Draft, copy: Copy): boolean {
   const need = draft.need(copy.model);
-  return need === undefined || draft.holders(copy.model).length > need.replicas;
+  return need === undefined || draft.copies(copy.model) > need.replicas;
 }
 
 /** What keeping this copy is worth, in weighted streams at once. */
 function keepValue(draft: Draft, copy: Copy): number {
   const need = draft.need(copy.model);
   if (need === undefined) return 0;
-  const holders = draft.holders(copy.model).length;
+  const holders = draft.copies(copy.model);
   return holders > 1 ? worth(need) / (holders * holders) : worth(need);
 }
 
+/**
+ * What serving a model is worth, in weighted streams at once. One request raises the short average as if
+ * many came; taking off its spread (arrivals are random) leaves only what several requests bear out.
+ */
 function worth(need: Need): number {
-  return need.weight * Math.max(need.demand, need.usual);
+  const borneOut = need.demand - Math.sqrt(need.demand * requestDemand);
+  return need.weight * Math.max(borneOut, need.usual);
+}
+
+function movesCost(need: Need, moves: number, options: Options): number {
+  return moves * (options.moveCost + options.moveCostPerWeight * need.moveWeight ** 2);
 }
 
 /** Streams that wait or slow each other down: past the target use, and by crowding in general. */
@@ -178,10 +224,11 @@
 }
 
 function lossAfter(draft: Draft, accelerator: DraftAccelerator, load: Load, options: Options): number {
-  const held = accelerator.copies;
-  apply(draft, load);
+  const removed = load.evict.flatMap((evicted) => draft.remove(accelerator, evicted.model) ?? []);
+  draft.add(accelerator, load.need);
   const after = loss(draft, draft.expectedLoads(), options);
-  accelerator.copies = held;
+  draft.remove(accelerator, load.need.model);
+  draft.restore(accelerator, removed);
   return after;
 }
 
--- a/src/placement/draft.ts
+++ b/src/placement/draft.ts
@@ -10,15 +10,24 @@
 export class Draft {
   readonly accelerators: DraftAccelerator[];
   private readonly needs: ReadonlyMap<string, Need>;
+  /** Serving copies by model, kept in step with the accelerators. */
+  private readonly counts = new Map<string, number>();
 
   constructor(readonly snapshot: Snapshot) {
     this.accelerators = snapshot.accelerators.map((accelerator) => ({
       ...accelerator,
       copies: [...accelerator.copies],
     }));
+    for (const accelerator of this.accelerators) for (const copy of accelerator.copies) this.count(copy, 1);
     this.needs = new Map(snapshot.needs.map((need) => [need.model, need]));
   }
 
+  /** Whether the pool cannot hold one copy of every model. */
+  get crowded(): boolean {
+    const capacityMb = this.accelerators.reduce((total, a) => total + a.capacityMb, 0);
+    return this.snapshot.needs.reduce((total, need) => total + need.sizeMb, 0) > capacityMb;
+  }
+
   /** The need of `model`, if a template names it. */
   need(model: string): Need | undefined {
     return this.needs.get(model);
@@ -34,6 +43,11 @@
     return this.accelerators.filter((accelerator) => accelerator.copies.some((c) => serves(c, model)));
   }
 
+  /** How many copies of `model` serve or will serve (any version). */
+  copies(model: string): number {
+    return this.counts.get(model) ?? 0;
+  }
+
   /** Copies of a need's current version that serve or will serve. */
   current(need: Need): number {
     return this.accelerators.filter((accelerator) =>
@@ -43,36 +57,43 @@
 
   /** Adds a planned copy of `need`. */
   add(accelerator: DraftAccelerator, need: Need): void {
-    accelerator.copies.push({
-      model: need.model,
-      version: need.version,
-      sizeMb: need.sizeMb,
-      state: "planned",
-      since: this.snapshot.now,
-    });
+    const { model, version, sizeMb } = need;
+    const copy: Copy = { model, version, sizeMb, state: "planned", since: this.snapshot.now };
+    accelerator.copies = [...accelerator.copies, copy];
+    this.count(copy, 1);
   }
 
-  /** Removes a model's copy, as if its unload were done. */
-  remove(accelerator: DraftAccelerator, model: string): void {
-    accelerator.copies = accelerator.copies.filter((copy) => copy.model !== model);
+  /** Removes a model's copy, as if its unload were done; returns it. */
+  remove(accelerator: DraftAccelerator, model: string): Copy | undefined {
+    const copy = accelerator.copies.find((c) => c.model === model);
+    if (copy === undefined) return undefined;
+    accelerator.copies = accelerator.copies.filter((c) => c !== copy);
+    this.count(copy, -1);
+    return copy;
+  }
+
+  /** Puts back copies that were removed on trial. */
+  restore(accelerator: DraftAccelerator, copies: readonly Copy[]): void {
+    accelerator.copies = [...accelerator.copies, ...copies];
+    for (const copy of copies) this.count(copy, 1);
   }
 
   /** Expected streams at once on each accelerator, splitting a model's demand evenly over its copies. */
   expectedLoads(): Map<DraftAccelerator, number> {
-    const copies = new Map<string, number>();
-    for (const accelerator of this.accelerators)
-      for (const copy of accelerator.copies)
-        if (copy.state !== "unloading") copies.set(copy.model, (copies.get(copy.model) ?? 0) + 1);
     return new Map(
       this.accelerators.map((accelerator) => [
         accelerator,
         accelerator.copies.reduce((load, copy) => {
-          const count = copy.state === "unloading" ? 0 : (copies.get(copy.model) ?? 0);
-          return count === 0 ? load : load + (this.need(copy.model)?.demand ?? 0) / count;
+          if (copy.state === "unloading") return load;
+          return load + (this.need(copy.model)?.demand ?? 0) / this.copies(copy.model);
         }, 0),
       ]),
     );
   }
+
+  private count(copy: Copy, by: number): void {
+    if (copy.state !== "unloading") this.counts.set(copy.model, this.copies(copy.model) + by);
+  }
 }
 
 function serves(copy: Copy, model: string): boolean {
--- a/src/placement/snapshot.ts
+++ b/src/placement/snapshot.ts
@@ -42,6 +42,8 @@
   readonly waiting: number;
   /** When it was last asked for, epoch ms; 0 if never. */
   readonly lastUsed: number;
+  /** Since when it is asked for without having any copy, epoch ms; 0 if it is not. */
+  readonly unmetSince: number;
 }
 
 /** Everything a planner decides from. */
--- /dev/null
+++ b/test/placement.spec.ts
@@ -0,0 +1,230 @@
+import { expect } from "chai";
+import * as fc from "fast-check";
+import { planners, type PlacementPolicy } from "../src/placement/planners.ts";
+import type { Accelerator, Copy, Load, Move, Need, Snapshot } from "../src/placement/snapshot.ts";
+
+const now = 1_000_000;
+
+const need = (model: string, fields: Partial<Need> = {}): Need => ({
+  model,
+  version: "v1",
+  sizeMb: 10,
+  replicas: 1,
+  weight: 1,
+  moveWeight: 0.2,
+  demand: 0,
+  usual: 0,
+  waiting: 0,
+  lastUsed: 0,
+  unmetSince: 0,
+  ...fields,
+});
+
+const copy = (model: string, fields: Partial<Copy> = {}): Copy => ({
+  model,
+  version: "v1",
+  sizeMb: 10,
+  state: "ready",
+  since: 0,
+  ...fields,
+});
+
+const accelerator = (address: string, copies: readonly Copy[], capacityMb = 20): Accelerator => ({
+  address,
+  capacityMb,
+  slots: 8,
+  loadable: true,
+  copies,
+});
+
+const plan = (
+  accelerators: readonly Accelerator[],
+  needs: readonly Need[],
+  fields: Partial<Snapshot> & { policy?: PlacementPolicy } = {},
+): Move[] => planners[fields.policy ?? "demand"]({ now, loads: 5, accelerators, needs, ...fields });
+
+const loads = (moves: readonly Move[]): Load[] => moves.filter((move) => move.kind === "load");
+
+describe("the demand planner", () => {
+  it("should give a hot model further copies on the engines with places free", () => {
+    const moves = plan(
+      [accelerator("a", [copy("hot")]), accelerator("b", [copy("cold")])],
+      [need("hot", { demand: 12, usual: 2 }), need("cold", { demand: 0.1, usual: 0.1 })],
+    );
+    expect(loads(moves).map((move) => [move.address, move.need.model])).to.deep.equal([["b", "hot"]]);
+  });
+
+  it("should keep the last copy of every model when a hot model wants more room", () => {
+    // Demand moves to one model while every engine is full of last copies. Taking one of them for a
+    // further copy of the hot model would leave another customer's model unreachable: nothing moves.
+    const moves = plan(
+      [accelerator("a", [copy("hot"), copy("m1")]), accelerator("b", [copy("m2"), copy("m3")])],
+      [need("hot", { demand: 30, usual: 5 }), need("m1"), need("m2"), need("m3")],
+    );
+    expect(moves).to.deep.equal([]);
+  });
+
+  it("should take a spare copy of an idle model for a hot one", () => {
+    const moves = plan(
+      [accelerator("a", [copy("hot"), copy("idle")]), accelerator("b", [copy("idle"), copy("m2")])],
+      [need("hot", { demand: 14, usual: 2 }), need("idle"), need("m2", { usual: 0.2 })],
+    );
+    const [load] = loads(moves);
+    expect(load?.need.model).to.equal("hot");
+    expect(load?.evict.map((evicted) => [evicted.address, evicted.model])).to.deep.equal([["b", "idle"]]);
+  });
+
+  it("should not push out a model in steady use for one rare request, as recency alone would", () => {
+    // A rare model is asked for once in a full pool. Least-recently-used eviction loads it in place of a
+    // model that is asked for all day but not in the last seconds, and soon loads that one back: two
+    // callers wait and four moves are spent on one request.
+    const pool = [accelerator("a", [copy("steady"), copy("busy")])];
+    const needs = [
+      need("steady", { usual: 0.5, lastUsed: now - 5000 }),
+      need("busy", { demand: 2, usual: 2, lastUsed: now }),
+      need("rare", { demand: 0.1, usual: 0.01, waiting: 1, lastUsed: now, unmetSince: now - 100 }),
+    ];
+    expect(plan(pool, needs)).to.deep.equal([]);
+    expect(loads(plan(pool, needs, { policy: "lru" }))).to.have.length(1);
+  });
+
+  it("should load a rare model once it has been asked for in vain for long enough", () => {
+    // The same rare model is never worth a move by its demand alone, so its customer would never reach
+    // it. After the reach time it is loaded all the same, in place of what is least worth keeping.
+    const moves = plan(
+      [accelerator("a", [copy("steady"), copy("busy")])],
+      [
+        need("steady", { usual: 0.5 }),
+        need("busy", { demand: 2, usual: 2 }),
+        need("rare", { demand: 0.1, usual: 0.01, waiting: 1, unmetSince: now - 34_000 }),
+      ],
+    );
+    const [load] = loads(moves);
+    expect(load?.need.model).to.equal("rare");
+    expect(load?.evict.map((evicted) => evicted.model)).to.deep.equal(["steady"]);
+  });
+
+  it("should move for less gain when the template weighs attainment than when it weighs moves", () => {
+    const pool = [
+      accelerator("a", [copy("hot"), copy("idle")]),
+      accelerator("b", [copy("idle"), copy("m2")]),
+    ];
+    const moving = (moveWeight: number): number =>
+      plan(pool, [need("hot", { demand: 6.2, usual: 1, moveWeight }), need("idle"), need("m2")]).length;
+    expect(moving(0)).to.equal(1);
+    expect(moving(1)).to.equal(0);
+  });
+
+  it("should start no more loads than the weight store allows", () => {
+    const needs = Array.from({ length: 6 }, (_, i) => need(`m${i}`));
+    expect(loads(plan([accelerator("a", [], 100)], needs, { loads: 2 }))).to.have.length(2);
+  });
+
+  it("should pass over an engine that failed an order", () => {
+    const failed = { ...accelerator("a", [], 100), loadable: false };
+    const moves = plan([failed, accelerator("b", [], 20)], [need("m1")]);
+    expect(loads(moves).map((move) => move.address)).to.deep.equal(["b"]);
+  });
+});
+
+const Models = ["m0", "m1", "m2", "m3", "m4", "m5"];
+const AnyCopy = fc.record({
+  model: fc.constantFrom(...Models, "retired"),
+  version: fc.constantFrom("v1", "v2"),
+  sizeMb: fc.integer({ min: 1, max: 12 }),
+  state: fc.constantFrom<Copy["state"]>("planned", "loading", "ready", "unloading"),
+  since: fc.constantFrom(0, now),
+});
+const AnyAccelerator = fc
+  .record({
+    spareMb: fc.integer({ min: 0, max: 30 }),
+    slots: fc.integer({ min: 1, max: 16 }),
+    loadable: fc.boolean(),
+    copies: fc.uniqueArray(AnyCopy, { selector: (c) => c.model, maxLength: 5 }),
+  })
+  .map(({ spareMb, ...fields }) => ({
+    ...fields,
+    capacityMb: spareMb + fields.copies.reduce((sum, c) => sum + c.sizeMb, 0),
+  }));
+const AnyNeed = fc.record({
+  version: fc.constantFrom("v1", "v2"),
+  sizeMb: fc.integer({ min: 1, max: 12 }),
+  replicas: fc.integer({ min: 1, max: 3 }),
+  weight: fc.constantFrom(0.5, 1, 2),
+  moveWeight: fc.constantFrom(0, 0.5, 1),
+  demand: fc.double({ min: 0, max: 40, noNaN: true }),
+  usual: fc.double({ min: 0, max: 40, noNaN: true }),
+  waiting: fc.integer({ min: 0, max: 5 }),
+  lastUsed: fc.constantFrom(0, now),
+  unmetSince: fc.constantFrom(0, 1, now),
+});
+const AnySnapshot = fc
+  .record({
+    accelerators: fc.array(AnyAccelerator, { minLength: 1, maxLength: 5 }),
+    needs: fc.array(AnyNeed, { minLength: 1, maxLength: Models.length }),
+    loads: fc.integer({ min: 0, max: 5 }),
+  })
+  .map(({ accelerators, needs, loads: allowed }): Snapshot => ({
+    now,
+    loads: allowed,
+    accelerators: accelerators.map((a, i) => ({ ...a, address: `e${i}` })),
+    needs: needs.map((n, i) => ({ ...n, model: Models[i] ?? "" })),
+  }));
+
+/** Plays the moves on the snapshot: an evicted or unloaded copy keeps its memory until it is gone. */
+function played(snapshot: Snapshot, moves: readonly Move[]): Map<string, Copy[]> {
+  const pool = new Map(snapshot.accelerators.map((a) => [a.address, [...a.copies]]));
+  for (const move of moves) {
+    const gone = move.kind === "unload" ? [move] : move.evict;
+    const left = (pool.get(move.address) ?? []).filter((c) => !gone.some((g) => g.model === c.model));
+    if (move.kind === "load")
+      left.push(copy(move.need.model, { ...move.need, state: "planned", since: now }));
+    pool.set(move.address, left);
+  }
+  return pool;
+}
+
+describe("every planner, on any pool", () => {
+  for (const policy of ["demand", "static", "lru"] as const) {
+    it(`should keep within memory, rooms and the weight store's limits (${policy})`, () => {
+      // Whatever the pool looks like (copies on their way in and out, old versions, retired models), a
+      // plan must not commit an accelerator beyond its memory, put two copies of a model on one engine,
+      // load onto an engine it was told to pass over, or start more loads than it may.
+      fc.assert(
+        fc.property(AnySnapshot, (snapshot) => {
+          const moves = planners[policy](snapshot);
+          expect(loads(moves).length).to.be.at.most(snapshot.loads);
+          for (const [address, copies] of played(snapshot, moves)) {
+            const engine = snapshot.accelerators.find((a) => a.address === address);
+            const used = copies.reduce((sum, c) => sum + c.sizeMb, 0);
+            expect(used, "memory").to.be.at.most(engine?.capacityMb ?? 0);
+            expect(new Set(copies.map((c) => c.model)).size, "copies of a model").to.equal(copies.length);
+            if (engine?.loadable === false)
+              expect(loads(moves).filter((m) => m.address === address)).to.deep.equal([]);
+          }
+        }),
+        { seed: 20261202, numRuns: 500 },
+      );
+    });
+  }
+
+  it("should never make a model unreachable for a further copy of another (demand)", () => {
+    // While the pool can hold every model, a further copy only ever takes spare copies; a last copy
+    // leaves only for a model that has none.
+    fc.assert(
+      fc.property(AnySnapshot, (snapshot) => {
+        const capacityMb = snapshot.accelerators.reduce((sum, a) => sum + a.capacityMb, 0);
+        fc.pre(snapshot.needs.reduce((sum, n) => sum + n.sizeMb, 0) <= capacityMb);
+        const moves = planners.demand(snapshot);
+        const after = [...played(snapshot, moves).values()].flat().filter((c) => c.state !== "unloading");
+        const before = snapshot.accelerators.flatMap((a) => a.copies).filter((c) => c.state !== "unloading");
+        const had = (model: string): boolean => before.some((c) => c.model === model);
+        const lost = snapshot.needs.filter((n) => had(n.model) && !after.some((c) => c.model === n.model));
+        const firsts = loads(moves).filter((move) => !had(move.need.model));
+        const byFirsts = new Set(firsts.flatMap((move) => move.evict.map((evicted) => evicted.model)));
+        for (const n of lost) expect([...byFirsts]).to.include(n.model);
+      }),
+      { seed: 20261202, numRuns: 500 },
+    );
+  });
+});
