--- /dev/null
+++ b/src/bench/caller.ts
@@ -0,0 +1,80 @@
+/** The bench's caller: sends one request of a trace as a stream and times its answer. */
+import * as http from "node:http";
+import type { Arrival } from "./trace.ts";
+
+/** Characters of an answer kept: enough for its end, or for a refusal. */
+const keptChars = 400;
+
+/** How one request went. */
+export interface Outcome {
+  readonly arrival: Arrival;
+  /** Answered whole. */
+  readonly whole: boolean;
+  /** HTTP status, or 0 if the connection broke. */
+  readonly status: number;
+  /** Error kind of a refusal, or "broken" if the connection was; undefined for an answer. */
+  readonly refusal: string | undefined;
+  readonly totalMs: number;
+  /** Time to the first token, in ms; undefined without one. */
+  readonly firstMs: number | undefined;
+  /** Times between tokens, in ms. */
+  readonly gapsMs: readonly number[];
+}
+
+/** Sends requests to entry nodes over kept-alive connections. */
+export class Caller {
+  private readonly agent = new http.Agent({ keepAlive: true, maxSockets: 4096 });
+
+  /** Sends `arrival` to the entry node at `address`; never rejects. */
+  send(address: string, arrival: Arrival): Promise<Outcome> {
+    const started = performance.now();
+    const { model, prompt, kind, customer } = arrival;
+    const body = JSON.stringify({ model, prompt, stream: true, max_tokens: kind.tokens });
+    return new Promise((resolve) => {
+      let status = 0;
+      let tail = "";
+      let firstMs: number | undefined;
+      let last = 0;
+      const gapsMs: number[] = [];
+      const end = (): void => {
+        const whole = status === 200 && tail.endsWith("data: [DONE]\n\n");
+        const totalMs = performance.now() - started;
+        const refusal = status === 200 ? undefined : (/"kind":"([a-z-]+)"/.exec(tail)?.[1] ?? "broken");
+        resolve({ arrival, whole, status, refusal, totalMs, firstMs, gapsMs });
+      };
+      const request = http.request(
+        new URL("/v1/completions", address),
+        {
+          method: "POST",
+          agent: this.agent,
+          headers: {
+            "content-type": "application/json",
+            "content-length": Buffer.byteLength(body),
+            "x-customer": customer,
+            "x-deadline-ms": String(kind.deadlineMs),
+          },
+        },
+        (response) => {
+          status = response.statusCode ?? 0;
+          response.setEncoding("utf8");
+          response.on("data", (text: string) => {
+            const now = performance.now();
+            tail = (tail + text).slice(-keptChars);
+            if (firstMs === undefined) firstMs = now - started;
+            else gapsMs.push(now - last);
+            last = now;
+          });
+          response.on("end", end);
+          response.on("error", end);
+        },
+      );
+      request.on("error", end);
+      request.end(body);
+    });
+  }
+
+  /** Closes kept connections. */
+  dispose(): void {
+    this.agent.destroy();
+  }
+}
--- /dev/null
+++ b/src/bench/scenarios.ts
@@ -0,0 +1,115 @@
+/** The lookup table of load scenarios: pools, models and traffic shaped like the brief's, at bench scale. */
+
+/** One kind of request of a customer. */
+export interface RequestKind {
+  readonly name: string;
+  /** Part of the customer's requests that are of this kind. */
+  readonly part: number;
+  readonly tokens: number;
+  readonly deadlineMs: number;
+  /** Distinct prompt prefixes; requests with the same one can share a cached prefix. */
+  readonly prefixes: number;
+}
+
+/** A customer of a scenario. */
+export interface Customer {
+  readonly name: string;
+  readonly share: number;
+  readonly priority: "high" | "normal" | "low";
+  readonly models: number;
+  readonly kinds: readonly RequestKind[];
+}
+
+/** A pool and the traffic it gets. */
+export interface Scenario {
+  readonly about: string;
+  readonly engines: number;
+  readonly capacityMb: number;
+  readonly slots: number;
+  readonly tokenMs: number;
+  readonly prefillTicks: number;
+  /** Smallest and largest model, in MB, and what the weight store hands out. */
+  readonly modelMb: readonly [number, number];
+  readonly mbPerSecond: number;
+  readonly loadsPerSecond: number;
+  readonly loadsAtOnce: number;
+  readonly customers: readonly Customer[];
+  /** Requests a second with no model hot, and the most there are while some are. */
+  readonly rate: number;
+  readonly peakRate: number;
+  /** Every `phaseMs`, this many models become `burst` times as popular as they were, and the last ones fall back. */
+  readonly phaseMs: number;
+  readonly hotModels: number;
+  readonly burst: number;
+  /** Zipf exponent of the models' popularity. */
+  readonly skew: number;
+}
+
+const andesKinds: readonly RequestKind[] = [
+  { name: "syllabus-plan", part: 0.4, tokens: 24, deadlineMs: 2500, prefixes: 4 },
+  { name: "counter-ask", part: 0.6, tokens: 12, deadlineMs: 1500, prefixes: 2 },
+];
+const ovasekerKinds: readonly RequestKind[] = [
+  { name: "dispute-draft", part: 0.4, tokens: 24, deadlineMs: 2000, prefixes: 4 },
+  { name: "coop-summary", part: 0.1, tokens: 40, deadlineMs: 4000, prefixes: 8 },
+  { name: "clerk-assist", part: 0.5, tokens: 12, deadlineMs: 1500, prefixes: 2 },
+];
+
+const engineShape = { slots: 8, tokenMs: 20, prefillTicks: 8 };
+const trafficShape = { phaseMs: 10_000, burst: 10, skew: 0.9 };
+
+/** Scenario name → scenario. Times are compressed: an hour of the brief's traffic is a phase of 10 s here. */
+export const scenarios = {
+  andes: {
+    about: "Andes today: 13 models on 6 engines, every model fits, demand moves tenfold between them",
+    engines: 6,
+    capacityMb: 200_000,
+    ...engineShape,
+    ...trafficShape,
+    modelMb: [34_300, 72_700],
+    mbPerSecond: 100_000,
+    loadsPerSecond: 1.1,
+    loadsAtOnce: 5,
+    customers: [{ name: "andes", share: 1, priority: "normal", models: 13, kinds: andesKinds }],
+    rate: 45,
+    peakRate: 90,
+    hotModels: 2,
+  },
+  ovaseker: {
+    about: "Ovaşeker today: 13 models on 6 engines, two loads at once",
+    engines: 6,
+    capacityMb: 200_000,
+    ...engineShape,
+    ...trafficShape,
+    modelMb: [34_300, 72_700],
+    mbPerSecond: 100_000,
+    loadsPerSecond: 1.1,
+    loadsAtOnce: 2,
+    customers: [{ name: "ovaseker", share: 1, priority: "high", models: 13, kinds: ovasekerKinds }],
+    rate: 40,
+    peakRate: 80,
+    hotModels: 2,
+  },
+  hundreds: {
+    about: "Both customers, 200 models on 12 engines that hold about 110 of them at once",
+    engines: 12,
+    capacityMb: 200_000,
+    ...engineShape,
+    tokenMs: 40,
+    ...trafficShape,
+    modelMb: [10_000, 32_000],
+    mbPerSecond: 80_000,
+    loadsPerSecond: 4,
+    loadsAtOnce: 5,
+    customers: [
+      { name: "andes", share: 0.5, priority: "normal", models: 100, kinds: andesKinds },
+      { name: "ovaseker", share: 0.5, priority: "normal", models: 100, kinds: ovasekerKinds },
+    ],
+    rate: 60,
+    peakRate: 100,
+    hotModels: 6,
+  },
+} as const satisfies Readonly<Record<string, Scenario>>;
+
+/** A scenario's name. */
+export type ScenarioName = keyof typeof scenarios;
--- a/src/cli/benchCommand.ts
+++ b/src/cli/benchCommand.ts
@@ -1,7 +1,14 @@
 /** `parsleynotch bench control`: measures control-plane slopes on loopback and writes a JSON report. */
 import * as fs from "node:fs/promises";
 import * as commander from "commander";
+import * as Schema from "effect/Schema";
 import { runControlBench, type Point } from "../bench/controlBench.ts";
+import { runLoad, type LoadRunOptions } from "../bench/loadBench.ts";
+import { summaryOf, tableOf, type LoadSummary } from "../bench/loadReport.ts";
+import { policies, type PolicyName } from "../bench/policies.ts";
+import { scenarios, type ScenarioName } from "../bench/scenarios.ts";
+import { Failure } from "../common/errors.ts";
+import { checkSettings, CountSetting } from "./settings.ts";
 
 const defaultPoints: readonly Point[] = [
   { engines: 4, entries: 2, changesPerSecond: 0 },
@@ -14,6 +21,39 @@
   { engines: 4, entries: 2, changesPerSecond: 8 },
 ];
 
+const names = <K extends string>(table: Readonly<Record<K, unknown>>): K[] => Object.keys(table) as K[];
+const LoadSettings = Schema.Struct({
+  scenario: Schema.Literals(names(scenarios)),
+  policies: Schema.String,
+  moveWeights: Schema.String,
+  warmupSeconds: CountSetting.check(Schema.isLessThanOrEqualTo(600)),
+  seconds: CountSetting.check(Schema.isLessThanOrEqualTo(600)),
+  seed: CountSetting,
+  entries: CountSetting.check(Schema.isLessThanOrEqualTo(16)),
+  out: Schema.optionalKey(Schema.String),
+});
+
+/** The runs asked for: each policy once, and the demand policies once per move weight. */
+function runsOf(s: typeof LoadSettings.Type): LoadRunOptions[] {
+  const weights = s.moveWeights.split(",").map(Number);
+  if (weights.some((weight) => !(weight >= 0 && weight <= 1)))
+    throw new Failure("bad-settings", `--move-weights must be numbers from 0 to 1, got ${s.moveWeights}`);
+  return s.policies.split(",").flatMap((policy) => {
+    if (!(policy in policies)) throw new Failure("bad-settings", `--policies: no policy named ${policy}`);
+    const name = policy as PolicyName;
+    const moveWeights = policies[name].placement === "demand" ? weights : [0.5];
+    return moveWeights.map((moveWeight) => ({
+      scenario: s.scenario satisfies ScenarioName,
+      policy: name,
+      moveWeight,
+      warmupMs: s.warmupSeconds * 1000,
+      durationMs: s.seconds * 1000,
+      seed: s.seed,
+      entries: s.entries,
+    }));
+  });
+}
+
 /** The `bench` command group. */
 export function benchCommand(): commander.Command {
   const group = new commander.Command("bench").description(
@@ -44,5 +84,41 @@
         );
       }
     });
+  group
+    .command("load")
+    .description("Attainment per accelerator and moves under seeded load, per placement and routing policy")
+    .option("--scenario <name>", `one of ${names(scenarios).join(", ")}`, "hundreds")
+    .option(
+      "--policies <list>",
+      `comma-separated, of ${names(policies).join(", ")}`,
+      "system,static-rr,lru-ll",
+    )
+    .option(
+      "--move-weights <list>",
+      "template moveWeight for the demand policies, comma-separated",
+      "0.2,0.8",
+    )
+    .option("--warmup-seconds <s>", "traffic before the measured part (at most 600)", "30")
+    .option("--seconds <s>", "length of the measured part (at most 600)", "60")
+    .option("--seed <n>", "seed of the trace", "20261202")
+    .option("--entries <n>", "entry nodes (at most 16)", "2")
+    .option("--out <file>", "write the JSON report here")
+    .action(async (raw: Record<string, unknown>) => {
+      process.env.PARSLEYNOTCH_LOG_LEVEL ??= "error";
+      const s = checkSettings(LoadSettings, raw);
+      const summaries: LoadSummary[] = [];
+      for (const run of runsOf(s)) {
+        const summary = summaryOf(await runLoad(run));
+        summaries.push(summary);
+        process.stdout.write(`${tableOf([summary])}\n`);
+      }
+      const report = {
+        command: `parsleynotch bench load`,
+        settings: s,
+        at: new Date().toISOString(),
+        summaries,
+      };
+      if (s.out !== undefined) await fs.writeFile(s.out, `${JSON.stringify(report, null, 2)}\n`);
+    });
   return group;
 }
--- a/src/entry/admission.ts
+++ b/src/entry/admission.ts
@@ -1,16 +1,19 @@
 /**
  * Decides at once whether a request can still be served in time. Under overload a request that would
  * miss its deadline anyway is refused when it arrives, with when to retry, instead of taking a place from
- * one that can make it; and a customer over its share of the pool is refused before one that is not.
+ * one that can make it; and a customer over its share of a full engine is refused before one that is not.
  */
 import { Failure } from "../common/errors.ts";
 import type { Entitlement } from "./configWatcher.ts";
 import { estimatedLoad, type Engine } from "./fleet.ts";
+import type { ServiceTimes } from "./serviceTimes.ts";
 
 /** A request to admit. */
 export interface Applicant {
   readonly entitlement: Entitlement;
   readonly model: string;
+  /** Most tokens it may be answered with. */
+  readonly tokens: number;
   readonly requestId: string;
   /** Absolute deadline, epoch ms. */
   readonly deadline: number;
@@ -18,76 +21,71 @@
 
 /** Options of an `Admission`. */
 export interface AdmissionOptions {
+  readonly times: ServiceTimes;
   /** Off: every request is admitted (the bench's baselines). */
   readonly enabled?: boolean;
 }
 
 const defaults = { enabled: true };
-/** Weight of the newest answer in a model's average service time. */
-const newestWeight = 0.1;
-/** How far past its share a customer may go while others want the same engines. */
+/** How far past the time left a request may be expected to go: expectations err both ways. */
+const tolerance = 1.1;
+/** The same for a customer over its share: what is left goes to the others first. */
+const overShareTolerance = 0.85;
+/** How far past its share a customer may go while others want the same engine. */
 const shareSlack = 1.1;
 
-/** Learns service times from answers and refuses what cannot be served in time. */
+interface Usage {
+  count: number;
+  share: number;
+}
+
+/** Refuses what cannot be served in time; keeps who uses which engine through this node. */
 export class Admission {
-  private readonly enabled: boolean;
-  /** Average service time by model on an engine with a place free, in ms. */
-  private readonly serviceMs = new Map<string, number>();
-  private readonly inFlight = new Map<string, { count: number; share: number }>();
-  private total = 0;
+  private readonly options: AdmissionOptions & typeof defaults;
+  /** Streams of each customer by engine address. */
+  private readonly engines = new Map<string, Map<string, Usage>>();
 
-  constructor(options: AdmissionOptions = {}) {
-    this.enabled = options.enabled ?? defaults.enabled;
+  constructor(options: AdmissionOptions) {
+    this.options = { ...defaults, ...options };
   }
 
-  /** Counts a request of a customer in; call the result once when it is answered. */
-  enter(entitlement: Entitlement): () => void {
-    const customer = this.inFlight.get(entitlement.customer) ?? { count: 0, share: 0 };
-    customer.count += 1;
-    customer.share = entitlement.share;
-    this.inFlight.set(entitlement.customer, customer);
-    this.total += 1;
+  /** Counts a request onto `engine`; call the result once when it is answered. */
+  enter(entitlement: Entitlement, engine: Engine): () => void {
+    const customers = this.engines.get(engine.address) ?? new Map<string, Usage>();
+    this.engines.set(engine.address, customers);
+    const usage = customers.get(entitlement.customer) ?? { count: 0, share: entitlement.share };
+    usage.count += 1;
+    customers.set(entitlement.customer, usage);
     return () => {
-      customer.count -= 1;
-      this.total -= 1;
-      if (customer.count === 0) this.inFlight.delete(entitlement.customer);
+      usage.count -= 1;
+      if (usage.count === 0) customers.delete(entitlement.customer);
     };
   }
 
   /** Throws `over-share` or `overloaded` if `engine`, the best there is, cannot serve the request in time. */
   check(applicant: Applicant, engine: Engine): void {
-    if (!this.enabled) return;
+    if (!this.options.enabled) return;
     const crowding = crowdingOf(engine);
     if (crowding <= 1) return;
-    if (this.overShare(applicant.entitlement)) {
-      const message = `${applicant.entitlement.customer} is over its share of a busy pool; retry shortly`;
-      throw new Failure("over-share", message, applicant.requestId);
-    }
-    const expectedMs = (this.serviceMs.get(applicant.model) ?? 0) * crowding;
-    if (expectedMs > applicant.deadline - Date.now()) {
-      const message = `${applicant.model} would take about ${Math.round(expectedMs)} ms, past the deadline`;
-      throw new Failure("overloaded", message, applicant.requestId);
-    }
-  }
-
-  /** Learns from an answer that took `elapsedMs` on an engine that was `crowding` full when it began. */
-  learn(model: string, elapsedMs: number, crowding: number): void {
-    const alone = elapsedMs / crowding;
-    const known = this.serviceMs.get(model);
-    this.serviceMs.set(model, known === undefined ? alone : known + newestWeight * (alone - known));
-  }
-
-  /** The time a request for `model` takes when a place is free, in ms (0 if not known yet). */
-  expectedMs(model: string): number {
-    return this.serviceMs.get(model) ?? 0;
+    const { entitlement, model, tokens, requestId } = applicant;
+    const { times } = this.options;
+    const expectedMs = times.expected(model, tokens) + (crowding - 1) * times.mean(model);
+    const leftMs = applicant.deadline - Date.now();
+    const overShare = this.overShare(entitlement, engine);
+    if (expectedMs <= leftMs * (overShare ? overShareTolerance : tolerance)) return;
+    const expectation = `${model} would take about ${Math.round(expectedMs)} ms of the ${Math.round(leftMs)} left`;
+    if (overShare)
+      throw new Failure("over-share", `over the share of a full engine; ${expectation}`, requestId);
+    throw new Failure("overloaded", `engines are full; ${expectation}`, requestId);
   }
 
-  private overShare(entitlement: Entitlement): boolean {
-    if (this.inFlight.size < 2) return false;
-    const shares = [...this.inFlight.values()].reduce((sum, customer) => sum + customer.share, 0);
-    const mine = this.inFlight.get(entitlement.customer)?.count ?? 0;
-    if (shares === 0) return false;
-    return mine > (entitlement.share / shares) * this.total * shareSlack;
+  private overShare(entitlement: Entitlement, engine: Engine): boolean {
+    const customers = [...(this.engines.get(engine.address)?.values() ?? [])];
+    if (customers.length < 2) return false;
+    const shares = customers.reduce((sum, usage) => sum + usage.share, 0);
+    const total = customers.reduce((sum, usage) => sum + usage.count, 0);
+    const mine = this.engines.get(engine.address)?.get(entitlement.customer)?.count ?? 0;
+    return shares > 0 && mine > (entitlement.share / shares) * total * shareSlack;
   }
 }
 
--- a/src/entry/completionProxy.ts
+++ b/src/entry/completionProxy.ts
@@ -48,8 +48,10 @@
     if (remaining <= 0)
       throw new Failure("deadline-exceeded", "the deadline passed before an engine was reached", answer.id);
     const upstream = this.open(forward);
+    let cause: Failure | undefined;
     const broken = (kind: "deadline-exceeded" | "upstream-failed", message: string): void => {
-      upstream.destroy(new Failure(kind, message, answer.id));
+      cause ??= new Failure(kind, message, answer.id);
+      upstream.destroy(cause);
     };
     const deadline = setTimeout(() => {
       broken("deadline-exceeded", "the deadline passed during generation");
@@ -66,6 +68,9 @@
       await relay(await responseOf(upstream), answer);
     } catch (error) {
       upstream.destroy();
+      // Guards "a busy engine is taken for a broken one": once the answer has begun, ending the exchange at
+      // the deadline shows as an aborted response, and was held against an engine that did nothing wrong.
+      if (cause !== undefined) throw cause;
       if (error instanceof Failure) throw error;
       throw new Failure("upstream-failed", error instanceof Error ? error.message : String(error), answer.id);
     } finally {
--- a/src/entry/entryNode.ts
+++ b/src/entry/entryNode.ts
@@ -3,6 +3,7 @@
  * `drain` is the graceful stop: unadvertise, refuse new work with a retry hint, finish what is in flight.
  */
 import * as http from "node:http";
+import * as Schema from "effect/Schema";
 import { DisposableStore } from "../common/disposables.ts";
 import { close, listen } from "../common/http.ts";
 import { createLog } from "../common/log.ts";
@@ -16,7 +17,7 @@
 import { ConfigWatcher } from "./configWatcher.ts";
 import { DemandBoard } from "./demandBoard.ts";
 import { DemandMeter } from "./demandMeter.ts";
-import { DemandReport } from "./demandReport.ts";
+import { DemandReport, type DemandReceipt } from "./demandReport.ts";
 import { DemandReporter } from "./demandReporter.ts";
 import { EntryServer } from "./entryServer.ts";
 import { Fleet } from "./fleet.ts";
@@ -25,12 +26,16 @@
 import { LoadBudget } from "./loadBudget.ts";
 import { Membership } from "./membership.ts";
 import { EntryMetrics } from "./metrics.ts";
+import { Peers } from "./peers.ts";
 import { Placer } from "./placer.ts";
 import { RetryBudget } from "./retryBudget.ts";
 import { Router } from "./router.ts";
 import type { RoutingPolicy } from "./routingPolicies.ts";
+import { ServiceTimes } from "./serviceTimes.ts";
 import { ServiceCaller } from "./serviceCaller.ts";
 
+const Since = Schema.Struct({ since: Schema.Number });
+
 /** Options of an `EntryNode`. */
 export interface EntryNodeOptions {
   readonly id: string;
@@ -46,6 +51,8 @@
   readonly drainMs?: number;
   readonly idleTimeoutMs?: number;
   readonly leaseTtlMs?: number;
+  /** Addresses of other entry nodes, asked for the configuration while the platform is out of reach. */
+  readonly peers?: readonly string[];
   /** Placement policy, from the lookup table in `placement/planners.ts`. */
   readonly placement?: PlacementPolicy;
   /** Routing policy, from the lookup table in `routingPolicies.ts`. */
@@ -85,6 +92,7 @@
   private readonly log;
   private readonly store = new DisposableStore();
   private readonly platform: PlatformClient;
+  private readonly times = new ServiceTimes();
   private readonly meter: DemandMeter;
   private readonly board = new DemandBoard();
   private membership: Membership | undefined;
@@ -94,14 +102,24 @@
     this.options = { ...defaults, ...options };
     this.log = createLog(`entry:${options.id}`);
     this.platform = new PlatformClient({ url: options.platformUrl, traffic: this.traffic });
-    this.config = new ConfigWatcher({ platform: this.platform, log: this.log, pollMs: this.options.pollMs });
+    const peers = new Peers({ addresses: this.options.peers, traffic: this.traffic });
+    this.config = new ConfigWatcher({
+      platform: this.platform,
+      peers,
+      log: this.log,
+      pollMs: this.options.pollMs,
+    });
     this.fleet = new Fleet({
       platform: this.platform,
+      peers,
       log: this.log,
       pollMs: this.options.pollMs,
       traffic: this.traffic,
     });
-    this.meter = new DemandMeter({ node: options.id });
+    this.meter = new DemandMeter({
+      node: options.id,
+      serviceMs: (model) => this.times.mean(model),
+    });
   }
 
   /** Binds the port, then starts the tasks; resolves with the port. */
@@ -122,22 +140,21 @@
       ttlMs: this.options.leaseTtlMs,
     });
     const placer = this.placer(lease);
-    const reporter = this.reporter(lease);
+    const receive = (report: DemandReport): DemandReceipt => {
+      const wantsFull = this.board.record(report);
+      if (report.models.some((model) => model.waiting > 0)) placer.plan();
+      return { wantsFull, coming: placer.coming() };
+    };
+    const reporter = this.reporter(lease, receive);
     this.server = new EntryServer({
       config: this.config,
-      completions: this.completions(() => {
-        // A request waits for a model: tell the lease holder now instead of at the next period.
-        void reporter.refresh().then(() => (lease.held() ? placer.refresh() : undefined));
-      }),
-      services: new ServiceCaller(new Ledger(this.platform)),
+      completions: this.completions(reporter),
+      services: new ServiceCaller(this.store.add(new Ledger({ platform: this.platform }))),
       membership: this.membership,
       rpc: new RpcEndpoint({
-        "placement.demand": (params) => {
-          const report = decodeParams(DemandReport, params);
-          const receipt = this.board.record(report);
-          if (report.models.some((model) => model.waiting > 0)) void placer.refresh();
-          return Promise.resolve(receipt);
-        },
+        "config.rows": (params) => Promise.resolve(this.config.rowsSince(decodeParams(Since, params).since)),
+        "hosts.known": () => Promise.resolve(this.fleet.known()),
+        "placement.demand": (params) => Promise.resolve(receive(decodeParams(DemandReport, params))),
       }),
       metrics: this.metrics,
       log: this.log,
@@ -173,18 +190,19 @@
     await this.store.dispose();
   }
 
-  private completions(onWait: () => void): Completions {
+  private completions(reporter: DemandReporter): Completions {
     const { attempts, idleTimeoutMs, zone, routing, admission } = this.options;
     return new Completions({
       router: new Router({ fleet: this.fleet, log: this.log, zone, policy: routing }),
       fleet: this.fleet,
       proxy: this.store.add(new CompletionProxy({ idleTimeoutMs })),
-      admission: new Admission({ enabled: admission }),
+      admission: new Admission({ times: this.times, enabled: admission }),
+      times: this.times,
       meter: this.meter,
       retries: new RetryBudget(),
       log: this.log,
       attempts,
-      onWait,
+      arrivals: reporter,
     });
   }
 
@@ -203,10 +221,10 @@
     });
   }
 
-  private reporter(lease: Lease): DemandReporter {
+  private reporter(lease: Lease, receive: (report: DemandReport) => DemandReceipt): DemandReporter {
     return new DemandReporter({
       meter: this.meter,
-      board: this.board,
+      receive,
       lease,
       log: this.log,
       everyMs: this.options.pollMs,
--- a/test/answers.spec.ts
+++ b/test/answers.spec.ts
@@ -161,6 +161,24 @@
     await until(async () => (await pool.complete()).status === 200, 2000);
   });
 
+  it("should not hold a passed deadline against the engine", async () => {
+    // A busy engine is half-way through two answers when their deadlines pass. Ending the exchanges showed
+    // as two broken answers, the engine was taken out of routing, and its models were placed elsewhere.
+    await start([breakingAfterTwo(() => undefined)], { idleTimeoutMs: 2000, pollMs: 400 });
+    const late = await Promise.all(
+      [0, 1].map(() =>
+        pool.complete(
+          {},
+          {
+            headers: { "content-type": "application/json", "x-customer": "andes", "x-deadline-ms": "200" },
+          },
+        ),
+      ),
+    );
+    expect(late.map((response) => response.status)).to.deep.equal([504, 504]);
+    expect(pool.entry.fleet.usable()).to.have.length(1);
+  });
+
   it("should refuse at once, with when to retry, a request that a full engine cannot serve in time", async () => {
     // The only engine with the model is full: four places, eight streams queued, 300 ms each. A request
     // with 200 ms left was queued behind them and failed at its deadline, taking a place from others.
