--- a/src/common/http.ts
+++ b/src/common/http.ts
@@ -3,6 +3,13 @@
 import type { DisposableStore } from "./disposables.ts";
 import { Failure, toFailure } from "./errors.ts";
 
+/**
+ * How long an idle connection is kept open, in ms. Guards "a request meets a closing connection": a server
+ * that closes idle connections after Node's 5 s does so just as its callers reuse them; callers' pools
+ * give theirs up earlier than this.
+ */
+export const keepAliveMs = 65_000;
+
 /** Largest request body accepted by default, in bytes. */
 export const defaultBodyLimit = 1024 * 1024;
 
@@ -95,6 +102,7 @@
       sendFailure(res, toFailure(error));
     });
   });
+  server.keepAliveTimeout = keepAliveMs;
   const port = await listen(server, options.host, options.port);
   options.store.add(() => close(server));
   return port;
--- a/src/placement/upkeep.ts
+++ b/src/placement/upkeep.ts
@@ -23,7 +23,8 @@
 /**
  * A swap of an old version in place. Guards "a rollout stalls" (every engine left holds the old version,
  * so none is free for the new one) without breaking "models stay reachable": the swap drops one copy
- * while the new one loads, so it is planned only while a ready copy stays elsewhere.
+ * while the new one loads, so it is planned only while a ready copy stays elsewhere. The only copy of a
+ * model is swapped when nothing else is left: its requests wait for the load, as for any first copy.
  */
 export function swap(draft: Draft, need: Need): Load | undefined {
   for (const accelerator of draft.accelerators.filter((a) => a.loadable)) {
@@ -34,7 +35,7 @@
       (other) =>
         other !== accelerator && other.copies.some((c) => c.model === need.model && c.state === "ready"),
     );
-    if (!served) continue;
+    if (!served && draft.copies(need.model) > 1) continue;
     const evict = [unload(accelerator, old, "replace-old-version")];
     return { kind: "load", address: accelerator.address, need, evict, reason: "replace-old-version" };
   }
--- a/test/placement.spec.ts
+++ b/test/placement.spec.ts
@@ -115,6 +115,15 @@
     expect(moving(1)).to.equal(0);
   });
 
+  it("should roll the only copy of a model in place when no engine has room for the new version", () => {
+    // An operator rolls a model in a pool full of single copies. The new version waited for ever for room
+    // that nobody would free: the accepted change never came into force. It takes its old copy's place.
+    const pool = [accelerator("a", [copy("m1")], 15), accelerator("b", [copy("m2")], 15)];
+    const [load] = loads(plan(pool, [need("m1", { version: "v2" }), need("m2")]));
+    expect(load?.address).to.equal("a");
+    expect(load?.evict.map((evicted) => evicted.version)).to.deep.equal(["v1"]);
+  });
+
   it("should start no more loads than the weight store allows", () => {
     const needs = Array.from({ length: 6 }, (_, i) => need(`m${i}`));
     expect(loads(plan([accelerator("a", [], 100)], needs, { loads: 2 }))).to.have.length(2);
