--- a/src/cli/benchCommand.ts
+++ b/src/cli/benchCommand.ts
@@ -5,6 +5,7 @@
 import { runControlBench, type Point } from "../bench/controlBench.ts";
 import { runLoad, type LoadRunOptions } from "../bench/loadBench.ts";
 import { summaryOf, tableOf, type LoadSummary } from "../bench/loadReport.ts";
+import { runPlanBench, type PoolSize } from "../bench/planBench.ts";
 import { policies, type PolicyName } from "../bench/policies.ts";
 import { scenarios, type ScenarioName } from "../bench/scenarios.ts";
 import { Failure } from "../common/errors.ts";
@@ -22,6 +23,18 @@
 ];
 
 const names = <K extends string>(table: Readonly<Record<K, unknown>>): K[] => Object.keys(table) as K[];
+const planSizes: readonly PoolSize[] = [
+  { engines: 12, models: 59 },
+  { engines: 30, models: 59 },
+  { engines: 30, models: 200 },
+  { engines: 100, models: 200 },
+  { engines: 100, models: 590 },
+  { engines: 300, models: 590 },
+];
+const PlanSettings = Schema.Struct({
+  rounds: CountSetting.check(Schema.isLessThanOrEqualTo(100)),
+  out: Schema.optionalKey(Schema.String),
+});
 const LoadSettings = Schema.Struct({
   scenario: Schema.Literals(names(scenarios)),
   policies: Schema.String,
@@ -84,6 +97,19 @@
         );
       }
     });
+  group
+    .command("plan")
+    .description("Time of one placement plan as engines and models grow (no I/O)")
+    .option("--rounds <n>", "plans per size (at most 100)", "5")
+    .option("--out <file>", "write the JSON report here")
+    .action(async (raw: Record<string, unknown>) => {
+      const { rounds, out } = checkSettings(PlanSettings, raw);
+      const results = runPlanBench(planSizes, rounds);
+      const report = { command: `parsleynotch bench plan --rounds ${rounds}`, results };
+      if (out !== undefined) await fs.writeFile(out, `${JSON.stringify(report, null, 2)}\n`);
+      process.stdout.write("engines models | median-ms most-ms\n");
+      for (const r of results) process.stdout.write(`${r.engines} ${r.models} | ${r.medianMs} ${r.mostMs}\n`);
+    });
   group
     .command("load")
     .description("Attainment per accelerator and moves under seeded load, per placement and routing policy")
--- a/src/entry/entryServer.ts
+++ b/src/entry/entryServer.ts
@@ -96,7 +96,7 @@
       this.record(customer, model, "ok", engine.address, Date.now() <= deadline, started);
     } catch (error) {
       const failure = toFailure(error);
-      this.record(customer, model, failure.kind, null, false, started);
+      this.record(customer, model, failure.kind, "none", false, started);
       throw new Failure(failure.kind, failure.message, requestId);
     }
   }
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -11,10 +11,10 @@
     labelNames: ["customer", "target", "outcome"],
     registers: [this.registry],
   });
-  /** Requests served within / past their deadline, per engine (accelerator). */
+  /** Completions within / past their deadline, per engine (accelerator); refused or failed ones under "none". */
   readonly deadlines = new prom.Counter({
     name: "parsleynotch_deadline_total",
-    help: "Requests by engine and whether they met their deadline",
+    help: "Completions by engine (none: refused or failed) and whether they met their deadline",
     labelNames: ["engine", "met"],
     registers: [this.registry],
   });
--- a/src/placement/demandPlanner.ts
+++ b/src/placement/demandPlanner.ts
@@ -44,6 +44,9 @@
 /** What one request adds to the short average of demand when it arrives, in streams. */
 const requestDemand = 0.15;
 
+/** Models, and engines, that one step of planning weighs against each other, the neediest and freest first. */
+const mostConsidered = 24;
+
 /** Makes a demand planner. */
 export function demandPlanner(options: DemandPlannerOptions = {}): Planner {
   const tuned: Options = { ...defaults, ...options };
@@ -131,20 +134,25 @@
 /** One more copy of a model that has an engine over its target, on an engine that is not. */
 function furtherCopy(draft: Draft, options: Options): Trade | undefined {
   const loads = draft.expectedLoads();
-  const before = loss(draft, loads, options);
   // Guards "a further copy of one model makes another unreachable": last copies are left alone while the
   // pool can hold every model. Where it cannot, models share it over time by what they are worth.
   const last = draft.crowded;
   let best: Trade | undefined;
-  for (const need of draft.snapshot.needs) {
-    const holders = draft.holders(need.model);
-    if (holders.length === 0 || holders.every((h) => use(h, loads) < options.targetUse)) continue;
-    for (const accelerator of loadable(draft, need)) {
-      if (use(accelerator, loads) >= options.targetUse) continue;
+  const crowded = draft.snapshot.needs
+    .filter((need) => draft.holders(need.model).some((h) => use(h, loads) >= options.targetUse))
+    .sort((a, b) => b.weight * b.demand - a.weight * a.demand)
+    .slice(0, mostConsidered);
+  const free = draft.accelerators
+    .filter((accelerator) => accelerator.loadable && use(accelerator, loads) < options.targetUse)
+    .sort((a, b) => use(a, loads) - use(b, loads))
+    .slice(0, mostConsidered);
+  for (const need of crowded) {
+    for (const accelerator of free) {
+      if (accelerator.copies.some((copy) => copy.model === need.model)) continue;
       const evicted = victims(draft, accelerator, need, options, last);
       if (evicted === undefined) continue;
       const load = replacing(accelerator, need, evicted, "demand");
-      const gain = need.weight * (before - lossAfter(draft, accelerator, load, options));
+      const gain = need.weight * relief(draft, loads, accelerator, need, evicted, options);
       const net = gain * options.horizonSeconds - tradeCost(draft, need, evicted, options);
       if (net > (best?.net ?? 0)) best = { load, net };
     }
@@ -215,21 +223,40 @@
   return moves * (options.moveCost + options.moveCostPerWeight * need.moveWeight ** 2);
 }
 
-/** Streams that wait or slow each other down: past the target use, and by crowding in general. */
-function loss(draft: Draft, loads: ReadonlyMap<DraftAccelerator, number>, options: Options): number {
-  return sum(draft.accelerators, (accelerator) => {
-    const load = loads.get(accelerator) ?? 0;
-    return Math.max(0, load - options.targetUse * accelerator.slots);
-  });
+/** Streams past an engine's target: they wait, or slow the others down. */
+function lossOf(accelerator: DraftAccelerator, load: number, options: Options): number {
+  return Math.max(0, load - options.targetUse * accelerator.slots);
 }
 
-function lossAfter(draft: Draft, accelerator: DraftAccelerator, load: Load, options: Options): number {
-  const removed = load.evict.flatMap((evicted) => draft.remove(accelerator, evicted.model) ?? []);
-  draft.add(accelerator, load.need);
-  const after = loss(draft, draft.expectedLoads(), options);
-  draft.remove(accelerator, load.need.model);
-  draft.restore(accelerator, removed);
-  return after;
+/**
+ * How many streams fewer would be past the targets with one more copy of `need` on `accelerator` in place
+ * of `evicted`. Only the engines whose load changes are looked at, so the cost does not grow with the pool.
+ */
+function relief(
+  draft: Draft,
+  loads: ReadonlyMap<DraftAccelerator, number>,
+  accelerator: DraftAccelerator,
+  need: Need,
+  evicted: readonly Copy[],
+  options: Options,
+): number {
+  const change = new Map<DraftAccelerator, number>();
+  const shift = (on: DraftAccelerator, by: number): void => void change.set(on, (change.get(on) ?? 0) + by);
+  const copies = draft.copies(need.model);
+  const share = need.demand / (copies + 1);
+  shift(accelerator, share);
+  for (const holder of draft.holders(need.model)) shift(holder, share - need.demand / copies);
+  for (const copy of evicted) {
+    const demand = draft.need(copy.model)?.demand ?? 0;
+    const before = draft.copies(copy.model);
+    shift(accelerator, -demand / before);
+    for (const holder of draft.holders(copy.model))
+      if (holder !== accelerator) shift(holder, demand / (before - 1) - demand / before);
+  }
+  return sum([...change], ([on, by]) => {
+    const load = loads.get(on) ?? 0;
+    return lossOf(on, load, options) - lossOf(on, load + by, options);
+  });
 }
 
 function use(accelerator: DraftAccelerator, loads: ReadonlyMap<DraftAccelerator, number>): number {
--- a/src/placement/draft.ts
+++ b/src/placement/draft.ts
@@ -10,15 +10,16 @@
 export class Draft {
   readonly accelerators: DraftAccelerator[];
   private readonly needs: ReadonlyMap<string, Need>;
-  /** Serving copies by model, kept in step with the accelerators. */
-  private readonly counts = new Map<string, number>();
+  /** Accelerators with a serving copy, by model; kept in step with their copies. */
+  private readonly holding = new Map<string, Set<DraftAccelerator>>();
 
   constructor(readonly snapshot: Snapshot) {
     this.accelerators = snapshot.accelerators.map((accelerator) => ({
       ...accelerator,
       copies: [...accelerator.copies],
     }));
-    for (const accelerator of this.accelerators) for (const copy of accelerator.copies) this.count(copy, 1);
+    for (const accelerator of this.accelerators)
+      for (const copy of accelerator.copies) this.index(accelerator, copy);
     this.needs = new Map(snapshot.needs.map((need) => [need.model, need]));
   }
 
@@ -40,17 +41,17 @@
 
   /** Accelerators holding a copy of `model` that serves or will serve (any version). */
   holders(model: string): DraftAccelerator[] {
-    return this.accelerators.filter((accelerator) => accelerator.copies.some((c) => serves(c, model)));
+    return [...(this.holding.get(model) ?? [])];
   }
 
   /** How many copies of `model` serve or will serve (any version). */
   copies(model: string): number {
-    return this.counts.get(model) ?? 0;
+    return this.holding.get(model)?.size ?? 0;
   }
 
   /** Copies of a need's current version that serve or will serve. */
   current(need: Need): number {
-    return this.accelerators.filter((accelerator) =>
+    return this.holders(need.model).filter((accelerator) =>
       accelerator.copies.some((copy) => serves(copy, need.model) && copy.version === need.version),
     ).length;
   }
@@ -60,7 +61,7 @@
     const { model, version, sizeMb } = need;
     const copy: Copy = { model, version, sizeMb, state: "planned", since: this.snapshot.now };
     accelerator.copies = [...accelerator.copies, copy];
-    this.count(copy, 1);
+    this.index(accelerator, copy);
   }
 
   /** Removes a model's copy, as if its unload were done; returns it. */
@@ -68,16 +69,10 @@
     const copy = accelerator.copies.find((c) => c.model === model);
     if (copy === undefined) return undefined;
     accelerator.copies = accelerator.copies.filter((c) => c !== copy);
-    this.count(copy, -1);
+    this.holding.get(model)?.delete(accelerator);
     return copy;
   }
 
-  /** Puts back copies that were removed on trial. */
-  restore(accelerator: DraftAccelerator, copies: readonly Copy[]): void {
-    accelerator.copies = [...accelerator.copies, ...copies];
-    for (const copy of copies) this.count(copy, 1);
-  }
-
   /** Expected streams at once on each accelerator, splitting a model's demand evenly over its copies. */
   expectedLoads(): Map<DraftAccelerator, number> {
     return new Map(
@@ -91,8 +86,11 @@
     );
   }
 
-  private count(copy: Copy, by: number): void {
-    if (copy.state !== "unloading") this.counts.set(copy.model, this.copies(copy.model) + by);
+  private index(accelerator: DraftAccelerator, copy: Copy): void {
+    if (copy.state === "unloading") return;
+    const holders = this.holding.get(copy.model) ?? new Set();
+    holders.add(accelerator);
+    this.holding.set(copy.model, holders);
   }
 }
 
