--- a/src/cli/benchCommand.ts
+++ b/src/cli/benchCommand.ts
@@ -5,6 +5,7 @@
 import { runControlBench, type Point } from "../bench/controlBench.ts";
 import { runLoad, type LoadRunOptions } from "../bench/loadBench.ts";
 import { summaryOf, tableOf, type LoadSummary } from "../bench/loadReport.ts";
+import { runPathBench } from "../bench/pathBench.ts";
 import { runPlanBench, type PoolSize } from "../bench/planBench.ts";
 import { policies, type PolicyName } from "../bench/policies.ts";
 import { scenarios, type ScenarioName } from "../bench/scenarios.ts";
@@ -35,6 +36,10 @@
   rounds: CountSetting.check(Schema.isLessThanOrEqualTo(100)),
   out: Schema.optionalKey(Schema.String),
 });
+const PathSettings = Schema.Struct({
+  requests: CountSetting.check(Schema.isLessThanOrEqualTo(5000)),
+  out: Schema.optionalKey(Schema.String),
+});
 const LoadSettings = Schema.Struct({
   scenario: Schema.Literals(names(scenarios)),
   policies: Schema.String,
@@ -110,6 +115,19 @@
       process.stdout.write("engines models | median-ms most-ms\n");
       for (const r of results) process.stdout.write(`${r.engines} ${r.models} | ${r.medianMs} ${r.mostMs}\n`);
     });
+  group
+    .command("path")
+    .description("Added latency of one completion through an entry node, against the engine itself")
+    .option("--requests <n>", "requests each way (at most 5000)", "300")
+    .option("--out <file>", "write the JSON report here")
+    .action(async (raw: Record<string, unknown>) => {
+      process.env.PARSLEYNOTCH_LOG_LEVEL ??= "error";
+      const { requests, out } = checkSettings(PathSettings, raw);
+      const result = await runPathBench(requests);
+      const report = { command: `parsleynotch bench path --requests ${requests}`, result };
+      if (out !== undefined) await fs.writeFile(out, `${JSON.stringify(report, null, 2)}\n`);
+      process.stdout.write(`${JSON.stringify(result)}\n`);
+    });
   group
     .command("load")
     .description("Attainment per accelerator and moves under seeded load, per placement and routing policy")
