--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -56,39 +56,37 @@
 ];
 
 const engineShape = { slots: 8, tokenMs: 20, prefillTicks: 8 };
+const todayPool = {
+  engines: 6,
+  capacityMb: 200_000,
+  modelMb: [34_300, 72_700],
+  mbPerSecond: 100_000,
+  loadsPerSecond: 1.1,
+  hotModels: 2,
+} as const;
 const trafficShape = { phaseMs: 10_000, burst: 10, skew: 0.9 };
 
 /** Scenario name → scenario. Times are compressed: an hour of the brief's traffic is a phase of 10 s here. */
 export const scenarios = {
   andes: {
     about: "Andes today: 13 models on 6 engines, every model fits, demand moves tenfold between them",
-    engines: 6,
-    capacityMb: 200_000,
+    ...todayPool,
     ...engineShape,
     ...trafficShape,
-    modelMb: [34_300, 72_700],
-    mbPerSecond: 100_000,
-    loadsPerSecond: 1.1,
     loadsAtOnce: 5,
     customers: [{ name: "andes", share: 1, priority: "normal", models: 13, kinds: andesKinds }],
     rate: 45,
     peakRate: 90,
-    hotModels: 2,
   },
   ovaseker: {
     about: "Ovaşeker today: 13 models on 6 engines, two loads at once",
-    engines: 6,
-    capacityMb: 200_000,
+    ...todayPool,
     ...engineShape,
     ...trafficShape,
-    modelMb: [34_300, 72_700],
-    mbPerSecond: 100_000,
-    loadsPerSecond: 1.1,
     loadsAtOnce: 2,
     customers: [{ name: "ovaseker", share: 1, priority: "high", models: 13, kinds: ovasekerKinds }],
     rate: 40,
     peakRate: 80,
-    hotModels: 2,
   },
   hundreds: {
     about: "Both customers, 200 models on 12 engines that hold about 110 of them at once",
--- a/src/engine/engineServer.ts
+++ b/src/engine/engineServer.ts
@@ -18,6 +18,7 @@
 import { Priority } from "../common/template.ts";
 import { Batcher, type BatcherOptions } from "./batcher.ts";
 import { Memory, type FencingPolicy } from "./memory.ts";
+import { OrderFaults, Orders } from "./orders.ts";
 import { Reply } from "./reply.ts";
 
 /** Options of an `EngineServer`. */
@@ -51,21 +52,8 @@
 
 /** Longest transfer of one model's weights, in ms. */
 const weightsTimeoutMs = 60_000;
-/** Pause before an engine asks the weight store again after a refusal or a failure, in ms. */
-const weightsRetryMs = 200;
-
 const RoleParams = Schema.Struct({ role: Schema.String, fencing: Schema.Number });
 
-/**
- * Fault switch for tests: the next `lateOrders` orders are held `delayMs` (past the sender's timeout),
- * then applied late, or with `lose` never applied at all.
- */
-const OrderFaults = Schema.Struct({
-  lateOrders: Schema.Number,
-  delayMs: Schema.Number,
-  lose: Schema.Boolean,
-});
-
 /** Serves completions and orders until disposed. */
 export class EngineServer {
   readonly memory: Memory;
@@ -75,13 +63,11 @@
   private readonly batcher: Batcher;
   private readonly store = new DisposableStore();
   private readonly log;
-  private readonly platform: PlatformClient | undefined;
+  private readonly orders: Orders;
   private role = "mixed";
-  private orderFaults: typeof OrderFaults.Type = { lateOrders: 0, delayMs: 0, lose: false };
   private drainedAt: number | undefined;
   private received = 0;
   private receivedAfterDrain = 0;
-  private stopped = false;
   private readonly boot = crypto.randomUUID();
   private reportedLoad = 0;
 
@@ -90,26 +76,28 @@
     this.memory = new Memory(this.options.capacityMb, this.options.fencingPolicy);
     this.batcher = new Batcher(options.batcher);
     this.log = createLog(`engine:${this.options.id}`);
-    this.platform =
-      this.options.platformUrl === ""
-        ? undefined
-        : new PlatformClient({ url: this.options.platformUrl, timeoutMs: weightsTimeoutMs });
+    const { platformUrl, loadMs } = this.options;
+    this.orders = this.store.add(
+      new Orders({
+        memory: this.memory,
+        log: this.log,
+        platform:
+          platformUrl === ""
+            ? undefined
+            : new PlatformClient({ url: platformUrl, timeoutMs: weightsTimeoutMs }),
+        loadMs,
+      }),
+    );
   }
 
   /** Binds and serves; resolves with the port. */
   async start(): Promise<number> {
     const endpoint = new RpcEndpoint({
-      "engine.load": async (p) => {
-        await this.delayOrder();
-        return this.load(decodeParams(protocol.LoadOrder, p));
-      },
-      "engine.unload": async (p) => {
-        await this.delayOrder();
-        return this.unload(decodeParams(protocol.UnloadOrder, p));
-      },
+      "engine.load": (p) => this.ordered(this.orders.load(decodeParams(protocol.LoadOrder, p))),
+      "engine.unload": (p) => this.ordered(this.orders.unload(decodeParams(protocol.UnloadOrder, p))),
       "engine.faults": (p) => {
-        this.orderFaults = decodeParams(OrderFaults, p);
-        return Promise.resolve(this.orderFaults);
+        this.orders.faults = decodeParams(OrderFaults, p);
+        return Promise.resolve(this.orders.faults);
       },
       "engine.role": (p) => Promise.resolve(this.setRole(decodeParams(RoleParams, p))),
       "engine.status": () => Promise.resolve(this.status()),
@@ -150,7 +138,6 @@
 
   /** Stops serving and cancels streams. */
   async dispose(): Promise<void> {
-    this.stopped = true;
     await this.store.dispose();
   }
 
@@ -174,52 +161,17 @@
     };
   }
 
+  private async ordered(order: Promise<void>): Promise<protocol.EngineStatus> {
+    await order;
+    return this.status();
+  }
+
   private report(known: typeof protocol.ReportParams.Type): protocol.EngineReport {
     const unchanged = known.boot === this.boot && known.revision === this.memory.revision;
     const draining = this.drainedAt !== undefined;
     return { load: this.reportedLoad, draining, ...(unchanged ? {} : { status: this.status() }) };
   }
 
-  private async delayOrder(): Promise<void> {
-    if (this.orderFaults.lateOrders <= 0) return;
-    this.orderFaults = { ...this.orderFaults, lateOrders: this.orderFaults.lateOrders - 1 };
-    await sleep(this.orderFaults.delayMs);
-    if (this.orderFaults.lose) throw new Failure("upstream-failed", "order lost (fault switch)");
-  }
-
-  /** Reserves the space and answers at once (`loading`); the weights arrive in the background. */
-  private load(order: protocol.LoadOrder): protocol.EngineStatus {
-    if (this.memory.reserve(order)) {
-      this.log.info({ event: "load", model: order.model, version: order.version, fencing: order.fencing });
-      void this.fetch(order);
-    }
-    return this.status();
-  }
-
-  /**
-   * Fetches the weights until they are here or the model is unloaded again: the weight store is limited
-   * in rate and may be down, and both pass. The reservation ends with the fetch, not with a later order.
-   */
-  private async fetch(order: protocol.LoadOrder): Promise<void> {
-    while (this.memory.wanted(order.model) && !this.stopped) {
-      try {
-        await this.platform?.fetchWeights(order.sizeMb);
-        await sleep(this.options.loadMs);
-        break;
-      } catch (error) {
-        this.log.warn({ event: "weights-retry", model: order.model, error: String(error) });
-        await sleep(weightsRetryMs);
-      }
-    }
-    this.memory.markReady(order.model);
-  }
-
-  private unload(order: protocol.UnloadOrder): protocol.EngineStatus {
-    this.memory.release(order);
-    this.log.info({ event: "unload", model: order.model, fencing: order.fencing });
-    return this.status();
-  }
-
   private setRole(params: typeof RoleParams.Type): protocol.EngineStatus {
     this.role = params.role;
     return this.status();
--- a/src/entry/loadBudget.ts
+++ b/src/entry/loadBudget.ts
@@ -1,5 +1,7 @@
 /** Keeps placement within the weight store's limits: loads started per second, and loads at once. */
 
+import { TokenBucket } from "../common/tokenBucket.ts";
+
 /** Options of a `LoadBudget`. */
 export interface LoadBudgetOptions {
   readonly loadsPerSecond?: number;
@@ -11,25 +13,24 @@
 /** A token bucket of loads, as deep as the loads allowed at once. */
 export class LoadBudget {
   private readonly options: Required<LoadBudgetOptions>;
-  private tokens: number;
+  private readonly tokens: TokenBucket;
   private refilledAt = Date.now();
 
   constructor(options: LoadBudgetOptions = {}) {
     this.options = { ...defaults, ...options };
-    this.tokens = this.options.loadsAtOnce;
+    this.tokens = new TokenBucket(this.options.loadsAtOnce);
   }
 
   /** Loads that may start now, with `running` on their way. */
   available(running: number): number {
     const now = Date.now();
-    const earned = ((now - this.refilledAt) / 1000) * this.options.loadsPerSecond;
-    this.tokens = Math.min(this.options.loadsAtOnce, this.tokens + earned);
+    this.tokens.add(((now - this.refilledAt) / 1000) * this.options.loadsPerSecond);
     this.refilledAt = now;
-    return Math.max(0, Math.min(Math.floor(this.tokens), this.options.loadsAtOnce - running));
+    return Math.max(0, Math.min(this.tokens.level, this.options.loadsAtOnce - running));
   }
 
   /** Takes the token of one load. */
   take(): void {
-    this.tokens -= 1;
+    this.tokens.take();
   }
 }
--- a/src/platform/weightStore.ts
+++ b/src/platform/weightStore.ts
@@ -1,5 +1,6 @@
 /** The weight store stand-in: rate-limited fetches of model weights (loads per second and loads at once). */
 import { Failure } from "../common/errors.ts";
+import { TokenBucket } from "../common/tokenBucket.ts";
 
 /** Options of a `WeightStore`. */
 export interface WeightStoreOptions {
@@ -16,7 +17,7 @@
 /** Hands out weights no faster than its limits; over them it answers `rate-limited` at once. */
 export class WeightStore {
   private readonly options: Required<WeightStoreOptions>;
-  private tokens: number;
+  private readonly tokens: TokenBucket;
   private lastRefill = Date.now();
   private running = 0;
   /** Fetches completed, for tests and metrics. */
@@ -24,16 +25,15 @@
 
   constructor(options: WeightStoreOptions = {}) {
     this.options = { ...defaults, ...options };
-    this.tokens = Math.max(1, this.options.concurrent);
+    this.tokens = new TokenBucket(Math.max(1, this.options.concurrent));
   }
 
   /** Fetches `sizeMb` of weights; resolves when transferred. */
   async fetch(sizeMb: number): Promise<void> {
     this.refill();
-    if (this.running >= this.options.concurrent || this.tokens < 1) {
+    if (this.running >= this.options.concurrent || !this.tokens.take()) {
       throw new Failure("rate-limited", "weight store is at its limit; retry after the advised delay");
     }
-    this.tokens -= 1;
     this.running += 1;
     try {
       await new Promise((resolve) => setTimeout(resolve, (sizeMb / this.options.mbPerSecond) * 1000));
@@ -45,11 +45,7 @@
 
   private refill(): void {
     const now = Date.now();
-    const burst = Math.max(1, this.options.concurrent);
-    this.tokens = Math.min(
-      burst,
-      this.tokens + ((now - this.lastRefill) / 1000) * this.options.loadsPerSecond,
-    );
+    this.tokens.add(((now - this.lastRefill) / 1000) * this.options.loadsPerSecond);
     this.lastRefill = now;
   }
 }
