--- a/src/common/http.ts
+++ b/src/common/http.ts
@@ -8,7 +8,7 @@
  * that closes idle connections after Node's 5 s does so just as its callers reuse them; callers' pools
  * give theirs up earlier than this.
  */
-export const keepAliveMs = 65_000;
+const keepAliveMs = 65_000;
 
 /** Largest request body accepted by default, in bytes. */
 export const defaultBodyLimit = 1024 * 1024;
@@ -54,6 +54,7 @@
 
 /** Starts listening and resolves with the bound port (useful with port 0). */
 export async function listen(server: http.Server, host: string, port: number): Promise<number> {
+  server.keepAliveTimeout = keepAliveMs;
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
     server.listen(port, host, () => {
@@ -102,7 +103,6 @@
       sendFailure(res, toFailure(error));
     });
   });
-  server.keepAliveTimeout = keepAliveMs;
   const port = await listen(server, options.host, options.port);
   options.store.add(() => close(server));
   return port;
--- a/src/entry/entryNode.ts
+++ b/src/entry/entryNode.ts
@@ -5,7 +5,7 @@
 import * as http from "node:http";
 import * as Schema from "effect/Schema";
 import { DisposableStore } from "../common/disposables.ts";
-import { close, keepAliveMs, listen } from "../common/http.ts";
+import { close, listen } from "../common/http.ts";
 import { createLog } from "../common/log.ts";
 import { PlatformClient } from "../common/platformClient.ts";
 import { decodeParams, RpcEndpoint, Traffic } from "../common/rpc.ts";
@@ -125,7 +125,6 @@
   /** Binds the port, then starts the tasks; resolves with the port. */
   async start(): Promise<number> {
     const httpServer = http.createServer();
-    httpServer.keepAliveTimeout = keepAliveMs;
     this.port = await listen(httpServer, this.options.host, this.options.port);
     const advertise = this.options.advertise ?? `http://${this.options.host}:${this.port}`;
     this.membership = new Membership({
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -85,13 +85,7 @@
 
   /** Engines that may take new work: reachable and not leaving. */
   usable(): Engine[] {
-    return [...this.engines.values()].filter(
-      (engine) =>
-        !engine.listedLeaving &&
-        !engine.noticed &&
-        engine.failures < failuresToEject &&
-        engine.status !== undefined,
-    );
+    return this.staying().filter((engine) => engine.failures < failuresToEject);
   }
 
   /**
@@ -101,12 +95,8 @@
    */
   present(): Engine[] {
     const horizon = Date.now() - this.options.lostMs;
-    return [...this.engines.values()].filter(
-      (engine) =>
-        !engine.listedLeaving &&
-        !engine.noticed &&
-        engine.status !== undefined &&
-        (engine.failures < failuresToEject || engine.failingSince > horizon),
+    return this.staying().filter(
+      (engine) => engine.failures < failuresToEject || engine.failingSince > horizon,
     );
   }
 
@@ -154,6 +144,13 @@
     await Promise.all([...this.engines.values()].map((engine) => this.pollEngine(engine)));
   }
 
+  /** Engines that have reported and are not leaving, failing ones included. */
+  private staying(): Engine[] {
+    return this.all().filter(
+      (engine) => !engine.listedLeaving && !engine.noticed && engine.status !== undefined,
+    );
+  }
+
   /** The host list; a peer's copy of it if this node knows no host yet; undefined to keep what is known. */
   private async hosts(): Promise<readonly Host[] | undefined> {
     const { platform, peers, log } = this.options;
--- a/src/placement/baselinePlanners.ts
+++ b/src/placement/baselinePlanners.ts
@@ -29,7 +29,7 @@
   const moves: Move[] = retirements(draft);
   let loads = snapshot.loads;
   for (const need of snapshot.needs) {
-    const wanted = draft.holders(need.model).length === 0 ? need.waiting > 0 : false;
+    const wanted = draft.copies(need.model) === 0 && need.waiting > 0;
     const keep = draft.current(need) < need.replicas;
     if (loads <= 0 || (!wanted && !keep)) continue;
     const load =
@@ -43,7 +43,8 @@
 }
 
 function emptiest(draft: Draft, need: Need): Load | undefined {
-  const fits = candidates(draft, need)
+  const fits = draft
+    .loadable(need)
     .filter((accelerator) => draft.free(accelerator) >= need.sizeMb)
     .sort((a, b) => draft.free(b) - draft.free(a));
   const first = fits[0];
@@ -52,7 +53,8 @@
 }
 
 function evictOldest(draft: Draft, need: Need): Load | undefined {
-  const choices = candidates(draft, need)
+  const choices = draft
+    .loadable(need)
     .map((accelerator) => ({ accelerator, evicted: oldestThatFit(draft, accelerator, need) }))
     .flatMap(({ accelerator, evicted }) => (evicted === undefined ? [] : [{ accelerator, evicted }]))
     .sort((a, b) => newestUse(draft, a.evicted) - newestUse(draft, b.evicted));
@@ -63,21 +65,10 @@
 }
 
 function oldestThatFit(draft: Draft, accelerator: DraftAccelerator, need: Need): Copy[] | undefined {
-  let missing = need.sizeMb - draft.free(accelerator);
-  const evicted: Copy[] = [];
   const byUse = accelerator.copies
     .filter((copy) => copy.state === "ready")
     .sort((a, b) => lastUse(draft, a) - lastUse(draft, b));
-  for (const copy of byUse) {
-    if (missing <= 0) break;
-    evicted.push(copy);
-    missing -= copy.sizeMb;
-  }
-  return missing > 0 ? undefined : evicted;
-}
-
-function candidates(draft: Draft, need: Need): DraftAccelerator[] {
-  return draft.accelerators.filter((a) => a.loadable && !a.copies.some((c) => c.model === need.model));
+  return draft.makeRoom(accelerator, need, byUse);
 }
 
 function lastUse(draft: Draft, copy: Copy): number {
--- a/src/placement/demandPlanner.ts
+++ b/src/placement/demandPlanner.ts
@@ -58,14 +58,17 @@
   const moves: Move[] = retirements(draft);
   let loads = snapshot.loads;
   const take = (load: Load | undefined): boolean => {
-    if (load === undefined || loads <= 0) return false;
+    if (load === undefined) return false;
     apply(draft, load);
     moves.push(load);
     loads -= 1;
     return true;
   };
   const missing = byUrgency(snapshot.needs).filter((need) => draft.copies(need.model) === 0);
-  for (const need of missing) take(roomFor(draft, need, "first-copy"));
+  for (const need of missing) {
+    if (loads <= 0) return moves;
+    take(roomFor(draft, need, "first-copy"));
+  }
   for (const need of snapshot.needs)
     while (loads > 0 && draft.current(need) < need.replicas)
       if (!take(roomFor(draft, need, "keep-replicas") ?? swap(draft, need))) break;
@@ -101,7 +104,8 @@
   const gain = worth(need) * options.horizonSeconds + need.weight * need.waiting * options.requestSeconds;
   const due = overdue(draft, need, options);
   if (gain <= movesCost(need, 2, options) && !due) return undefined;
-  const choices = loadable(draft, need)
+  const choices = draft
+    .loadable(need)
     .map((accelerator) => ({ accelerator, evicted: victims(draft, accelerator, need, options, true) }))
     .flatMap(({ accelerator, evicted }) => (evicted === undefined ? [] : [{ accelerator, evicted }]))
     .map((choice) => ({ ...choice, cost: tradeCost(draft, need, choice.evicted, options) }))
@@ -124,10 +128,10 @@
 
 /** The engine with room for `need` that expects the least load per slot. */
 function roomFor(draft: Draft, need: Need, reason: string): Load | undefined {
+  const roomy = draft.loadable(need).filter((accelerator) => draft.free(accelerator) >= need.sizeMb);
+  if (roomy.length === 0) return undefined;
   const loads = draft.expectedLoads();
-  const fits = loadable(draft, need)
-    .filter((accelerator) => draft.free(accelerator) >= need.sizeMb)
-    .sort((a, b) => use(a, loads) - use(b, loads) || draft.free(b) - draft.free(a));
+  const fits = roomy.sort((a, b) => use(a, loads) - use(b, loads) || draft.free(b) - draft.free(a));
   return fits[0] === undefined ? undefined : replacing(fits[0], need, [], reason);
 }
 
@@ -166,11 +170,6 @@
   return movesCost(need, 1 + evicted.length, options) + kept * options.horizonSeconds;
 }
 
-/** Engines that may get a copy of `need` and hold none. */
-function loadable(draft: Draft, need: Need): DraftAccelerator[] {
-  return draft.accelerators.filter((a) => a.loadable && !a.copies.some((c) => c.model === need.model));
-}
-
 /**
  * Copies to evict from an engine so that `need` fits, the least worth keeping first; undefined if none
  * will do. Copies that templates ask for are taken only if `last` allows it.
@@ -182,18 +181,11 @@
   options: Options,
   last: boolean,
 ): Copy[] | undefined {
-  let missing = need.sizeMb - draft.free(accelerator);
-  const chosen: Copy[] = [];
   const candidates = accelerator.copies
     .filter((copy) => copy.state === "ready" && draft.snapshot.now - copy.since >= options.minStayMs)
     .filter((copy) => last || spare(draft, copy))
     .sort((a, b) => keepValue(draft, a) / a.sizeMb - keepValue(draft, b) / b.sizeMb);
-  for (const copy of candidates) {
-    if (missing <= 0) break;
-    chosen.push(copy);
-    missing -= copy.sizeMb;
-  }
-  return missing > 0 ? undefined : chosen;
+  return draft.makeRoom(accelerator, need, candidates);
 }
 
 /** Whether the model keeps its asked-for copies without this one. */
--- a/src/placement/draft.ts
+++ b/src/placement/draft.ts
@@ -56,6 +56,23 @@
     ).length;
   }
 
+  /** Accelerators that may get a copy of `need` and hold none. */
+  loadable(need: Need): DraftAccelerator[] {
+    return this.accelerators.filter((a) => a.loadable && !a.copies.some((c) => c.model === need.model));
+  }
+
+  /** The first of `candidates` (copies on `accelerator`) that together make room for `need`; undefined if all do not. */
+  makeRoom(accelerator: DraftAccelerator, need: Need, candidates: readonly Copy[]): Copy[] | undefined {
+    let missing = need.sizeMb - this.free(accelerator);
+    const chosen: Copy[] = [];
+    for (const copy of candidates) {
+      if (missing <= 0) break;
+      chosen.push(copy);
+      missing -= copy.sizeMb;
+    }
+    return missing > 0 ? undefined : chosen;
+  }
+
   /** Adds a planned copy of `need`. */
   add(accelerator: DraftAccelerator, need: Need): void {
     const { model, version, sizeMb } = need;
