--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -2,25 +2,30 @@
 import * as commander from "commander";
 import { toFailure } from "../common/errors.ts";
 import { createLog } from "../common/log.ts";
-import { benchCommand } from "./benchCommand.ts";
-import { demoCommand } from "./demoCommand.ts";
-import { engineCommand, entryCommand, platformCommand, serviceCommand } from "./roleCommands.ts";
-import { templateCommand } from "./templateCommand.ts";
+
+/**
+ * Subcommands, loaded when named: a gateway node then doesn't hold the code of stand-ins and benches in
+ * memory, nor spend start-up time on it.
+ */
+const commands: Readonly<Record<string, () => Promise<commander.Command>>> = {
+  gateway: async () => (await import("./gatewayCommand.ts")).gatewayCommand(),
+  entry: async () => (await import("./roleCommands.ts")).entryCommand(),
+  platform: async () => (await import("./roleCommands.ts")).platformCommand(),
+  engine: async () => (await import("./roleCommands.ts")).engineCommand(),
+  service: async () => (await import("./roleCommands.ts")).serviceCommand(),
+  template: async () => (await import("./templateCommand.ts")).templateCommand(),
+  demo: async () => (await import("./demoCommand.ts")).demoCommand(),
+  bench: async () => (await import("./benchCommand.ts")).benchCommand(),
+};
 
 const program = new commander.Command("parsleynotch")
   .description("Serves many models from a pool of accelerators smaller than they need.")
   .version("0.1.0")
   .showHelpAfterError();
 
-program.addCommand(entryCommand());
-program.addCommand(platformCommand());
-program.addCommand(engineCommand());
-program.addCommand(serviceCommand());
-program.addCommand(templateCommand());
-program.addCommand(demoCommand());
-program.addCommand(benchCommand());
-
 try {
+  const named = commands[process.argv[2] ?? ""];
+  for (const load of named === undefined ? Object.values(commands) : [named]) program.addCommand(await load());
   await program.parseAsync(process.argv);
 } catch (error) {
   const failure = toFailure(error);
--- /dev/null
+++ b/src/common/httpCall.ts
@@ -0,0 +1,68 @@
+/** One HTTP call with a small body and a time limit, for control traffic (store, orders, peers). */
+import * as http from "node:http";
+import { Failure } from "./errors.ts";
+
+/** What to call and how long to wait. */
+export interface HttpCall {
+  readonly agent: http.Agent;
+  readonly ip: string;
+  readonly port: number;
+  readonly method: string;
+  /** Path and query. */
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+  /** From the call to the end of its answer, ms. */
+  readonly timeoutMs: number;
+}
+
+/** The answer of a call. */
+export interface HttpReply {
+  readonly status: number;
+  readonly text: string;
+}
+
+/**
+ * Makes the call; rejects with `upstream-failed` on a connection error and `deadline-exceeded` past its
+ * time limit. Either way it is unknown whether the call was carried out. The connection of a call that
+ * timed out is reset, so bytes held up on the way are lost rather than delivered late.
+ */
+export function callHttp(call: HttpCall): Promise<HttpReply> {
+  return new Promise((resolve, reject) => {
+    const target = `${call.method} ${call.ip}:${call.port}${call.path.split("?")[0] ?? ""}`;
+    const body = call.body === undefined ? undefined : Buffer.from(call.body);
+    const req = http.request({
+      agent: call.agent,
+      host: call.ip,
+      port: call.port,
+      method: call.method,
+      path: call.path,
+      headers: {
+        ...call.headers,
+        ...(body === undefined
+          ? {}
+          : { "content-type": "application/json", "content-length": String(body.length) }),
+      },
+    });
+    const timer = setTimeout(() => {
+      reject(new Failure("deadline-exceeded", `${target}: no answer within ${call.timeoutMs} ms`));
+      req.socket?.resetAndDestroy();
+      req.destroy();
+    }, call.timeoutMs);
+    const fail = (error: Error): void => {
+      clearTimeout(timer);
+      reject(new Failure("upstream-failed", `${target}: ${error.message}`));
+    };
+    req.on("error", fail);
+    req.on("response", (res) => {
+      const chunks: Buffer[] = [];
+      res.on("data", (chunk: Buffer) => chunks.push(chunk));
+      res.on("error", fail);
+      res.on("end", () => {
+        clearTimeout(timer);
+        resolve({ status: res.statusCode ?? 0, text: Buffer.concat(chunks).toString("utf8") });
+      });
+    });
+    req.end(body);
+  });
+}
--- a/src/common/log.ts
+++ b/src/common/log.ts
@@ -14,13 +14,17 @@
   fatal: 6,
 };
 
-/** Makes the logger of one component; `PARSLEYNOTCH_LOG_LEVEL` (default `info`) sets the lowest level written. */
+/** The lowest level written: `PARSLEYNOTCH_LOG_LEVEL`, `info` by default. */
+export function logLevel(): number {
+  return levels[process.env.PARSLEYNOTCH_LOG_LEVEL ?? "info"] ?? 3;
+}
+
+/** Makes the logger of one component. */
 export function createLog(name: string): Log {
-  const level = levels[process.env.PARSLEYNOTCH_LOG_LEVEL ?? "info"] ?? 3;
   return new tslog.Logger({
     type: "json",
     name,
-    minLevel: level,
+    minLevel: logLevel(),
     hideLogPositionForProduction: true,
     overwrite: {
       transportJSON: (record: unknown) => {
--- a/src/entry/completions.ts
+++ b/src/entry/completions.ts
@@ -14,7 +14,7 @@
 import type { DemandMeter } from "./demandMeter.ts";
 import type { DemandReporter } from "./demandReporter.ts";
 import type { Engine, Fleet } from "./fleet.ts";
-import type { RetryBudget } from "./retryBudget.ts";
+import type { RetryBudget } from "../serving/retryBudget.ts";
 import type { Router } from "./router.ts";
 import type { ServiceTimes } from "./serviceTimes.ts";
 
--- a/src/entry/entryNode.ts
+++ b/src/entry/entryNode.ts
@@ -28,7 +28,7 @@
 import { EntryMetrics } from "./metrics.ts";
 import { Peers } from "./peers.ts";
 import { Placer } from "./placer.ts";
-import { RetryBudget } from "./retryBudget.ts";
+import { RetryBudget } from "../serving/retryBudget.ts";
 import { Router } from "./router.ts";
 import type { RoutingPolicy } from "./routingPolicies.ts";
 import { ServiceTimes } from "./serviceTimes.ts";
--- /dev/null
+++ b/src/gateway/attempt.ts
@@ -0,0 +1,267 @@
+/** One send of a request to one backend server, until its outcome is known. */
+import * as http from "node:http";
+import type * as net from "node:net";
+import type { BackendServer } from "../serving/backendServer.ts";
+import { EventSplitter } from "../serving/eventSplitter.ts";
+import type { AnswerFacts, HeaderCodec } from "../serving/exchange.ts";
+import { parseEndpoint } from "../serving/hostSettings.ts";
+
+/** Time to set up a connection, ms: some ten round trips between zones; a lost first packet takes 1 s. */
+const connectMs = 300;
+
+/** What a stream's events are written to. */
+export interface StreamSink {
+  /** The first server's answer begins. */
+  open(raw: readonly string[]): void;
+  /** Writes whole events; false asks to wait for `drained`. */
+  write(bytes: Buffer): boolean;
+  /** Calls back once more may be written. */
+  drained(callback: () => void): void;
+}
+
+/** What to send, and how long to wait. */
+export interface AttemptOptions {
+  readonly server: BackendServer;
+  readonly agent: http.Agent;
+  readonly codec: HeaderCodec;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: string[];
+  readonly body: Buffer | undefined;
+  readonly requestId: string;
+  /** Given for streams. */
+  readonly sink: StreamSink | undefined;
+  /** Events up to this one were delivered already. */
+  readonly afterEvent: number | undefined;
+  /** Without a first byte after this time the server counts as silent, ms. */
+  readonly firstByteMs: number;
+  /** A pause between events longer than this counts as silent, ms. */
+  readonly pauseMs: number;
+  /** The whole answer must be there after this time, ms. */
+  readonly answerMs: number;
+}
+
+/** A whole answer, not a stream. */
+export interface WholeAnswer {
+  readonly facts: AnswerFacts;
+  readonly raw: readonly string[];
+  readonly body: Buffer;
+}
+
+/**
+ * How an attempt ended. `unreachable` and `not-run` promise that the server did not run the request; after
+ * `broken` and `silent` it may have.
+ */
+export type AttemptOutcome =
+  | { readonly kind: "answered"; readonly answer: WholeAnswer; readonly firstByteMs: number }
+  | { readonly kind: "streamed"; readonly firstByteMs: number }
+  | { readonly kind: "not-run"; readonly facts: AnswerFacts }
+  | { readonly kind: "unreachable"; readonly reason: string }
+  | { readonly kind: "broken"; readonly reason: string; readonly lastEvent: number | undefined }
+  | { readonly kind: "silent"; readonly reason: string; readonly lastEvent: number | undefined }
+  | { readonly kind: "cancelled" };
+
+/** Sends once. */
+export class Attempt {
+  /** Resolves with the outcome; never rejects. */
+  readonly outcome: Promise<AttemptOutcome>;
+  private readonly req: http.ClientRequest;
+  private settle!: (outcome: AttemptOutcome) => void;
+  private settled = false;
+  private connected = false;
+  private sentWhole = false;
+  private failed = false;
+  private firstByteMs: number | undefined;
+  private lastEvent: number | undefined;
+  private silence: NodeJS.Timeout | undefined;
+  private readonly overall: NodeJS.Timeout;
+  private readonly startedMs = performance.now();
+
+  constructor(
+    private readonly options: AttemptOptions,
+    private readonly onFirstByte: () => void,
+  ) {
+    this.outcome = new Promise((resolve) => {
+      this.settle = resolve;
+    });
+    this.lastEvent = options.afterEvent;
+    const endpoint = parseEndpoint(options.server.address);
+    this.req = http.request({
+      agent: options.agent,
+      host: endpoint?.ip ?? "0.0.0.0",
+      port: endpoint?.port ?? 0,
+      method: options.method,
+      path: options.path,
+      headers: options.headers,
+      setHost: false,
+    });
+    this.overall = setTimeout(() => {
+      this.end({ kind: "silent", reason: "time limit", lastEvent: this.lastEvent });
+    }, options.answerMs);
+    this.listen();
+    this.req.end(options.body);
+  }
+
+  /** The caller left: the server is told by closing the connection. */
+  cancel(): void {
+    this.end({ kind: "cancelled" });
+  }
+
+  private listen(): void {
+    this.req.on("socket", (socket) => {
+      this.onSocket(socket);
+    });
+    this.req.on("finish", () => {
+      this.sentWhole = true;
+    });
+    this.req.on("error", (error: NodeJS.ErrnoException) => {
+      this.failed = true;
+      const reason = error.code ?? error.message;
+      // Without a connection nothing was sent, whatever became of it.
+      if (!this.connected) this.end({ kind: "unreachable", reason });
+      else this.end({ kind: "broken", reason, lastEvent: this.lastEvent });
+    });
+    this.req.on("response", (res) => {
+      this.onResponse(res);
+    });
+  }
+
+  private onSocket(socket: net.Socket): void {
+    if (!socket.connecting) {
+      this.onConnected();
+      return;
+    }
+    const timer = setTimeout(() => {
+      this.end({ kind: "unreachable", reason: "connect timeout" });
+    }, connectMs);
+    socket.once("connect", () => {
+      clearTimeout(timer);
+      this.onConnected();
+    });
+    socket.once("close", () => {
+      clearTimeout(timer);
+    });
+  }
+
+  private onConnected(): void {
+    this.connected = true;
+    this.watchSilence(this.options.firstByteMs, "no first byte");
+  }
+
+  private watchSilence(ms: number, reason: string): void {
+    clearTimeout(this.silence);
+    if (this.settled) return;
+    this.silence = setTimeout(() => {
+      this.end({ kind: "silent", reason, lastEvent: this.lastEvent });
+    }, ms);
+  }
+
+  private onResponse(res: http.IncomingMessage): void {
+    const facts = this.options.codec.readAnswer(res.statusCode ?? 0, res.headers);
+    // Guards "a caller gets another request's answer": a late second answer arrives where the next one is
+    // due. The echoed id tells them apart; one without it belongs to no request.
+    if (facts.requestId !== this.options.requestId) {
+      this.end({ kind: "broken", reason: "answer to another request", lastEvent: this.lastEvent });
+      return;
+    }
+    if (facts.notRun) {
+      this.discard(res, facts);
+      return;
+    }
+    if (this.options.sink !== undefined && facts.status === 200) this.relay(res, this.options.sink);
+    else this.gather(res, facts);
+  }
+
+  /** Reads the rest of a refusal, so that the connection can be used again. */
+  private discard(res: http.IncomingMessage, facts: AnswerFacts): void {
+    res.on("error", () => undefined);
+    res.resume();
+    this.keepOrClose();
+    this.conclude({ kind: "not-run", facts });
+  }
+
+  private gather(res: http.IncomingMessage, facts: AnswerFacts): void {
+    const chunks: Buffer[] = [];
+    this.sawFirstByte();
+    clearTimeout(this.silence);
+    res.on("data", (chunk: Buffer) => chunks.push(chunk));
+    res.on("error", () => undefined);
+    res.on("close", () => {
+      this.end({ kind: "broken", reason: "answer incomplete", lastEvent: this.lastEvent });
+    });
+    res.on("end", () => {
+      if (this.failed || !res.complete) return;
+      this.keepOrClose();
+      const answer = { facts, raw: res.rawHeaders, body: Buffer.concat(chunks) };
+      this.conclude({ kind: "answered", answer, firstByteMs: this.firstByteMs ?? 0 });
+    });
+  }
+
+  private relay(res: http.IncomingMessage, sink: StreamSink): void {
+    const splitter = new EventSplitter();
+    res.on("data", (chunk: Buffer) => {
+      if (this.settled) return;
+      const events = splitter.push(chunk).filter((event) => this.isNew(event.id));
+      if (events.length === 0) return;
+      if (this.firstByteMs === undefined) {
+        this.sawFirstByte();
+        sink.open(res.rawHeaders);
+      }
+      this.lastEvent = events.at(-1)?.id ?? this.lastEvent;
+      this.watchSilence(this.options.pauseMs, "pause between events");
+      const bytes = events.length === 1 ? events[0]?.bytes : Buffer.concat(events.map((e) => e.bytes));
+      if (bytes === undefined || sink.write(bytes)) return;
+      res.pause();
+      sink.drained(() => res.resume());
+    });
+    res.on("error", () => undefined);
+    res.on("close", () => {
+      this.end({ kind: "broken", reason: "stream incomplete", lastEvent: this.lastEvent });
+    });
+    res.on("end", () => {
+      if (this.failed || !res.complete || this.settled) return;
+      this.keepOrClose();
+      if (splitter.incomplete.length > 0) {
+        this.end({ kind: "broken", reason: "stream ended inside an event", lastEvent: this.lastEvent });
+        return;
+      }
+      if (this.firstByteMs === undefined) sink.open(res.rawHeaders);
+      this.conclude({ kind: "streamed", firstByteMs: this.firstByteMs ?? 0 });
+    });
+  }
+
+  /** Events already delivered by another server are passed over. */
+  private isNew(id: number | undefined): boolean {
+    return id === undefined || this.options.afterEvent === undefined || id > this.options.afterEvent;
+  }
+
+  private sawFirstByte(): void {
+    if (this.firstByteMs !== undefined) return;
+    this.firstByteMs = performance.now() - this.startedMs;
+    this.onFirstByte();
+  }
+
+  /**
+   * Guards "a server reads other bytes where the rest of a body is due": an answer may come before the body
+   * was sent, and the connection can't carry another request until all of it is out.
+   */
+  private keepOrClose(): void {
+    if (!this.sentWhole) this.req.socket?.destroy();
+  }
+
+  /** Settles and leaves the connection as it is. */
+  private conclude(outcome: AttemptOutcome): void {
+    if (this.settled) return;
+    this.settled = true;
+    clearTimeout(this.silence);
+    clearTimeout(this.overall);
+    this.settle(outcome);
+  }
+
+  /** Settles and ends the connection, which also cancels the work at the server. */
+  private end(outcome: AttemptOutcome): void {
+    if (this.settled) return;
+    this.conclude(outcome);
+    this.req.destroy();
+  }
+}
--- /dev/null
+++ b/src/gateway/callerConnection.ts
@@ -0,0 +1,107 @@
+/** The caller's side of one request: reads its body, writes its answer, notices that it left. */
+import type * as http from "node:http";
+import { Failure } from "../common/errors.ts";
+import type { HeaderCodec } from "../serving/exchange.ts";
+import type { StreamSink, WholeAnswer } from "./attempt.ts";
+
+/** Wraps a request and its response. */
+export class CallerConnection implements StreamSink {
+  private leftCallback: (() => void) | undefined;
+  private hasLeft = false;
+
+  constructor(
+    readonly req: http.IncomingMessage,
+    private readonly res: http.ServerResponse,
+    private readonly codec: HeaderCodec,
+    private readonly closing: () => boolean,
+  ) {
+    res.on("close", () => {
+      if (res.writableFinished) return;
+      this.hasLeft = true;
+      this.leftCallback?.();
+    });
+    res.on("error", () => undefined);
+    req.on("error", () => undefined);
+  }
+
+  /** The caller closed the connection before its answer was complete. */
+  get left(): boolean {
+    return this.hasLeft;
+  }
+
+  /** Part of a stream was already written. */
+  get begun(): boolean {
+    return this.res.headersSent;
+  }
+
+  /** Calls back when the caller leaves. */
+  onLeft(callback: (() => void) | undefined): void {
+    this.leftCallback = callback;
+  }
+
+  /** Reads the whole body; rejects with `body-too-large` past `limit` bytes. */
+  async body(limit: number): Promise<Buffer> {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    for await (const chunk of this.req as AsyncIterable<Buffer>) {
+      size += chunk.length;
+      if (size > limit) throw new Failure("body-too-large", `body is over ${limit} bytes; send a smaller one`);
+      chunks.push(chunk);
+    }
+    return chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
+  }
+
+  open(raw: readonly string[]): void {
+    if (this.res.headersSent) return;
+    this.closeIfStopping();
+    this.res.writeHead(200, this.codec.answerHeaders(raw));
+  }
+
+  write(bytes: Buffer): boolean {
+    return this.res.write(bytes);
+  }
+
+  drained(callback: () => void): void {
+    this.res.once("drain", callback);
+  }
+
+  /** Ends a stream whose last event was written. */
+  finish(): void {
+    this.res.end();
+  }
+
+  /** Breaks a stream off so that it can't be taken for complete. */
+  breakOff(): void {
+    this.res.destroy();
+  }
+
+  /** Gives a server's answer unchanged. */
+  relay(answer: WholeAnswer): void {
+    this.closeIfStopping();
+    const headers = this.codec.answerHeaders(answer.raw);
+    const length = this.req.method === "HEAD" ? (answer.facts.contentLength ?? 0) : answer.body.length;
+    if (answer.facts.status !== 204 && answer.facts.status !== 304) headers.push("Content-Length", String(length));
+    this.res.writeHead(answer.facts.status, headers);
+    this.res.end(answer.body);
+  }
+
+  /** Answers a failure of our own; `retryAfterS` tells when to come back. */
+  refuse(failure: Failure, retryAfterS?: number): void {
+    if (this.res.headersSent) {
+      this.breakOff();
+      return;
+    }
+    // After an oversized body the rest of it is still in the socket, so no other request can follow.
+    if (failure.kind === "body-too-large") this.res.shouldKeepAlive = false;
+    this.closeIfStopping();
+    const body = JSON.stringify(failure.toBody());
+    const headers = ["Content-Type", "application/json", "Content-Length", String(Buffer.byteLength(body))];
+    if (retryAfterS !== undefined) headers.push("Retry-After", retryAfterS.toFixed(2));
+    this.res.writeHead(failure.answer.status, headers);
+    this.res.end(body);
+  }
+
+  private closeIfStopping(): void {
+    if (this.closing()) this.res.shouldKeepAlive = false;
+  }
+}
--- /dev/null
+++ b/src/gateway/callerServer.ts
@@ -0,0 +1,113 @@
+/** The HTTP server that callers connect to. */
+import * as http from "node:http";
+import { close } from "../common/http.ts";
+import type { Task } from "../common/supervisor.ts";
+import type { CallerLimits } from "../serving/configuration.ts";
+import type { Endpoint } from "../serving/hostSettings.ts";
+import { RetryBudget } from "../serving/retryBudget.ts";
+import { CallerConnection } from "./callerConnection.ts";
+import { Exchange } from "./exchange.ts";
+import type { Placer, Serving } from "./serving.ts";
+
+/** Largest head of a request Node reads, bytes; callers stay within the configured limit. */
+const maxHeadBytes = 64 * 1024;
+/** Idle callers may reuse a connection for four fifths of the idle limit; it is closed this much later, ms. */
+const idleMarginMs = 2_000;
+/** Limits until a configuration is known. */
+const firstLimits = { headerTimeoutMs: 10_000, idleTimeoutMs: 60_000 };
+/** After a signal to stop, streams that arrive later than this may not end in time and are refused, ms. */
+const streamsUntilMs = 2_500;
+/** Part of the retry budget of the whole system that the nodes share out; the rest is slack for restarts. */
+const budgetShare = 0.6;
+
+/** Options of a `CallerServer`. */
+export interface CallerServerOptions {
+  readonly endpoint: Endpoint;
+  readonly serving: Serving;
+  readonly placer: Placer;
+  readonly retryRatio: number;
+  /** Retries beyond the ratio that all nodes together may make in a window. */
+  readonly retryBurst: number;
+  /** Nodes that share the budget. */
+  readonly nodes: () => number;
+}
+
+/** Accepts requests and runs an exchange for each. */
+export class CallerServer implements Task {
+  readonly name = "callers";
+  private readonly server: http.Server;
+  private readonly budgets = new Map<string, RetryBudget>();
+  private stoppingSinceMs: number | undefined;
+  private inFlight = 0;
+
+  constructor(private readonly options: CallerServerOptions) {
+    this.server = http.createServer({ maxHeaderSize: maxHeadBytes, noDelay: true }, (req, res) => {
+      void this.handle(req, res);
+    });
+    this.server.on("checkContinue", (req: http.IncomingMessage, res: http.ServerResponse) => {
+      res.writeContinue();
+      void this.handle(req, res);
+    });
+    this.limit(firstLimits);
+    options.serving.configuration.changed.on((table) => {
+      this.limit(table.configuration.limits);
+    });
+  }
+
+  /** Requests being served. */
+  get busy(): number {
+    return this.inFlight;
+  }
+
+  async start(): Promise<void> {
+    const { ip, port } = this.options.endpoint;
+    await new Promise<void>((resolve, reject) => {
+      this.server.once("error", reject);
+      this.server.listen(port, ip, 1024, resolve);
+    });
+  }
+
+  /** From now on every answer closes its connection; new requests are still served for a while. */
+  stopSoon(): void {
+    this.stoppingSinceMs = performance.now();
+  }
+
+  async dispose(): Promise<void> {
+    await close(this.server);
+  }
+
+  private limit(limits: Pick<CallerLimits, "headerTimeoutMs" | "idleTimeoutMs">): void {
+    this.server.keepAliveTimeout = limits.idleTimeoutMs + idleMarginMs;
+    // Node counts an unused new connection as a header on its way, so the idle limit bounds this one too.
+    this.server.headersTimeout = Math.max(limits.headerTimeoutMs, limits.idleTimeoutMs) + idleMarginMs;
+    this.server.requestTimeout = 0;
+  }
+
+  private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    this.inFlight += 1;
+    const { serving, placer } = this.options;
+    const caller = new CallerConnection(req, res, serving.codec, () => this.stoppingSinceMs !== undefined);
+    const exchange = new Exchange({
+      serving,
+      placer,
+      caller,
+      budgetFor: (service) => this.budgetFor(service),
+      refuseStreams: () =>
+        this.stoppingSinceMs !== undefined && performance.now() - this.stoppingSinceMs > streamsUntilMs,
+    });
+    try {
+      await exchange.run();
+    } finally {
+      this.inFlight -= 1;
+    }
+  }
+
+  private budgetFor(service: string): RetryBudget {
+    const known = this.budgets.get(service);
+    if (known !== undefined) return known;
+    const burst = Math.max(1, (this.options.retryBurst * budgetShare) / Math.max(1, this.options.nodes()));
+    const budget = new RetryBudget({ ratio: this.options.retryRatio, burst });
+    this.budgets.set(service, budget);
+    return budget;
+  }
+}
--- /dev/null
+++ b/src/gateway/exchange.ts
@@ -0,0 +1,380 @@
+/** One caller's request from arrival to answer: route, wait, choose, send, send again, answer. */
+import { Failure, toFailure, type ErrorKind } from "../common/errors.ts";
+import { holds, type BackendServer } from "../serving/backendServer.ts";
+import { repeatable, type Route, type Service } from "../serving/configuration.ts";
+import { engineWorkMs } from "../serving/demandMeter.ts";
+import type { RequestFacts } from "../serving/exchange.ts";
+import { patienceOf, type Patience } from "../serving/patience.ts";
+import type { RetryBudget } from "../serving/retryBudget.ts";
+import { chooseServer, type Chosen } from "../serving/serverChoice.ts";
+import { Attempt, type AttemptOutcome } from "./attempt.ts";
+import type { CallerConnection } from "./callerConnection.ts";
+import { adapterKey, demandKey, type Placer, type Serving } from "./serving.ts";
+
+/** Sends beyond a route's own attempts that servers refused without running, so that it still ends. */
+const refusedSends = 3;
+/** An answer to a safe call that isn't there after this many times the route's target is asked elsewhere. */
+const silentTargets = 3;
+/** The same for the first event of a stream that may be resumed. */
+const silentStreamTargets = 2.2;
+/** Shortest time after which a server counts as silent, ms: the longest calls take 220 ms. */
+const leastSilentMs = 400;
+/** Time kept to write the final answer before the caller's time is over, ms. */
+const answerMarginMs = 40;
+/** Longest sleep between looks at whether a server can be had, ms. */
+const lookAgainMs = 250;
+/** Retry-After while servers are full or missing, s: a little over one round of placement. */
+const soonS = 0.5;
+/** Answers of these classes by the server itself may be repeated elsewhere. */
+const serverErrorStatus = 500;
+
+/** What one exchange works with. */
+export interface ExchangeOptions {
+  readonly serving: Serving;
+  readonly placer: Placer;
+  readonly budgetFor: (service: string) => RetryBudget;
+  readonly caller: CallerConnection;
+  /** New streams are refused: the node stops before they could end. */
+  readonly refuseStreams: () => boolean;
+}
+
+/** Serves one request. */
+export class Exchange {
+  private readonly serving: Serving;
+  private readonly caller: CallerConnection;
+  private readonly arrivedMs = performance.now();
+  private readonly tried = new Set<string>();
+  private facts!: RequestFacts;
+  private route!: Route;
+  private service!: Service;
+  private patience!: Patience;
+  private body: Buffer | undefined;
+  private sends = 0;
+  /** Sends whose server may have run the request. */
+  private ran = 0;
+  private lastEvent: number | undefined;
+  private attempt: Attempt | undefined;
+  private lastFailure = "";
+
+  constructor(private readonly options: ExchangeOptions) {
+    this.serving = options.serving;
+    this.caller = options.caller;
+  }
+
+  /** Runs to the final answer; never rejects. */
+  async run(): Promise<void> {
+    try {
+      await this.prepare();
+      this.caller.onLeft(() => this.attempt?.cancel());
+      await this.serve();
+    } catch (error) {
+      this.refuse(toFailure(error));
+    } finally {
+      this.caller.onLeft(undefined);
+    }
+  }
+
+  private async prepare(): Promise<void> {
+    const { req } = this.caller;
+    this.facts = this.serving.codec.readRequest(req.headers);
+    const table = this.serving.configuration.current;
+    if (table === undefined) throw new Failure("no-configuration", "no configuration is known yet; retry");
+    const path = (req.url ?? "/").split("?")[0] ?? "/";
+    const route = table.match(this.facts.host, path);
+    if (route === undefined) throw new Failure("unknown-route", `no route for ${this.facts.host}${path}`);
+    const service = table.service(table.pick(route, this.facts.requestId) ?? "");
+    if (service === undefined) throw new Failure("not-run", `route ${route.name} names no known service`);
+    this.route = route;
+    this.service = service;
+    this.patience = patienceOf(route, this.facts.deadlineMs, this.arrivedMs);
+    if (route.kind === "stream" && this.options.refuseStreams()) {
+      throw new Failure("draining", "this node is stopping; use another address");
+    }
+    this.countDemand();
+    this.body = await this.readBody(table.configuration.limits.maxBodyBytes);
+    this.options.budgetFor(service.name).earn();
+  }
+
+  private async readBody(limit: number): Promise<Buffer | undefined> {
+    const body = await this.caller.body(limit);
+    const { headers } = this.caller.req;
+    const framed = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+    return framed ? body : undefined;
+  }
+
+  private countDemand(): void {
+    const { model, adapter, promptTokens, outputHint, outputTokens, prefix } = this.facts;
+    if (model === undefined || this.service.engine === undefined) return;
+    const own = prefix.at(-1)?.tokens ?? promptTokens;
+    const output = Math.min(outputTokens, outputHint ?? outputTokens);
+    const work = engineWorkMs(own, output);
+    this.serving.demand.add(demandKey(this.service.name, model), work, this.arrivedMs);
+    if (adapter === undefined) return;
+    this.serving.adapterDemand.add(adapterKey(this.service.name, model, adapter), work, this.arrivedMs);
+  }
+
+  private async serve(): Promise<void> {
+    for (;;) {
+      const chosen = await this.awaitServer();
+      if (this.caller.left) {
+        this.ended("caller-left");
+        return;
+      }
+      if (chosen === undefined) {
+        this.giveUp();
+        return;
+      }
+      const outcome = await this.send(chosen);
+      if (!this.shouldGoOn(outcome)) return;
+    }
+  }
+
+  /** The best server, as soon as there is one; undefined once waiting can't help any more. */
+  private async awaitServer(): Promise<Chosen | undefined> {
+    const first = this.choose();
+    if (first !== undefined) return first;
+    const { model, adapter } = this.facts;
+    const key = demandKey(this.service.name, model ?? "");
+    this.serving.waiting.add(key);
+    try {
+      this.options.placer.wanted();
+      for (;;) {
+        const left = this.patience.firstByteByMs - performance.now();
+        if (left <= 0 || this.caller.left) return undefined;
+        if (this.modelIsThere() && model !== undefined && adapter !== undefined) {
+          await this.options.placer.ensureAdapter(this.service.name, model, adapter);
+          const found = this.choose();
+          if (found !== undefined) return found;
+        }
+        await this.serving.fleetChanged.next(Math.min(left, lookAgainMs));
+        const found = this.choose();
+        if (found !== undefined) return found;
+      }
+    } finally {
+      this.serving.waiting.remove(key);
+    }
+  }
+
+  private modelIsThere(): boolean {
+    const { model } = this.facts;
+    return model !== undefined && this.serving.fleet.reachable(this.service.name, model, undefined);
+  }
+
+  private choose(): Chosen | undefined {
+    const { facts, serving } = this;
+    const now = performance.now();
+    return chooseServer({
+      candidates: this.candidates(),
+      tried: this.tried,
+      promptTokens: facts.promptTokens,
+      prefix: facts.prefix,
+      cacheScope: `${facts.model ?? ""}/${facts.adapter ?? ""}`,
+      load: (id) => serving.loads.at(id, now),
+      health: (id) => serving.outliers.health(id, now),
+    });
+  }
+
+  private candidates(): BackendServer[] {
+    const { model, adapter } = this.facts;
+    const servers = this.serving.fleet.available(this.service.name);
+    if (model === undefined || this.service.engine === undefined) return servers;
+    return servers.filter((server) => holds(server, model, adapter));
+  }
+
+  private async send(chosen: Chosen): Promise<AttemptOutcome> {
+    const { serving, facts, route } = this;
+    const now = performance.now();
+    const { server } = chosen;
+    if (this.sends === 0) serving.metrics.queued.observe({ service: this.service.name }, (now - this.arrivedMs) / 1000);
+    this.sends += 1;
+    this.tried.add(server.id);
+    const inFlight = serving.loads.begin(server.id, facts.promptTokens, facts.promptTokens + facts.outputTokens);
+    const answerMs = this.patience.answerByMs - now - answerMarginMs;
+    const stream = route.kind === "stream";
+    const body = this.body;
+    this.attempt = new Attempt(
+      {
+        server,
+        agent: serving.pool.agent(server.id),
+        codec: serving.codec,
+        method: this.caller.req.method ?? "GET",
+        path: this.caller.req.url ?? "/",
+        headers: serving.codec.forwardHeaders(this.caller.req.rawHeaders, {
+          serverId: server.id,
+          deadlineMs: Math.max(1, Math.floor(this.patience.answerByMs - now)),
+          priority: this.service.engine === undefined ? undefined : Math.min(9, route.priority),
+          resumeAfter: this.lastEvent,
+          bodyBytes: body?.length,
+        }),
+        body,
+        requestId: facts.requestId,
+        sink: stream ? this.caller : undefined,
+        afterEvent: this.lastEvent ?? facts.lastEventId,
+        firstByteMs: this.firstByteLimitMs(now),
+        pauseMs: this.pauseLimitMs(),
+        answerMs: Math.max(1, answerMs),
+      },
+      () => {
+        inFlight.started();
+        serving.metrics.firstByte.observe(
+          { kind: route.kind, service: this.service.name },
+          (performance.now() - this.arrivedMs) / 1000,
+        );
+      },
+    );
+    const outcome = await this.attempt.outcome;
+    this.attempt = undefined;
+    inFlight.done();
+    this.judge(chosen, outcome);
+    return outcome;
+  }
+
+  /** May another server be asked in place of one that keeps silent? Else its silence is waited out. */
+  private firstByteLimitMs(now: number): number {
+    const left = this.patience.firstByteByMs - now;
+    if (!this.mayRepeat()) return left;
+    const targets = this.route.kind === "stream" ? silentStreamTargets : silentTargets;
+    return Math.min(left, Math.max(leastSilentMs, targets * this.route.targetMs));
+  }
+
+  private pauseLimitMs(): number {
+    const { route } = this;
+    const patient = Math.max(2_000, 4 * route.targetMs, 8 * route.pauseMs);
+    return this.mayRepeat() ? Math.max(leastSilentMs, 2 * route.pauseMs) : patient;
+  }
+
+  private mayRepeat(): boolean {
+    return repeatable(this.route) && this.ran + 1 < this.route.maxAttempts;
+  }
+
+  private judge(chosen: Chosen, outcome: AttemptOutcome): void {
+    const { serving } = this;
+    const { server } = chosen;
+    const now = performance.now();
+    serving.metrics.attempts.inc({ service: this.service.name, outcome: outcome.kind });
+    if (outcome.kind === "answered" && outcome.answer.facts.status >= serverErrorStatus) {
+      serving.outliers.failed(server.id, now);
+    } else if (outcome.kind === "answered" || outcome.kind === "streamed") {
+      serving.outliers.succeeded(server.id, outcome.firstByteMs, chosen.expectedMs);
+    } else if (outcome.kind === "unreachable") {
+      serving.outliers.unreachable(server.id, now);
+    } else if (outcome.kind === "broken" || outcome.kind === "silent") {
+      serving.outliers.failed(server.id, now);
+    }
+    if (outcome.kind === "not-run" && outcome.facts.wrongServer) this.forgetResident(server);
+    serving.log.debug({
+      event: "attempt",
+      requestId: this.facts.requestId,
+      server: server.id,
+      expectedMs: Math.round(chosen.expectedMs),
+      tookMs: Math.round(now - this.arrivedMs),
+      outcome: outcome.kind,
+      ...("reason" in outcome ? { reason: outcome.reason } : {}),
+      ...("answer" in outcome ? { status: outcome.answer.facts.status } : {}),
+      ...("facts" in outcome ? { status: outcome.facts.status } : {}),
+    });
+  }
+
+  private forgetResident(server: BackendServer): void {
+    const { model, adapter } = this.facts;
+    if (model === undefined) return;
+    this.serving.fleet.forget(server.id, model, adapter);
+    // It may be asked again once it holds the model or adapter after all.
+    this.tried.delete(server.id);
+  }
+
+  /** Acts on the outcome of a send; true if another server is to be asked. */
+  private shouldGoOn(outcome: AttemptOutcome): boolean {
+    switch (outcome.kind) {
+      case "answered":
+        return this.onAnswer(outcome);
+      case "streamed":
+        this.caller.finish();
+        this.ended("ok");
+        return false;
+      case "cancelled":
+        this.ended("caller-left");
+        return false;
+      case "not-run":
+      case "unreachable":
+        this.lastFailure = outcome.kind === "unreachable" ? outcome.reason : `refused ${outcome.facts.status}`;
+        return this.mayAskAnother(this.sends < this.route.maxAttempts + refusedSends);
+      case "broken":
+      case "silent":
+        this.ran += 1;
+        this.lastFailure = outcome.reason;
+        if (outcome.lastEvent !== undefined && this.caller.begun) this.lastEvent = outcome.lastEvent;
+        // A stream that began without event ids can't be continued.
+        if (this.caller.begun && this.lastEvent === undefined) return this.giveUp();
+        return this.mayAskAnother(repeatable(this.route) && this.ran < this.route.maxAttempts);
+    }
+  }
+
+  private onAnswer(outcome: Extract<AttemptOutcome, { kind: "answered" }>): boolean {
+    const { status } = outcome.answer.facts;
+    if (status >= serverErrorStatus && repeatable(this.route) && !this.caller.begun) {
+      this.ran += 1;
+      const canRepeat = this.ran < this.route.maxAttempts && this.choose() !== undefined;
+      if (canRepeat && this.timeLeft() && this.options.budgetFor(this.service.name).spend()) return true;
+    }
+    if (this.caller.begun) return this.giveUp();
+    this.caller.relay(outcome.answer);
+    this.ended(`status-${String(status)}`);
+    return false;
+  }
+
+  private mayAskAnother(allowed: boolean): boolean {
+    if (allowed && this.timeLeft() && this.options.budgetFor(this.service.name).spend()) return true;
+    return this.giveUp();
+  }
+
+  private timeLeft(): boolean {
+    return this.patience.answerByMs - performance.now() > answerMarginMs;
+  }
+
+  /** The final answer when no server served the request. */
+  private giveUp(): false {
+    if (this.caller.left) {
+      this.ended("caller-left");
+      return false;
+    }
+    const where = `${this.service.name}${this.facts.model === undefined ? "" : ` model ${this.facts.model}`}`;
+    if (this.ran === 0) {
+      const kind: ErrorKind = this.sends === 0 ? "no-replica" : "not-run";
+      this.refuse(new Failure(kind, `not run: no server of ${where} took it (${this.lastFailure})`));
+    } else if (this.timeLeft()) {
+      this.refuse(new Failure("upstream-failed", `a server of ${where} failed (${this.lastFailure})`));
+    } else {
+      this.refuse(new Failure("outcome-unknown", `no answer of ${where} in time (${this.lastFailure})`));
+    }
+    return false;
+  }
+
+  private refuse(failure: Failure): void {
+    const { status } = failure.answer;
+    this.caller.refuse(failure, status === 503 || status === 429 ? soonS : undefined);
+    this.ended(failure.kind, failure.message);
+  }
+
+  private ended(outcome: string, detail?: string): void {
+    const route = this.route as Route | undefined;
+    const service = this.service as Service | undefined;
+    const kind = route?.kind ?? "none";
+    this.serving.metrics.requests.inc({ kind, service: service?.name ?? "none", outcome });
+    const line = {
+      event: "request",
+      requestId: this.facts.requestId,
+      route: route?.name,
+      service: service?.name,
+      model: this.facts.model,
+      adapter: this.facts.adapter,
+      version: this.serving.configuration.current?.version,
+      sends: this.sends,
+      tookMs: Math.round(performance.now() - this.arrivedMs),
+      outcome,
+      detail,
+    };
+    if (outcome === "ok" || outcome === "status-200") this.serving.log.debug(line);
+    else this.serving.log.info(line);
+  }
+}
--- /dev/null
+++ b/src/gateway/gatewayMetrics.ts
@@ -0,0 +1,40 @@
+/** Counters and histograms of one gateway node (prom-client), in a registry of its own. */
+import * as prom from "prom-client";
+
+const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 15];
+
+/** The metrics of one gateway node. */
+export class GatewayMetrics {
+  readonly registry = new prom.Registry();
+  /** Requests answered, by route kind, service and outcome (a status class or an error kind). */
+  readonly requests = this.counter("requests_total", "Requests ended", ["kind", "service", "outcome"]);
+  /** Sends to servers, by service and outcome. */
+  readonly attempts = this.counter("attempts_total", "Sends to servers", ["service", "outcome"]);
+  /** Orders to engines, by action and outcome. */
+  readonly orders = this.counter("orders_total", "Orders to engines", ["action", "outcome"]);
+  /** Time to the first byte for callers, s. */
+  readonly firstByte = this.histogram("first_byte_seconds", "Arrival to first byte", ["kind", "service"]);
+  /** Time a request waited on this node before it was sent, s. */
+  readonly queued = this.histogram("queued_seconds", "Arrival to first send", ["service"]);
+  /** Version of the configuration in force. */
+  readonly configVersion = this.gauge("config_version", "Version of the configuration in force");
+  /** 1 while this node holds the placement lease. */
+  readonly leaseHeld = this.gauge("lease_held", "1 while this node holds the placement lease");
+  /** Live peers heard from. */
+  readonly peers = this.gauge("peers_alive", "Peers heard from lately");
+  /** 1 while the store answers. */
+  readonly storeReachable = this.gauge("store_reachable", "1 while the store answers");
+
+  private counter<T extends string>(name: string, help: string, labelNames: T[]): prom.Counter<T> {
+    return new prom.Counter({ name: `parsleynotch_${name}`, help, labelNames, registers: [this.registry] });
+  }
+
+  private histogram<T extends string>(name: string, help: string, labelNames: T[]): prom.Histogram<T> {
+    const options = { name: `parsleynotch_${name}`, help, labelNames, buckets: latencyBuckets };
+    return new prom.Histogram({ ...options, registers: [this.registry] });
+  }
+
+  private gauge(name: string, help: string): prom.Gauge {
+    return new prom.Gauge({ name: `parsleynotch_${name}`, help, registers: [this.registry] });
+  }
+}
--- /dev/null
+++ b/src/gateway/gatewayNode.ts
@@ -0,0 +1,265 @@
+/** The gateway node of one host: a supervisor over its tasks. */
+import type * as purify from "purify-ts";
+import type { Failure } from "../common/errors.ts";
+import { Emitter } from "../common/emitter.ts";
+import { sendJson } from "../common/http.ts";
+import type { Log } from "../common/log.ts";
+import { Supervisor, type Task } from "../common/supervisor.ts";
+import type { BackendServer } from "../serving/backendServer.ts";
+import type { Configuration } from "../serving/configuration.ts";
+import { DemandMeter } from "../serving/demandMeter.ts";
+import type { HeaderCodec } from "../serving/exchange.ts";
+import { Fleet } from "../serving/fleet.ts";
+import { formatEndpoint, type HostSettings } from "../serving/hostSettings.ts";
+import { LoadBoard } from "../serving/loadBoard.ts";
+import type { Engines } from "../serving/orders.ts";
+import { Outliers } from "../serving/outliers.ts";
+import { PeerTable, type Asked, type Pulse } from "../serving/peerTable.ts";
+import type { Store } from "../serving/store.ts";
+import { CallerServer } from "./callerServer.ts";
+import { ConfigurationTask } from "./configurationTask.ts";
+import { ControlServer } from "./controlServers.ts";
+import { FleetTask } from "./fleetTask.ts";
+import { GatewayMetrics } from "./gatewayMetrics.ts";
+import { LeaseTask } from "./leaseTask.ts";
+import { MemberTask } from "./memberTask.ts";
+import { PeerTask } from "./peerTask.ts";
+import { PlacementTask } from "./placementTask.ts";
+import { ConfigurationInForce, Waiting, type Serving } from "./serving.ts";
+import { StoreLink } from "./storeLink.ts";
+import { UpstreamPool } from "./upstreamPool.ts";
+
+/** Callers keep an answer of the directory for this long, s: short, so that a stopping node is soon left alone. */
+const directoryTtlS = 2;
+/** A stopping node serves on for at least this long, ms: callers' answers of the directory run out. */
+const leastDrainMs = 2_600;
+/** Kept of the grace period for the exit itself, ms. */
+const exitMarginMs = 700;
+
+/** The outside systems, behind the project's own interfaces. */
+export interface GatewayPlatform {
+  readonly store: Store;
+  readonly engines: Engines;
+  readonly codec: HeaderCodec;
+  readonly configurationRow: { readonly table: string; readonly key: string };
+  readonly decodeConfiguration: (text: string) => purify.Either<Failure, Configuration>;
+  readonly serversTable: string;
+  readonly decodeServer: (id: string, text: string) => purify.Either<Failure, BackendServer>;
+  /** Paths of the readiness check and of the directory. */
+  readonly paths: { readonly readiness: string; readonly directory: string };
+  /** The directory's answer. */
+  readonly encodeDirectory: (addresses: readonly string[], ttlS: number) => unknown;
+}
+
+/** Options of a `GatewayNode`. */
+export interface GatewayNodeOptions {
+  readonly settings: HostSettings;
+  readonly platform: GatewayPlatform;
+  readonly log: Log;
+}
+
+/** Starts, serves and stops. */
+export class GatewayNode {
+  private readonly serving: Serving;
+  private readonly table: PeerTable;
+  private readonly peers: PeerTask;
+  private readonly lease: LeaseTask;
+  private readonly member: MemberTask;
+  private readonly callers: CallerServer;
+  private readonly supervisor: Supervisor;
+  private readonly boot = Date.now();
+  private stopping = false;
+
+  constructor(private readonly options: GatewayNodeOptions) {
+    const { settings, platform, log } = options;
+    this.serving = makeServing(options);
+    this.table = new PeerTable(settings);
+    for (const seed of settings.seeds) this.table.list(seed, performance.now());
+    const link = new StoreLink(log, this.serving.metrics);
+    const { store } = platform;
+    this.peers = new PeerTask({
+      endpoint: settings.peers,
+      log,
+      table: this.table,
+      pulse: () => this.pulse(),
+      asked: () => this.asked(),
+    });
+    this.lease = new LeaseTask({
+      store,
+      link,
+      log,
+      metrics: this.serving.metrics,
+      self: settings,
+      leaseMs: settings.leaseMs,
+      holderHeard: () => this.table.holder(performance.now()) !== undefined,
+    });
+    const placement = new PlacementTask({
+      serving: this.serving,
+      engines: platform.engines,
+      lease: this.lease,
+      peers: this.peers,
+      table: this.table,
+      ceilingWindowMs: settings.ceilingWindowS * 1000,
+      ceilingOverage: settings.ceilingOverage,
+    });
+    this.member = new MemberTask({ store, log, peers: this.table, endpoint: settings.peers });
+    this.callers = new CallerServer({
+      endpoint: settings.callers,
+      serving: this.serving,
+      placer: placement,
+      retryRatio: settings.retryRatio,
+      retryBurst: settings.retryBurst,
+      nodes: () => this.table.alive(performance.now()).length + 1,
+    });
+    const { configurationRow: row, decodeConfiguration, serversTable, decodeServer } = platform;
+    this.supervisor = new Supervisor(
+      "gateway",
+      [
+        ...this.controlServers(),
+        new ConfigurationTask({
+          store,
+          link,
+          log,
+          configuration: this.serving.configuration,
+          row,
+          decode: decodeConfiguration,
+        }),
+        new FleetTask({ store, link, serving: this.serving, table: serversTable, decode: decodeServer }),
+        this.peers,
+        this.callers,
+        this.member,
+        this.lease,
+        placement,
+      ],
+      log,
+    );
+    this.lease.changed.on(() => {
+      this.peers.tell();
+    });
+    this.serving.configuration.changed.on((table) => {
+      this.serving.metrics.configVersion.set(table.version);
+    });
+  }
+
+  async start(): Promise<void> {
+    const { settings, log } = this.options;
+    await this.supervisor.start();
+    log.info({ event: "started", host: settings.host, zone: settings.zone, boot: this.boot });
+  }
+
+  /**
+   * Stops gracefully: no caller is sent here any more, requests in flight and those still coming are served,
+   * and the process ends within its grace period.
+   */
+  async stop(): Promise<void> {
+    const { settings, log } = this.options;
+    const startedMs = performance.now();
+    const latestMs = startedMs + settings.graceMs - exitMarginMs;
+    log.info({ event: "stopping", inFlight: this.callers.busy });
+    this.stopping = true;
+    this.callers.stopSoon();
+    this.peers.tell();
+    await Promise.all([this.lease.release(), this.member.leave()]);
+    this.peers.tell();
+    for (;;) {
+      const now = performance.now();
+      if (now >= latestMs || (now - startedMs >= leastDrainMs && this.callers.busy === 0)) break;
+      await new Promise((resolve) => setTimeout(resolve, 50));
+    }
+    log.info({ event: "stopped", cutOff: this.callers.busy, tookMs: Math.round(performance.now() - startedMs) });
+    await this.supervisor.dispose();
+  }
+
+  private get ready(): boolean {
+    return !this.stopping && this.serving.configuration.current !== undefined;
+  }
+
+  private controlServers(): Task[] {
+    const { settings, platform } = this.options;
+    const { paths } = platform;
+    return [
+      new ControlServer({
+        name: "readiness",
+        endpoint: settings.readiness,
+        handle: (url, res) => {
+          const known = url.pathname === paths.readiness;
+          sendJson(res, !known ? 404 : this.ready ? 200 : 503, { ready: this.ready });
+        },
+      }),
+      new ControlServer({
+        name: "directory",
+        endpoint: settings.directory,
+        handle: (url, res) => {
+          if (url.pathname !== paths.directory) sendJson(res, 404, { error: "not found" });
+          else sendJson(res, 200, platform.encodeDirectory(this.addresses(), this.ttlS));
+        },
+      }),
+      new ControlServer({
+        name: "metrics",
+        endpoint: settings.metrics,
+        handle: async (_url, res) => {
+          this.serving.metrics.peers.set(this.table.alive(performance.now()).length);
+          const { registry } = this.serving.metrics;
+          res.writeHead(200, { "content-type": registry.contentType });
+          res.end(await registry.metrics());
+        },
+      }),
+    ];
+  }
+
+  private get ttlS(): number {
+    return Math.min(directoryTtlS, this.options.settings.maxTtlS);
+  }
+
+  /** Addresses of nodes that take callers: this one and the peers heard from lately. */
+  private addresses(): string[] {
+    const peers = this.table.alive(performance.now()).filter((peer) => peer.pulse.ready);
+    const addresses = peers.map((peer) => peer.pulse.callers);
+    if (this.ready || addresses.length === 0) addresses.push(formatEndpoint(this.options.settings.callers));
+    return addresses;
+  }
+
+  private pulse(): Pulse {
+    const { settings } = this.options;
+    const token = this.lease.heldToken;
+    return {
+      host: settings.host,
+      boot: this.boot,
+      ...settings.peers,
+      zone: settings.zone,
+      callers: formatEndpoint(settings.callers),
+      ready: this.ready,
+      version: this.serving.configuration.current?.version ?? 0,
+      ...(token === undefined ? {} : { token }),
+      loads: this.serving.loads.mine(),
+    };
+  }
+
+  private asked(): Asked {
+    const now = performance.now();
+    return {
+      demand: this.serving.demand.levels(now),
+      waiting: this.serving.waiting.all(),
+      adapters: this.serving.adapterDemand.levels(now),
+    };
+  }
+}
+
+function makeServing(options: GatewayNodeOptions): Serving {
+  return {
+    host: options.settings.host,
+    zone: options.settings.zone,
+    log: options.log,
+    codec: options.platform.codec,
+    configuration: new ConfigurationInForce(),
+    fleet: new Fleet(),
+    fleetChanged: new Emitter(),
+    loads: new LoadBoard(),
+    outliers: new Outliers(),
+    demand: new DemandMeter(),
+    adapterDemand: new DemandMeter(),
+    waiting: new Waiting(),
+    pool: new UpstreamPool(),
+    metrics: new GatewayMetrics(),
+  };
+}
--- /dev/null
+++ b/src/gateway/leaseTask.ts
@@ -0,0 +1,230 @@
+/** Takes, renews and gives up the placement lease, so that one node at a time orders engines. */
+import { decodeEither } from "../common/decode.ts";
+import { toFailure } from "../common/errors.ts";
+import { Emitter } from "../common/emitter.ts";
+import type { Log } from "../common/log.ts";
+import { PeriodicTask } from "../common/supervisor.ts";
+import { ClockWatch, readClocks } from "../serving/clockWatch.ts";
+import {
+  isSame,
+  LeaseRow,
+  leaseRenewMs,
+  leaseTtlMs,
+  StoreClock,
+  waitToTake,
+  type Candidate,
+} from "../serving/leaseRules.ts";
+import type { RowSet, Store } from "../serving/store.ts";
+import type { GatewayMetrics } from "./gatewayMetrics.ts";
+import type { StoreLink } from "./storeLink.ts";
+
+const table = "parsleynotch";
+const key = "placement";
+/** Period of looks, ms. */
+const tickMs = 200;
+/** Without a holder's pulse for this long the row is read, ms. */
+const suspectMs = 900;
+/** Nodes spread their first attempts over this time, ms, so that one wins and the others hear of it. */
+const spreadMs = 500;
+/** Orders stop this long before the lease ends, ms: the time an order may take on its way. */
+const sendMarginMs = 100;
+
+/** Options of a `LeaseTask`. */
+export interface LeaseTaskOptions {
+  readonly store: Store;
+  readonly link: StoreLink;
+  readonly log: Log;
+  readonly metrics: GatewayMetrics;
+  readonly self: Candidate;
+  /** The bound on two holders taking turns, ms. */
+  readonly leaseMs: number;
+  /** Is a holder's pulse heard? */
+  readonly holderHeard: () => boolean;
+}
+
+interface Held {
+  readonly token: number;
+  /** No order is sent past this, on the steady clock, ms. */
+  readonly untilMs: number;
+}
+
+/** Owns this node's part in the lease. */
+export class LeaseTask extends PeriodicTask {
+  /** This node became the holder, or is one no more. */
+  readonly changed = new Emitter<boolean>();
+  private held: Held | undefined;
+  private readonly clock = new StoreClock();
+  private readonly clocks = new ClockWatch();
+  private row: { value: LeaseRow; version: number } | undefined;
+  private rowKnown = false;
+  private renewedMs = 0;
+  private unheardSinceMs: number | undefined;
+  private nextLookMs = 0;
+  private lastOrderMs: number | undefined;
+  private stopping = false;
+
+  constructor(private readonly options: LeaseTaskOptions) {
+    super("lease", tickMs, options.log);
+  }
+
+  /** The fencing token, while an order may be sent right now. */
+  token(): number | undefined {
+    this.checkClocks();
+    const now = performance.now();
+    if (this.held === undefined || this.stopping || now > this.held.untilMs - sendMarginMs) return undefined;
+    this.lastOrderMs = now;
+    return this.held.token;
+  }
+
+  /** Does this node hold the lease? Asked without sending an order. */
+  get holding(): boolean {
+    return this.held !== undefined && !this.stopping && performance.now() < this.held.untilMs - sendMarginMs;
+  }
+
+  /** The token while held, to tell peers. */
+  get heldToken(): number | undefined {
+    return this.holding ? this.held?.token : undefined;
+  }
+
+  /** Stops ordering and lets a successor in as early as the bound allows. */
+  async release(): Promise<void> {
+    this.stopping = true;
+    if (this.held === undefined || this.row === undefined) return;
+    const lastOrder = this.lastOrderMs ?? performance.now();
+    const value = { ...this.row.value, untilMs: this.clock.at(Math.min(lastOrder, performance.now())) };
+    try {
+      await this.options.store.commit([{ table, key, value: JSON.stringify(value), expected: this.row.version }]);
+      this.options.log.info({ event: "lease-released", token: value.token });
+    } catch (error) {
+      this.options.log.warn({ event: "lease-release-failed", detail: toFailure(error).message });
+    }
+    this.lose("released");
+  }
+
+  override async step(): Promise<void> {
+    this.checkClocks();
+    if (this.stopping) return;
+    const now = performance.now();
+    if (this.held !== undefined && now > this.held.untilMs) this.lose("not renewed in time");
+    if (this.held !== undefined) {
+      if (now - this.renewedMs >= leaseRenewMs) await this.write(this.held.token);
+      return;
+    }
+    await this.maybeTake(now);
+  }
+
+  /**
+   * Guards "two nodes order the same engine in turn": a host that stood still believes in a lease that ran
+   * out meanwhile, as its steady clock stood still too. The time of day shows it, and the lease is dropped.
+   */
+  private checkClocks(): void {
+    if (!this.clocks.frozeSince(readClocks())) return;
+    this.rowKnown = false;
+    this.nextLookMs = 0;
+    if (this.held !== undefined) this.lose("host stood still");
+  }
+
+  private async maybeTake(now: number): Promise<void> {
+    if (this.options.holderHeard()) {
+      this.unheardSinceMs = undefined;
+      return;
+    }
+    this.unheardSinceMs ??= now + Math.random() * spreadMs;
+    if (now - this.unheardSinceMs < suspectMs || now < this.nextLookMs) return;
+    await this.read();
+    if (!this.rowKnown) return;
+    const { self, leaseMs } = this.options;
+    const wait = waitToTake(this.row?.value, self, this.clock.at(performance.now()), leaseMs);
+    if (wait > 0) {
+      this.nextLookMs = performance.now() + wait + Math.random() * spreadMs;
+      return;
+    }
+    await this.write((this.row?.value.token ?? 0) + 1);
+  }
+
+  private async read(): Promise<void> {
+    const sentMs = performance.now();
+    try {
+      this.learn(await this.options.store.get(table, key), sentMs);
+    } catch (error) {
+      this.failed(error);
+    }
+  }
+
+  private learn(set: RowSet, sentMs: number): void {
+    this.options.link.succeeded();
+    this.clock.learn(set.nowMs, sentMs);
+    this.rowKnown = true;
+    const found = set.rows.find((row) => row.key === key);
+    this.row = undefined;
+    if (found === undefined) return;
+    decodeEither(LeaseRow, JSON.parse(found.value))
+      .ifLeft((failure) => this.options.log.error({ event: "lease-row-rejected", detail: failure.message }))
+      .ifRight((value) => {
+        this.row = { value, version: found.version };
+      });
+  }
+
+  /** Takes or renews the lease with `token`. */
+  private async write(token: number): Promise<void> {
+    const { store, self, log } = this.options;
+    // A renewal needs the clock; it was learned when the row was read before taking the lease.
+    const sentMs = performance.now();
+    const value = { holder: self.host, ip: self.ip, token, untilMs: Math.ceil(this.clock.at(sentMs) + leaseTtlMs) };
+    const expected = this.row?.version ?? 0;
+    this.renewedMs = sentMs;
+    try {
+      const receipt = await store.commit([{ table, key, value: JSON.stringify(value), expected }], {
+        timeoutMs: leaseRenewMs,
+      });
+      this.options.link.succeeded();
+      this.clock.learn(receipt.nowMs, sentMs);
+      this.row = { value, version: receipt.version };
+      if (this.clocks.frozeSince(readClocks())) {
+        this.lose("host stood still");
+        return;
+      }
+      this.hold({ token, untilMs: sentMs + leaseTtlMs });
+    } catch (error) {
+      const failure = this.failed(error);
+      log.info({ event: "lease-write-failed", token, kind: failure });
+      await this.settleUnknown();
+    }
+  }
+
+  /** A write that failed may have been carried out: what the row says counts. */
+  private async settleUnknown(): Promise<void> {
+    this.rowKnown = false;
+    await this.read();
+    if (!this.rowKnown) return;
+    const { self } = this.options;
+    if (this.held !== undefined && (this.row === undefined || !isSame(this.row.value, self))) {
+      this.lose("taken by another node");
+    }
+    this.nextLookMs = performance.now() + spreadMs * Math.random();
+  }
+
+  private hold(held: Held): void {
+    const before = this.held;
+    this.held = held;
+    if (before !== undefined) return;
+    this.options.log.info({ event: "lease-taken", token: held.token });
+    this.options.metrics.leaseHeld.set(1);
+    this.changed.fire(true);
+  }
+
+  private lose(reason: string): void {
+    if (this.held === undefined) return;
+    this.options.log.info({ event: "lease-lost", token: this.held.token, reason });
+    this.held = undefined;
+    this.unheardSinceMs = undefined;
+    this.options.metrics.leaseHeld.set(0);
+    this.changed.fire(false);
+  }
+
+  private failed(error: unknown): string {
+    const failure = toFailure(error);
+    if (failure.kind === "platform-unavailable" || failure.kind === "outcome-unknown") this.options.link.failed(failure);
+    return failure.kind;
+  }
+}
--- /dev/null
+++ b/src/gateway/peerTask.ts
@@ -0,0 +1,167 @@
+/**
+ * Messages between gateway nodes: JSON-RPC 2.0 over datagrams. A few times a second each node tells its
+ * peers what it has in flight, what is asked of it, and whether it takes callers; small calls ride beside.
+ */
+import * as dgram from "node:dgram";
+import * as rpc from "json-rpc-2.0";
+import { Emitter } from "../common/emitter.ts";
+import { decodeEither } from "../common/decode.ts";
+import type { Log } from "../common/log.ts";
+import type { Task } from "../common/supervisor.ts";
+import type { Endpoint } from "../serving/hostSettings.ts";
+import { Pulse, type Asked, type PeerAddress, type PeerTable } from "../serving/peerTable.ts";
+
+/** Period of pulses, ms: peers' loads are at most this old. */
+const pulseMs = 300;
+/** Every so many pulses one goes to silent and listed nodes too. */
+const everyoneEvery = 4;
+/** A lost datagram is sent again after this time, ms: some ten round trips between zones. */
+const resendMs = 60;
+/** Sends of one call. */
+const sends = 3;
+
+/** Options of a `PeerTask`. */
+export interface PeerTaskOptions {
+  readonly endpoint: Endpoint;
+  readonly log: Log;
+  readonly table: PeerTable;
+  /** What to tell peers now. */
+  readonly pulse: () => Pulse;
+  /** What to tell the holder of the placement lease besides. */
+  readonly asked: () => Asked;
+}
+
+/** Owns the datagram socket. */
+export class PeerTask implements Task {
+  readonly name = "peers";
+  /** A pulse of a peer, newer than the last. */
+  readonly heard = new Emitter<Pulse>();
+  private readonly socket = dgram.createSocket("udp4");
+  private readonly server = new rpc.JSONRPCServer();
+  private readonly pending = new Map<string, (response: rpc.JSONRPCResponse) => void>();
+  private timer: NodeJS.Timeout | undefined;
+  private rounds = 0;
+  private calls = 0;
+
+  constructor(private readonly options: PeerTaskOptions) {
+    this.handle("pulse", (params) => {
+      this.takePulse(params);
+      return true;
+    });
+  }
+
+  /** Serves a method; the handler gets the raw parameters and decodes them. */
+  handle(method: string, handler: (params: unknown) => unknown): void {
+    this.server.addMethod(method, handler);
+  }
+
+  async start(): Promise<void> {
+    this.socket.on("message", (message, from) => {
+      void this.receive(message, { ip: from.address, port: from.port });
+    });
+    this.socket.on("error", (error) => {
+      this.options.log.warn({ event: "peer-socket", detail: error.message });
+    });
+    const { ip, port } = this.options.endpoint;
+    await new Promise<void>((resolve) => {
+      this.socket.bind(port, ip, resolve);
+    });
+    this.timer = setInterval(() => {
+      this.tell();
+    }, pulseMs);
+    this.tell();
+  }
+
+  /** Sends a pulse now, as something changed that peers should know. */
+  tell(): void {
+    this.rounds += 1;
+    const everyone = this.rounds % everyoneEvery === 1;
+    const now = performance.now();
+    const pulse = this.options.pulse();
+    const bytes = notification("pulse", pulse);
+    const holder = this.options.table.holder(now);
+    for (const peer of this.options.table.audience(now, everyone)) {
+      const toHolder = peer.ip === holder?.ip;
+      this.send(toHolder ? notification("pulse", { ...pulse, asked: this.options.asked() }) : bytes, peer);
+    }
+  }
+
+  /** Tells every live peer; nothing comes back. */
+  notify(method: string, params: unknown): void {
+    const bytes = notification(method, params);
+    for (const peer of this.options.table.audience(performance.now(), false)) this.send(bytes, peer);
+  }
+
+  /** Calls a peer; sends again when the datagram seems lost, so the method must be idempotent. */
+  call(peer: PeerAddress, method: string, params: unknown): Promise<unknown> {
+    this.calls += 1;
+    const id = `${this.options.endpoint.ip} ${this.calls}`;
+    const bytes = Buffer.from(JSON.stringify(rpc.createJSONRPCRequest(id, method, params)));
+    return new Promise((resolve, reject) => {
+      let left = sends;
+      const attempt = (): void => {
+        if (left === 0) {
+          this.pending.delete(id);
+          reject(new Error(`peer ${peer.ip} did not answer ${method}`));
+          return;
+        }
+        left -= 1;
+        this.send(bytes, peer);
+        timer = setTimeout(attempt, resendMs);
+      };
+      let timer: NodeJS.Timeout | undefined;
+      this.pending.set(id, (response) => {
+        clearTimeout(timer);
+        this.pending.delete(id);
+        if (response.error === undefined) resolve(response.result);
+        else reject(new Error(response.error.message));
+      });
+      attempt();
+    });
+  }
+
+  dispose(): Promise<void> {
+    clearInterval(this.timer);
+    return new Promise((resolve) => {
+      this.socket.close(() => {
+        resolve();
+      });
+    });
+  }
+
+  private send(bytes: Buffer, peer: PeerAddress): void {
+    this.socket.send(bytes, peer.port, peer.ip, (error) => {
+      if (error !== null) this.options.log.debug({ event: "peer-send-failed", peer: peer.ip, detail: error.message });
+    });
+  }
+
+  private async receive(message: Buffer, from: PeerAddress): Promise<void> {
+    let value: rpc.JSONRPCRequest | rpc.JSONRPCResponse;
+    try {
+      value = JSON.parse(message.toString("utf8")) as rpc.JSONRPCRequest | rpc.JSONRPCResponse;
+    } catch (error) {
+      this.options.log.warn({ event: "peer-message-rejected", peer: from.ip, detail: String(error) });
+      return;
+    }
+    if (rpc.isJSONRPCResponse(value)) {
+      this.pending.get(String(value.id))?.(value);
+      return;
+    }
+    const response = await this.server.receive(value);
+    if (response !== null) this.send(Buffer.from(JSON.stringify(response)), from);
+  }
+
+  private takePulse(params: unknown): void {
+    decodeEither(Pulse, params)
+      .ifLeft((failure) => {
+        this.options.log.warn({ event: "peer-message-rejected", detail: failure.message });
+      })
+      .ifRight((pulse) => {
+        if (this.options.table.hear(pulse, performance.now())) this.heard.fire(pulse);
+      });
+  }
+}
+
+function notification(method: string, params: unknown): Buffer {
+  return Buffer.from(JSON.stringify(rpc.createJSONRPCNotification(method, params)));
+}
--- /dev/null
+++ b/src/gateway/placementTask.ts
@@ -0,0 +1,309 @@
+/** Orders models and adapters onto engines while this node holds the placement lease. */
+import * as Schema from "effect/Schema";
+import { decodeEither } from "../common/decode.ts";
+import type { Log } from "../common/log.ts";
+import { PeriodicTask } from "../common/supervisor.ts";
+import { planAdapter, type AdapterEngine } from "../serving/adapterPlan.ts";
+import { holds, type BackendServer } from "../serving/backendServer.ts";
+import type { EngineLimits } from "../serving/configuration.ts";
+import { negligible } from "../serving/demandMeter.ts";
+import type { Residency } from "../serving/fleet.ts";
+import { LoadCeiling } from "../serving/loadCeiling.ts";
+import type { Engines } from "../serving/orders.ts";
+import type { Asked, PeerTable, Pulse } from "../serving/peerTable.ts";
+import { planMoves, type EngineView, type ModelDemand, type Move } from "../serving/placementPlan.ts";
+import { prefillTokensPerMs } from "../serving/serverChoice.ts";
+import { EngineDesk } from "./engineDesk.ts";
+import type { LeaseTask } from "./leaseTask.ts";
+import type { PeerTask } from "./peerTask.ts";
+import { adapterKey, demandKey, type Placer, type Serving } from "./serving.ts";
+
+/** Period of placement rounds, ms. */
+const roundMs = 250;
+/** A load is looked into when it is not confirmed after this many times its usual time, and at least, ms. */
+const overdueFactor = 2.5;
+const leastOverdueMs = 2_500;
+/** An adapter may be used this long after its order was accepted, ms: it takes 5 to 10 ms to come. */
+const adapterReadyMs = 12;
+/** A peer's demand counts for this long, ms. */
+const askedMs = 1_500;
+/** A node asks the holder for the same adapter again after this time, ms. */
+const askAgainMs = 60;
+
+const EnsureParams = Schema.Struct({ service: Schema.String, model: Schema.String, adapter: Schema.String });
+const ResidencyParams = Schema.Struct({
+  serverId: Schema.String,
+  model: Schema.String,
+  adapter: Schema.optionalKey(Schema.String),
+  present: Schema.Boolean,
+  sequence: Schema.Number,
+});
+
+/** Options of a `PlacementTask`. */
+export interface PlacementTaskOptions {
+  readonly serving: Serving;
+  readonly engines: Engines;
+  readonly lease: LeaseTask;
+  readonly peers: PeerTask;
+  readonly table: PeerTable;
+  readonly ceilingWindowMs: number;
+  readonly ceilingOverage: number;
+}
+
+/** Owns the desks of the engines, and asks the holder where this node is not it. */
+export class PlacementTask extends PeriodicTask implements Placer {
+  private readonly desks = new Map<string, EngineDesk>();
+  private readonly asked = new Map<string, { asked: Asked; atMs: number }>();
+  private readonly lastDemandMs = new Map<string, number>();
+  private readonly ensuring = new Map<string, Promise<void>>();
+  private readonly ceiling: LoadCeiling;
+  private readonly log: Log;
+
+  constructor(private readonly options: PlacementTaskOptions) {
+    super("placement", roundMs, options.serving.log);
+    this.log = options.serving.log;
+    this.ceiling = new LoadCeiling({ windowMs: options.ceilingWindowMs, overage: options.ceilingOverage });
+    options.peers.heard.on((pulse) => {
+      this.hear(pulse);
+    });
+    options.peers.handle("adapter.ensure", (params) => this.onEnsure(params));
+    options.peers.handle("residency", (params) => this.onResidency(params));
+    // A new holder starts from what the engines say now; a former one forgets what it ordered.
+    options.lease.changed.on(() => {
+      this.desks.clear();
+    });
+  }
+
+  wanted(): void {
+    if (this.options.lease.holding) void this.refresh();
+    else this.options.peers.tell();
+  }
+
+  async ensureAdapter(service: string, model: string, adapter: string): Promise<void> {
+    const key = adapterKey(service, model, adapter);
+    const running = this.ensuring.get(key) ?? this.ensureOnce(service, model, adapter);
+    this.ensuring.set(key, running);
+    await running.finally(() => this.ensuring.delete(key));
+  }
+
+  /** One round: plan for every engine service and give the orders. */
+  protected override async step(): Promise<void> {
+    if (!this.options.lease.holding) return;
+    const table = this.options.serving.configuration.current;
+    if (table === undefined) return;
+    this.learnDesks();
+    for (const service of table.configuration.services) {
+      if (service.engine !== undefined) this.place(service.name, service.engine);
+    }
+    await this.lookIntoOverdue(table.configuration.services.flatMap((s) => s.engine?.models ?? []));
+  }
+
+  private hear(pulse: Pulse): void {
+    if (pulse.asked !== undefined) this.asked.set(pulse.ip, { asked: pulse.asked, atMs: performance.now() });
+  }
+
+  private learnDesks(): void {
+    const known = new Set<string>();
+    for (const server of this.options.serving.fleet.all()) {
+      if (!server.engine) continue;
+      known.add(server.id);
+      this.desk(server).learn(server);
+    }
+    for (const id of this.desks.keys()) if (!known.has(id)) this.desks.delete(id);
+  }
+
+  private desk(server: BackendServer): EngineDesk {
+    const known = this.desks.get(server.id);
+    if (known !== undefined) return known;
+    const { engines, lease, serving } = this.options;
+    const desk = new EngineDesk(server, {
+      engines,
+      log: this.log,
+      metrics: serving.metrics,
+      holder: serving.host,
+      token: () => lease.token(),
+    });
+    this.desks.set(server.id, desk);
+    return desk;
+  }
+
+  private place(service: string, limits: EngineLimits): void {
+    const now = performance.now();
+    const servers = this.options.serving.fleet.available(service).filter((server) => server.engine);
+    const moves = planMoves({
+      models: limits.models,
+      engines: servers.map((server) => this.view(server, limits)),
+      demand: this.demandOf(service, limits, now),
+      memoryMb: limits.memoryMb,
+      loadsLeft: this.ceiling.left(limits.loadsPerS, now),
+    });
+    for (const move of moves) {
+      const server = servers.find((s) => s.id === move.engineId);
+      if (server !== undefined) void this.give(server, move);
+    }
+  }
+
+  private view(server: BackendServer, limits: EngineLimits): EngineView {
+    const desk = this.desk(server);
+    const sizes = new Map(limits.models.map((model) => [model.name, model.adapterMb]));
+    let adapterMb = 0;
+    for (const resident of server.residents) adapterMb += resident.adapters.length * (sizes.get(resident.model) ?? 0);
+    for (const adapter of desk.comingAdapters) adapterMb += sizes.get(adapter.split("/")[0] ?? "") ?? 0;
+    return {
+      id: server.id,
+      zone: server.zone,
+      models: new Set(server.residents.map((resident) => resident.model)),
+      coming: new Set(desk.coming.keys()),
+      adapterMb,
+      busy: desk.busy,
+      atHand: new Set(server.atHand),
+      requests: new Map(),
+    };
+  }
+
+  private demandOf(service: string, limits: EngineLimits, now: number): Map<string, ModelDemand> {
+    const { serving } = this.options;
+    const all = [{ demand: serving.demand.levels(now), waiting: serving.waiting.all() }];
+    for (const { asked, atMs } of this.asked.values()) if (now - atMs < askedMs) all.push(asked);
+    const demand = new Map<string, ModelDemand>();
+    for (const model of limits.models) {
+      const key = demandKey(service, model.name);
+      const engineMs = all.reduce((sum, a) => sum + (a.demand[key] ?? 0), 0);
+      const waiting = all.reduce((sum, a) => sum + (a.waiting[key] ?? 0), 0);
+      if (engineMs >= negligible || waiting > 0) this.lastDemandMs.set(key, now);
+      const idleMs = now - (this.lastDemandMs.get(key) ?? Number.NEGATIVE_INFINITY);
+      demand.set(model.name, { engineMs, waiting, idleMs });
+    }
+    return demand;
+  }
+
+  private async give(server: BackendServer, move: Move): Promise<void> {
+    const fromStore = move.action === "load" && !server.atHand.includes(move.model);
+    // Counted before it is sent: an order without an answer may still begin a load.
+    if (fromStore) this.ceiling.begin(performance.now());
+    const desk = this.desk(server);
+    const outcome = await desk.order({ action: move.action, model: move.model, reason: move.reason });
+    if (move.action === "unload" && outcome === "accepted") {
+      this.announce({ serverId: server.id, model: move.model, present: false, sequence: desk.accepted });
+    }
+  }
+
+  private async lookIntoOverdue(models: readonly { name: string; loadS: number }[]): Promise<void> {
+    const now = performance.now();
+    for (const desk of this.desks.values()) {
+      for (const [name, coming] of desk.coming) {
+        const usualMs = (models.find((model) => model.name === name)?.loadS ?? 0) * 1000;
+        const limitMs = coming.uncertain ? 700 : Math.max(leastOverdueMs, usualMs * overdueFactor);
+        if (now - coming.sinceMs < limitMs) continue;
+        await desk.ask().catch((error: unknown) => {
+          this.log.debug({ event: "report-failed", server: desk.server.id, detail: String(error) });
+        });
+        break;
+      }
+    }
+  }
+
+  private async ensureOnce(service: string, model: string, adapter: string): Promise<void> {
+    if (this.options.lease.holding) {
+      await this.orderAdapter(service, model, adapter);
+      return;
+    }
+    const holder = this.options.table.holder(performance.now());
+    if (holder === undefined) {
+      await new Promise((resolve) => setTimeout(resolve, askAgainMs));
+      return;
+    }
+    try {
+      const result = await this.options.peers.call(holder, "adapter.ensure", { service, model, adapter });
+      if (result !== null) this.onResidency(result);
+    } catch (error) {
+      this.log.info({ event: "adapter-not-ensured", model, adapter, holder: holder.host, detail: String(error) });
+    }
+    await new Promise((resolve) => setTimeout(resolve, askAgainMs / 4));
+  }
+
+  /** A peer asks for an adapter; answers where it is, or null. */
+  private async onEnsure(params: unknown): Promise<Residency | null> {
+    const { service, model, adapter } = Schema.decodeUnknownSync(EnsureParams)(params);
+    if (!this.options.lease.holding) return null;
+    await this.ensureAdapter(service, model, adapter);
+    const server = this.options.serving.fleet.available(service).find((s) => holds(s, model, adapter));
+    if (server === undefined) return null;
+    return { serverId: server.id, model, adapter, present: true, sequence: this.desk(server).accepted };
+  }
+
+  private onResidency(params: unknown): boolean {
+    return decodeEither(ResidencyParams, params)
+      .ifLeft((failure) => {
+        this.log.warn({ event: "peer-message-rejected", detail: failure.message });
+      })
+      .map((change) => {
+        this.options.serving.fleet.apply(change);
+        this.options.serving.fleetChanged.fire(undefined);
+        return true;
+      })
+      .orDefault(false);
+  }
+
+  private async orderAdapter(service: string, model: string, adapter: string): Promise<void> {
+    const { serving } = this.options;
+    const limits = serving.configuration.current?.service(service)?.engine;
+    const servers = serving.fleet.available(service).filter((server) => holds(server, model, undefined));
+    if (limits === undefined || servers.some((server) => holds(server, model, adapter))) return;
+    const now = performance.now();
+    const move = planAdapter({
+      engines: servers.map((server) => this.adapterEngine(server, now)).filter((engine) => !engine.busy),
+      slots: limits.adapterSlots,
+      lastUsedMs: (name) => this.adapterUsedMs(service, name, now),
+      nowMs: now,
+    });
+    const server = servers.find((s) => s.id === move?.engineId);
+    if (move === undefined || server === undefined) return;
+    if (move.evict !== undefined && !(await this.dropAdapter(server, move.evict))) return;
+    const desk = this.desk(server);
+    const outcome = await desk.order({ action: "load", model, adapter, reason: "waiting" });
+    if (outcome !== "accepted" && outcome !== "already-holds") return;
+    await new Promise((resolve) => setTimeout(resolve, adapterReadyMs));
+    this.announce({ serverId: server.id, model, adapter, present: true, sequence: desk.accepted });
+  }
+
+  private async dropAdapter(server: BackendServer, name: string): Promise<boolean> {
+    const [model, adapter] = name.split("/");
+    if (model === undefined || adapter === undefined) return false;
+    const desk = this.desk(server);
+    const sequence = desk.accepted + 1;
+    this.announce({ serverId: server.id, model, adapter, present: false, sequence });
+    const outcome = await desk.order({ action: "unload", model, adapter, reason: "make-room" });
+    return outcome === "already-holds" || outcome === "accepted";
+  }
+
+  private adapterEngine(server: BackendServer, now: number): AdapterEngine {
+    const { serving } = this.options;
+    const load = serving.loads.at(server.id, now);
+    const desk = this.desk(server);
+    const adapters = server.residents.flatMap((r) => r.adapters.map((adapter) => `${r.model}/${adapter}`));
+    return {
+      id: server.id,
+      adapters: [...new Set([...adapters, ...desk.comingAdapters])],
+      expectedMs: load.pendingTokens / prefillTokensPerMs + load.requests,
+      busy: desk.busy || serving.outliers.health(server.id, now).ejected,
+    };
+  }
+
+  /** When the adapter was last asked for anywhere, as far as is known. */
+  private adapterUsedMs(service: string, name: string, now: number): number | undefined {
+    const key = `${service} ${name}`;
+    if (this.options.serving.adapterDemand.level(key, now) >= negligible) return now;
+    for (const { asked, atMs } of this.asked.values()) {
+      if (now - atMs < askedMs && asked.adapters[key] !== undefined) return now - 1 / asked.adapters[key];
+    }
+    return undefined;
+  }
+
+  /** Takes a change of an engine's memory here and tells the peers. */
+  private announce(change: Residency): void {
+    this.options.serving.fleet.apply(change);
+    this.options.serving.fleetChanged.fire(undefined);
+    this.options.peers.notify("residency", change);
+  }
+}
--- /dev/null
+++ b/src/gateway/serving.ts
@@ -0,0 +1,89 @@
+/** What the parts of a gateway node share: the beliefs that decide about requests, and who to tell of changes. */
+import type { Log } from "../common/log.ts";
+import { Emitter } from "../common/emitter.ts";
+import type { DemandMeter } from "../serving/demandMeter.ts";
+import type { HeaderCodec } from "../serving/exchange.ts";
+import type { Fleet } from "../serving/fleet.ts";
+import type { LoadBoard } from "../serving/loadBoard.ts";
+import type { Outliers } from "../serving/outliers.ts";
+import type { RouteTable } from "../serving/routeTable.ts";
+import type { GatewayMetrics } from "./gatewayMetrics.ts";
+import type { UpstreamPool } from "./upstreamPool.ts";
+
+/** The configuration in force on this node. */
+export class ConfigurationInForce {
+  private table: RouteTable | undefined;
+  readonly changed = new Emitter<RouteTable>();
+
+  /** The routes in force; undefined until a first configuration is known. */
+  get current(): RouteTable | undefined {
+    return this.table;
+  }
+
+  /** Puts a configuration in force unless it is older than the one that is. */
+  offer(table: RouteTable): boolean {
+    if (this.table !== undefined && table.version <= this.table.version) return false;
+    this.table = table;
+    this.changed.fire(table);
+    return true;
+  }
+}
+
+/** Asks the holder of the placement lease for a model or adapter. */
+export interface Placer {
+  /** Resolves once the adapter was ordered or can't be; the fleet then shows where it is. */
+  ensureAdapter(service: string, model: string, adapter: string): Promise<void>;
+  /** Somebody waits for the model: tells the holder soon. */
+  wanted(): void;
+}
+
+/** Requests waiting for a model that no engine holds, by demand key. */
+export class Waiting {
+  private readonly counts = new Map<string, number>();
+
+  add(key: string): void {
+    this.counts.set(key, (this.counts.get(key) ?? 0) + 1);
+  }
+
+  remove(key: string): void {
+    const left = (this.counts.get(key) ?? 0) - 1;
+    if (left > 0) this.counts.set(key, left);
+    else this.counts.delete(key);
+  }
+
+  /** Counts by key, to tell peers. */
+  all(): Record<string, number> {
+    return Object.fromEntries(this.counts);
+  }
+}
+
+/** The shared parts of one gateway node. */
+export interface Serving {
+  readonly host: string;
+  readonly zone: string;
+  readonly log: Log;
+  readonly codec: HeaderCodec;
+  readonly configuration: ConfigurationInForce;
+  readonly fleet: Fleet;
+  /** Fired when a server, or what it holds, was learned or lost. */
+  readonly fleetChanged: Emitter<undefined>;
+  readonly loads: LoadBoard;
+  readonly outliers: Outliers;
+  /** Demand for models, by demand key. */
+  readonly demand: DemandMeter;
+  /** Demand for adapters, by adapter key. */
+  readonly adapterDemand: DemandMeter;
+  readonly waiting: Waiting;
+  readonly pool: UpstreamPool;
+  readonly metrics: GatewayMetrics;
+}
+
+/** The key under which demand for a model is counted. */
+export function demandKey(service: string, model: string): string {
+  return `${service} ${model}`;
+}
+
+/** The key under which demand for an adapter is counted. */
+export function adapterKey(service: string, model: string, adapter: string): string {
+  return `${service} ${model}/${adapter}`;
+}
--- /dev/null
+++ b/src/gateway/upstreamPool.ts
@@ -0,0 +1,83 @@
+/** Connections to backend servers: one pool per incarnation, so an address that is used again starts clean. */
+import * as http from "node:http";
+import type * as net from "node:net";
+import type { Disposable } from "../common/disposables.ts";
+
+/** Idle connections kept per server. */
+const maxIdle = 6;
+/** Retired this long before the server would close it, ms: a request must not meet the closing. */
+const idleMarginMs = 1_000;
+/** Idle time kept where the server names none (its own is then below a second), ms. */
+const unnamedIdleMs = 300;
+
+/** A kept-alive agent that retires idle connections early and ends those on which bytes come unasked. */
+class ServerAgent extends http.Agent {
+  /** The server's own idle time, from its answers, ms. */
+  keepAliveMs: number | undefined;
+  private readonly idleTimers = new Map<net.Socket, NodeJS.Timeout>();
+
+  constructor() {
+    super({ keepAlive: true, maxFreeSockets: maxIdle, scheduling: "lifo" });
+  }
+
+  /** Called by Node when an answer is complete; false closes the connection. */
+  override keepSocketAlive(socket: net.Socket): boolean {
+    const idleMs = this.keepAliveMs === undefined ? unnamedIdleMs : this.keepAliveMs - idleMarginMs;
+    if (idleMs <= 0) return false;
+    const retire = (): void => {
+      socket.destroy();
+    };
+    const timer = setTimeout(retire, idleMs);
+    this.idleTimers.set(socket, timer);
+    socket.setKeepAlive(true, 1_000);
+    // Guards "an answer is given to the wrong request": a server may send a second answer after a complete
+    // one. Bytes on an idle connection belong to no request, so the connection must not carry another.
+    socket.once("data", retire);
+    socket.once("close", () => {
+      clearTimeout(timer);
+      this.idleTimers.delete(socket);
+    });
+    return true;
+  }
+
+  /** Called by Node when an idle connection gets a request. */
+  override reuseSocket(socket: net.Socket): void {
+    clearTimeout(this.idleTimers.get(socket));
+    this.idleTimers.delete(socket);
+    socket.removeAllListeners("data");
+  }
+}
+
+/** The pools of all servers. */
+export class UpstreamPool implements Disposable {
+  private readonly agents = new Map<string, ServerAgent>();
+
+  /** The agent for requests to this incarnation. */
+  agent(serverId: string): http.Agent {
+    const known = this.agents.get(serverId);
+    if (known !== undefined) return known;
+    const agent = new ServerAgent();
+    this.agents.set(serverId, agent);
+    return agent;
+  }
+
+  /** The server named its idle time, s. */
+  learnKeepAlive(serverId: string, seconds: number | undefined): void {
+    const agent = this.agents.get(serverId);
+    if (agent !== undefined) agent.keepAliveMs = seconds === undefined ? undefined : seconds * 1000;
+  }
+
+  /** Closes idle connections of servers that are gone; those in use end with their request. */
+  retain(serverIds: ReadonlySet<string>): void {
+    for (const [id, agent] of this.agents) {
+      if (serverIds.has(id)) continue;
+      this.agents.delete(id);
+      for (const sockets of Object.values(agent.freeSockets)) sockets?.forEach((s) => s.destroy());
+    }
+  }
+
+  dispose(): void {
+    for (const agent of this.agents.values()) agent.destroy();
+    this.agents.clear();
+  }
+}
--- /dev/null
+++ b/src/serving/backendServer.ts
@@ -0,0 +1,41 @@
+/** A backend server as its own registration describes it. */
+import * as Schema from "effect/Schema";
+
+/** A model in an engine's memory, with the adapters loaded beside it. */
+export const Resident = Schema.Struct({
+  model: Schema.String,
+  version: Schema.Number,
+  adapters: Schema.Array(Schema.String),
+});
+/** A decoded resident model. */
+export type Resident = typeof Resident.Type;
+
+/** One incarnation of a backend server; a restart makes a new `id`. */
+export const BackendServer = Schema.Struct({
+  id: Schema.String,
+  service: Schema.String,
+  /** IP:PORT. */
+  address: Schema.String,
+  zone: Schema.String,
+  /** Requests it runs at once. */
+  slots: Schema.Number,
+  leaving: Schema.Boolean,
+  /** Time until it is gone, where it was given notice, ms. */
+  goneInMs: Schema.optionalKey(Schema.Number),
+  /** Orders it has accepted since its start. */
+  sequence: Schema.Number,
+  residents: Schema.Array(Resident),
+  /** Models whose weights lie in its host memory or on its disk: a load of these needs no weight store. */
+  atHand: Schema.Array(Schema.String),
+  /** Does it take model orders? */
+  engine: Schema.Boolean,
+});
+/** A decoded backend server. */
+export type BackendServer = typeof BackendServer.Type;
+
+/** Does the server hold the model, and the adapter if one is named? */
+export function holds(server: BackendServer, model: string, adapter: string | undefined): boolean {
+  const resident = server.residents.find((r) => r.model === model);
+  if (resident === undefined) return false;
+  return adapter === undefined || resident.adapters.includes(adapter);
+}
--- /dev/null
+++ b/src/serving/demandMeter.ts
@@ -0,0 +1,66 @@
+/**
+ * Demand for models: engine time asked for per second, as a fast and a slow moving average. The fast one
+ * answers demand that jumps to another model within seconds, the slow one keeps copies from being moved
+ * at every lull.
+ */
+
+/** Time constants of the averages, ms. */
+const fastMs = 1_500;
+const slowMs = 10_000;
+/** Below this the demand counts as none: one short request in the slow window, engine ms per s. */
+export const negligible = 2;
+
+interface Average {
+  fast: number;
+  slow: number;
+  atMs: number;
+}
+
+/** Moving averages of work per key. */
+export class DemandMeter {
+  private readonly averages = new Map<string, Average>();
+
+  /** Work of `engineMs` was asked for. */
+  add(key: string, engineMs: number, nowMs: number): void {
+    const average = this.decayed(key, nowMs);
+    average.fast += (engineMs * 1000) / fastMs;
+    average.slow += (engineMs * 1000) / slowMs;
+  }
+
+  /** Engine time asked for per second, ms: the higher average. */
+  level(key: string, nowMs: number): number {
+    if (!this.averages.has(key)) return 0;
+    const { fast, slow } = this.decayed(key, nowMs);
+    return Math.max(fast, slow);
+  }
+
+  /** Levels of all keys asked for lately; the rest is dropped. */
+  levels(nowMs: number): Record<string, number> {
+    const levels: Record<string, number> = {};
+    for (const key of [...this.averages.keys()]) {
+      const level = Math.round(this.level(key, nowMs));
+      if (level >= negligible) levels[key] = level;
+      else this.averages.delete(key);
+    }
+    return levels;
+  }
+
+  private decayed(key: string, nowMs: number): Average {
+    const known = this.averages.get(key) ?? { fast: 0, slow: 0, atMs: nowMs };
+    const passed = Math.max(0, nowMs - known.atMs);
+    known.fast *= Math.exp(-passed / fastMs);
+    known.slow *= Math.exp(-passed / slowMs);
+    known.atMs = nowMs;
+    this.averages.set(key, known);
+    return known;
+  }
+}
+
+/** Reading one prompt token takes this long, ms, and making one token of many streams at once this. */
+const promptTokenMs = 1 / 38.7;
+const outputTokenMs = 0.25;
+
+/** Engine time a request takes, ms: reading the prompt that is its own, and its share of the decoding. */
+export function engineWorkMs(ownTokens: number, outputTokens: number): number {
+  return ownTokens * promptTokenMs + outputTokens * outputTokenMs;
+}
--- /dev/null
+++ b/src/serving/exchange.ts
@@ -0,0 +1,68 @@
+/** What the gateway knows of one request, of one send to a server, and of one answer. */
+
+/** Headers by lower-case name. */
+export type HeaderMap = Readonly<Record<string, string | string[] | undefined>>;
+
+/** One part of a prompt; requests that share the leading parts can share their cache. */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+/** What a caller's headers say. */
+export interface RequestFacts {
+  readonly requestId: string;
+  readonly host: string;
+  /** How long the caller waits, ms. */
+  readonly deadlineMs: number | undefined;
+  readonly model: string | undefined;
+  readonly adapter: string | undefined;
+  readonly promptTokens: number;
+  /** Most tokens that may be generated. */
+  readonly outputTokens: number;
+  /** The caller's own estimate of the tokens generated. */
+  readonly outputHint: number | undefined;
+  readonly prefix: readonly PromptPart[];
+  /** The caller resumes a stream after this event. */
+  readonly lastEventId: number | undefined;
+}
+
+/** What the gateway sets on a request to a server. */
+export interface SendFacts {
+  /** The only incarnation that may run it. */
+  readonly serverId: string;
+  /** Time left, ms. */
+  readonly deadlineMs: number;
+  /** 0 is the most urgent; only where the service's servers rank requests. */
+  readonly priority?: number | undefined;
+  /** Continue a stream after this event. */
+  readonly resumeAfter?: number | undefined;
+  readonly bodyBytes?: number | undefined;
+}
+
+/** What a server's answer says, before its body. */
+export interface AnswerFacts {
+  readonly status: number;
+  readonly requestId: string | undefined;
+  /** The server states that it did not run the request. */
+  readonly notRun: boolean;
+  /** Another server has the address, or the model or adapter is not there. */
+  readonly wrongServer: boolean;
+  readonly sealed: boolean;
+  readonly contentLength: number | undefined;
+  /** After this idle time the server closes the connection, s. */
+  readonly keepAliveS: number | undefined;
+  readonly closes: boolean;
+}
+
+/** Reads and writes the headers of requests and answers; the platform's names stay behind it. */
+export interface HeaderCodec {
+  /** Reads a caller's request. */
+  readRequest(headers: HeaderMap): RequestFacts;
+  /** The raw header list of a request to a server. */
+  forwardHeaders(raw: readonly string[], send: SendFacts): string[];
+  /** Reads a server's answer. */
+  readAnswer(status: number, headers: HeaderMap): AnswerFacts;
+  /** The end-to-end headers of a server's answer, without framing. */
+  answerHeaders(raw: readonly string[]): string[];
+}
--- /dev/null
+++ b/src/serving/fleet.ts
@@ -0,0 +1,130 @@
+/**
+ * What a gateway node believes about the backend servers: their registrations, corrected by orders that
+ * are newer than the registration, and by what was learned while the store was away.
+ */
+import { holds, type BackendServer, type Resident } from "./backendServer.ts";
+
+/**
+ * After the store was out of reach, registrations that lapsed meanwhile are back within two seconds if
+ * their server lives. Taking them out at once would leave no server at all; 2.2 s adds one poll.
+ */
+const lapsedGraceMs = 2_200;
+
+/** A change of one engine's memory by an order, known before its next registration. */
+export interface Residency {
+  readonly serverId: string;
+  readonly model: string;
+  readonly adapter?: string | undefined;
+  readonly present: boolean;
+  /** Orders the engine had accepted with this one. */
+  readonly sequence: number;
+}
+
+interface Entry {
+  server: BackendServer;
+  version: number;
+  /** Applied while the registration's sequence is below the change's own. */
+  readonly changes: Residency[];
+}
+
+/** The backend servers known to this node. */
+export class Fleet {
+  private readonly entries = new Map<string, Entry>();
+  /** Removed while the store was away, and when they count as gone, ms. */
+  private readonly lapsed = new Map<string, number>();
+  private graceUntil = 0;
+
+  /** Takes registrations read from the store; `complete` if they are the whole table. */
+  learn(servers: readonly { server: BackendServer; version: number }[], complete: boolean, nowMs: number): void {
+    for (const { server, version } of servers) this.learnOne(server, version);
+    if (!complete) return;
+    const seen = new Set(servers.map((entry) => entry.server.id));
+    for (const id of [...this.entries.keys()]) if (!seen.has(id)) this.remove(id, nowMs);
+  }
+
+  /** A registration was removed. */
+  remove(id: string, nowMs: number): void {
+    if (!this.entries.has(id)) return;
+    if (nowMs < this.graceUntil) this.lapsed.set(id, this.graceUntil);
+    else this.entries.delete(id);
+  }
+
+  /** The store is back after it was out of reach: removals are not final for a while. */
+  storeReturned(nowMs: number): void {
+    this.graceUntil = nowMs + lapsedGraceMs;
+  }
+
+  /** Drops lapsed registrations whose grace is over. */
+  expire(nowMs: number): void {
+    for (const [id, until] of this.lapsed) {
+      if (nowMs < until) continue;
+      this.lapsed.delete(id);
+      this.entries.delete(id);
+    }
+  }
+
+  /** Takes the effect of an order. */
+  apply(change: Residency): void {
+    const entry = this.entries.get(change.serverId);
+    if (entry === undefined || entry.server.sequence >= change.sequence) return;
+    if (entry.changes.some((c) => c.sequence === change.sequence && c.model === change.model && c.adapter === change.adapter && c.present === change.present)) return;
+    entry.changes.push(change);
+    entry.server = withChange(entry.server, change);
+  }
+
+  /** A server answered that it doesn't hold the model or adapter: believe it until it says otherwise. */
+  forget(serverId: string, model: string, adapter: string | undefined): void {
+    const entry = this.entries.get(serverId);
+    if (entry === undefined) return;
+    const sequence = entry.server.sequence;
+    entry.server = withChange(entry.server, { serverId, model, adapter, present: false, sequence });
+  }
+
+  get(id: string): BackendServer | undefined {
+    return this.entries.get(id)?.server;
+  }
+
+  /** Servers of the service that take new requests. */
+  available(service: string): BackendServer[] {
+    return this.all().filter((server) => server.service === service && !server.leaving);
+  }
+
+  /** Every server known, leaving ones too. */
+  all(): BackendServer[] {
+    return [...this.entries.values()].map((entry) => entry.server);
+  }
+
+  /** Does any server that takes requests hold it? */
+  reachable(service: string, model: string, adapter: string | undefined): boolean {
+    return this.available(service).some((server) => holds(server, model, adapter));
+  }
+
+  private learnOne(server: BackendServer, version: number): void {
+    this.lapsed.delete(server.id);
+    const entry = this.entries.get(server.id);
+    if (entry === undefined) {
+      this.entries.set(server.id, { server, version, changes: [] });
+      return;
+    }
+    // Registrations may come out of order: an older one must not bring back a server that is leaving.
+    if (version <= entry.version) return;
+    const changes = entry.changes.filter((change) => change.sequence > server.sequence);
+    entry.changes.splice(0, entry.changes.length, ...changes);
+    entry.version = version;
+    entry.server = changes.reduce(withChange, { ...server, leaving: server.leaving || entry.server.leaving });
+  }
+}
+
+function withChange(server: BackendServer, change: Residency): BackendServer {
+  const others = server.residents.filter((r) => r.model !== change.model);
+  const resident = server.residents.find((r) => r.model === change.model);
+  if (change.adapter === undefined) {
+    if (!change.present) return { ...server, residents: others };
+    const added: Resident = resident ?? { model: change.model, version: 0, adapters: [] };
+    return { ...server, residents: [...others, added] };
+  }
+  if (resident === undefined) return server;
+  const rest = resident.adapters.filter((a) => a !== change.adapter);
+  const adapters = change.present ? [...rest, change.adapter] : rest;
+  return { ...server, residents: [...others, { ...resident, adapters }] };
+}
--- /dev/null
+++ b/src/serving/leaseRules.ts
@@ -0,0 +1,74 @@
+/**
+ * Who may order engines. One lease row in the store names the holder and, on the store's steady clock,
+ * the moment until which it may send orders. Answers holders that die, freeze, or are cut off while their
+ * last order may still be on its way: a successor waits until none can be sent any more, and then the
+ * time for which two holders must not take turns.
+ */
+import * as Schema from "effect/Schema";
+
+/** The lease row's value. */
+export const LeaseRow = Schema.Struct({
+  holder: Schema.String,
+  /** Where the holder runs: a new host under an old name is another holder. */
+  ip: Schema.String,
+  /** Grows with every holder. */
+  token: Schema.Number,
+  /** The holder sends no order after this, ms on the store's clock. */
+  untilMs: Schema.Number,
+});
+/** A decoded lease row. */
+export type LeaseRow = typeof LeaseRow.Type;
+
+/** Time a renewal is good for, ms: two and a half periods of renewal, so that one may be lost. */
+export const leaseTtlMs = 2_000;
+/** Period of renewal, ms. */
+export const leaseRenewMs = 800;
+/** Kept between two holders beyond the platform's bound, ms: network delay of an order in flight. */
+const handoverSlackMs = 300;
+
+/** Who asks for the lease. */
+export interface Candidate {
+  readonly host: string;
+  readonly ip: string;
+}
+
+/** Time until `candidate` may take the lease, ms on the store's clock; 0 if now. */
+export function waitToTake(row: LeaseRow | undefined, candidate: Candidate, storeNowMs: number, leaseMs: number): number {
+  if (row === undefined || isSame(row, candidate)) return 0;
+  return Math.max(0, row.untilMs + leaseMs + handoverSlackMs - storeNowMs);
+}
+
+/** Is this the same host, perhaps after a restart? */
+export function isSame(row: LeaseRow, candidate: Candidate): boolean {
+  return row.holder === candidate.host && row.ip === candidate.ip;
+}
+
+/**
+ * The store's clock, never taken for earlier than it is: its reading was taken after the call was sent, so
+ * reading plus the time since sending is at or past the true time.
+ */
+export class StoreClock {
+  private readingMs = 0;
+  private sentMs = Number.NEGATIVE_INFINITY;
+
+  /** An answer to a call sent at `sentMs` carried `nowMs`. */
+  learn(nowMs: number, sentMs: number): void {
+    this.readingMs = nowMs;
+    this.sentMs = sentMs;
+  }
+
+  /** True once a reading was taken. */
+  get known(): boolean {
+    return this.sentMs > 0;
+  }
+
+  /** The store's time at `steadyMs` or a little later. */
+  at(steadyMs: number): number {
+    return this.readingMs + (steadyMs - this.sentMs);
+  }
+
+  /** The steady time, or a little earlier, at which the store's clock shows `storeMs`. */
+  steadyAt(storeMs: number): number {
+    return this.sentMs + (storeMs - this.readingMs);
+  }
+}
--- /dev/null
+++ b/src/serving/loadBoard.ts
@@ -0,0 +1,84 @@
+/**
+ * Work in flight at each backend server: this node's own, and what its peers last said of theirs.
+ * Answers the pattern in which many nodes, each seeing a small part of the load, pick the same server.
+ */
+
+/** Work in flight at one server. */
+export interface Load {
+  /** Prompt tokens of requests whose first event is still to come. */
+  readonly pendingTokens: number;
+  /** Requests sent and not finished. */
+  readonly requests: number;
+  /** Tokens that the requests in flight hold in memory. */
+  readonly heldTokens: number;
+}
+
+/** What one peer has in flight, by server id: pending tokens, requests, held tokens. */
+export type PeerLoads = Readonly<Record<string, readonly [number, number, number]>>;
+
+/** A request in flight; `started` when its first event comes, `done` at its end. */
+export interface InFlight {
+  started(): void;
+  done(): void;
+}
+
+/** A peer's word on its load is not used after this time, ms: three periods of its messages. */
+const peerLoadMs = 1_000;
+
+const none: Load = { pendingTokens: 0, requests: 0, heldTokens: 0 };
+
+/** Sums of work in flight per server. */
+export class LoadBoard {
+  private readonly own = new Map<string, { pendingTokens: number; requests: number; heldTokens: number }>();
+  private readonly peers = new Map<string, { loads: PeerLoads; atMs: number }>();
+
+  /** Counts a request as in flight at the server until its handle is done. */
+  begin(serverId: string, pendingTokens: number, heldTokens: number): InFlight {
+    const load = this.own.get(serverId) ?? { pendingTokens: 0, requests: 0, heldTokens: 0 };
+    this.own.set(serverId, load);
+    load.pendingTokens += pendingTokens;
+    load.requests += 1;
+    load.heldTokens += heldTokens;
+    let pending = true;
+    let open = true;
+    const started = (): void => {
+      if (!pending) return;
+      pending = false;
+      load.pendingTokens -= pendingTokens;
+    };
+    const done = (): void => {
+      started();
+      if (!open) return;
+      open = false;
+      load.requests -= 1;
+      load.heldTokens -= heldTokens;
+      if (load.requests === 0) this.own.delete(serverId);
+    };
+    return { started, done };
+  }
+
+  /** Takes what a peer has in flight. */
+  learn(peer: string, loads: PeerLoads, nowMs: number): void {
+    this.peers.set(peer, { loads, atMs: nowMs });
+  }
+
+  /** This node's own load, to tell peers. */
+  mine(): PeerLoads {
+    return Object.fromEntries(
+      [...this.own].map(([id, l]) => [id, [l.pendingTokens, l.requests, l.heldTokens] as const]),
+    );
+  }
+
+  /** All work known to be in flight at the server. */
+  at(serverId: string, nowMs: number): Load {
+    let { pendingTokens, requests, heldTokens } = this.own.get(serverId) ?? none;
+    for (const { loads, atMs } of this.peers.values()) {
+      const load = nowMs - atMs > peerLoadMs ? undefined : loads[serverId];
+      if (load === undefined) continue;
+      pendingTokens += load[0];
+      requests += load[1];
+      heldTokens += load[2];
+    }
+    return { pendingTokens, requests, heldTokens };
+  }
+}
--- /dev/null
+++ b/src/serving/orders.ts
@@ -0,0 +1,46 @@
+/** Orders to engines: what may be asked of one, and what it may answer. */
+import type { Resident } from "./backendServer.ts";
+
+/** The engine an order is meant for; another incarnation at that address refuses it. */
+export interface OrderTarget {
+  readonly serverId: string;
+  /** IP:PORT. */
+  readonly address: string;
+}
+
+/** One order. */
+export interface Order {
+  readonly action: "load" | "unload";
+  readonly model: string;
+  readonly adapter?: string | undefined;
+  /** The order is void once the engine has accepted another after this many. */
+  readonly expectedSequence: number;
+  readonly holder: string;
+  readonly fencingToken: number;
+}
+
+/** `conflict`: another order is under way, or the engine's sequence differs. */
+export type OrderOutcome =
+  | "accepted"
+  | "already-holds"
+  | "conflict"
+  | "stale-fencing"
+  | "wrong-server"
+  | "refused";
+
+/** What an engine says of itself when asked. */
+export interface EngineReport {
+  readonly residents: readonly Resident[];
+  /** An order is being carried out. */
+  readonly busy: boolean;
+  readonly sequence: number;
+  readonly atHand: readonly string[];
+  /** Adapters on their way, as MODEL/NAME. */
+  readonly coming: readonly string[];
+}
+
+/** Speaks to engines. A rejection means that the order may have been accepted, or may still be. */
+export interface Engines {
+  order(target: OrderTarget, order: Order): Promise<OrderOutcome>;
+  report(target: OrderTarget): Promise<EngineReport>;
+}
--- /dev/null
+++ b/src/serving/patience.ts
@@ -0,0 +1,25 @@
+/** How long a request may be kept before its caller gives up or its answer is worth nothing. */
+import type { Route } from "./configuration.ts";
+
+/** A caller of a stream leaves when nothing came for this long, or longer for slow routes, ms. */
+const leastPatienceMs = 2_000;
+/** Time for the refusal to reach the caller before it leaves by itself, ms. */
+const answerMarginMs = 250;
+
+/** Latest moment for the whole answer and for its first byte, on the node's steady clock, ms. */
+export interface Patience {
+  readonly answerByMs: number;
+  readonly firstByteByMs: number;
+}
+
+/**
+ * Patience of a request that arrived at `arrivedMs`. A stream's caller waits for the first event for the
+ * longest of 2 s, four times the route's target and eight times its pause, however long its deadline is.
+ */
+export function patienceOf(route: Route, deadlineMs: number | undefined, arrivedMs: number): Patience {
+  const whole = Math.min(route.timeoutMs, deadlineMs ?? route.timeoutMs);
+  const answerByMs = arrivedMs + whole;
+  if (route.kind !== "stream") return { answerByMs, firstByteByMs: answerByMs };
+  const gap = Math.max(leastPatienceMs, 4 * route.targetMs, 8 * route.pauseMs);
+  return { answerByMs, firstByteByMs: arrivedMs + Math.min(whole, gap - answerMarginMs) };
+}
--- /dev/null
+++ b/src/serving/routeTable.ts
@@ -0,0 +1,51 @@
+/** Finds the route of a request, and the service a split route sends it to. */
+import * as crypto from "node:crypto";
+import type { Configuration, Route, Service } from "./configuration.ts";
+
+/** Routes of one configuration, indexed by host. */
+export class RouteTable {
+  private readonly byHost = new Map<string, Route[]>();
+  private readonly services = new Map<string, Service>();
+  readonly version: number;
+
+  constructor(readonly configuration: Configuration) {
+    this.version = configuration.version;
+    for (const service of configuration.services) this.services.set(service.name, service);
+    for (const route of configuration.routes) {
+      const host = route.host.toLowerCase();
+      const routes = this.byHost.get(host);
+      if (routes === undefined) this.byHost.set(host, [route]);
+      else routes.push(route);
+    }
+    for (const routes of this.byHost.values()) {
+      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    }
+  }
+
+  /** The route of the host with the longest prefix that begins the path. */
+  match(host: string, path: string): Route | undefined {
+    return this.byHost.get(host)?.find((route) => path.startsWith(route.pathPrefix));
+  }
+
+  /** The service by name, if this configuration has it. */
+  service(name: string): Service | undefined {
+    return this.services.get(name);
+  }
+
+  /** The service this request goes to: by weight, and the same one whenever the request is asked about. */
+  pick(route: Route, requestId: string): string | undefined {
+    if (route.shares.length <= 1) return route.shares[0]?.service;
+    const total = route.shares.reduce((sum, share) => sum + share.weight, 0);
+    let point = hashFraction(requestId) * total;
+    for (const share of route.shares) {
+      point -= share.weight;
+      if (point < 0) return share.service;
+    }
+    return route.shares.at(-1)?.service;
+  }
+}
+
+/** A number from 0 to 1, evenly spread and the same for the same text. */
+export function hashFraction(text: string): number {
+  return crypto.createHash("md5").update(text).digest().readUInt32BE(0) / 0x1_0000_0000;
+}
