--- a/src/gateway/engineDesk.ts
+++ b/src/gateway/engineDesk.ts
@@ -40,21 +40,16 @@
   readonly dropping = new Set<string>();
   /** Adapters ordered, as MODEL/NAME, until the registration shows them. */
   readonly comingAdapters = new Set<string>();
-  private sequence: number;
+  /** Orders accepted so far, as far as is known; never falls within one incarnation. */
+  private sequence = 0;
   private line: Promise<unknown> = Promise.resolve();
-  private askFirst = false;
+  /** The sequence is not known: ask before the next order. */
+  private askFirst = true;
 
   constructor(
     readonly server: BackendServer,
     private readonly options: DeskOptions,
-  ) {
-    this.sequence = server.sequence;
-  }
-
-  /** Orders accepted so far, as far as is known. */
-  get accepted(): number {
-    return this.sequence;
-  }
+  ) {}
 
   /** Is a model on its way in or out? Then no other model order is taken. */
   get busy(): boolean {
@@ -68,9 +63,14 @@
     return result;
   }
 
+  /** Counts an adapter as there before its order is sent; call the result if it won't come. */
+  reserveAdapter(name: string): () => void {
+    this.comingAdapters.add(name);
+    return () => this.comingAdapters.delete(name);
+  }
+
   /** Takes what the engine's registration says. */
   learn(server: BackendServer): void {
-    this.sequence = Math.max(this.sequence, server.sequence);
     const held = new Set(server.residents.map((resident) => resident.model));
     for (const model of held) this.coming.delete(model);
     for (const model of [...this.dropping]) if (!held.has(model)) this.dropping.delete(model);
@@ -83,8 +83,9 @@
   async ask(): Promise<void> {
     const report = await this.options.engines.report({ serverId: this.server.id, address: this.server.address });
     this.askFirst = false;
-    const moved = report.sequence !== this.sequence;
-    this.sequence = report.sequence;
+    // A report may be some hundred ms old and then lacks the last orders.
+    const moved = report.sequence > this.sequence;
+    this.sequence = Math.max(this.sequence, report.sequence);
     if (report.busy) return;
     const held = new Set(report.residents.map((resident) => resident.model));
     for (const [model, coming] of [...this.coming]) {
@@ -120,10 +121,7 @@
     if (outcome === "accepted" || unloadedAdapter) this.sequence += 1;
     if (outcome === "conflict" || outcome === "unknown") this.askFirst = true;
     if (outcome !== "accepted" && outcome !== "unknown") return;
-    if (adapter !== undefined) {
-      if (action === "load") this.comingAdapters.add(`${model}/${adapter}`);
-      return;
-    }
+    if (adapter !== undefined) return;
     if (action === "load") this.coming.set(model, { sinceMs: performance.now(), uncertain: outcome === "unknown" });
     else if (outcome === "accepted") this.dropping.add(model);
   }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -278,7 +278,7 @@
   private forgetResident(server: BackendServer): void {
     const { model, adapter } = this.facts;
     if (model === undefined) return;
-    this.serving.fleet.forget(server.id, model, adapter);
+    this.serving.fleet.forget(server.id, model, adapter, performance.now());
     // It may be asked again once it holds the model or adapter after all.
     this.tried.delete(server.id);
   }
--- a/src/gateway/placementTask.ts
+++ b/src/gateway/placementTask.ts
@@ -36,7 +36,6 @@
   model: Schema.String,
   adapter: Schema.optionalKey(Schema.String),
   present: Schema.Boolean,
-  sequence: Schema.Number,
 });
 
 /** Options of a `PlacementTask`. */
@@ -104,7 +103,8 @@
 
   private learnDesks(): void {
     const known = new Set<string>();
-    for (const server of this.options.serving.fleet.all()) {
+    // What the engines say themselves: the fleet's own view already counts orders that are still under way.
+    for (const server of this.options.serving.fleet.registered()) {
       if (!server.engine) continue;
       known.add(server.id);
       this.desk(server).learn(server);
@@ -134,7 +134,6 @@
       models: limits.models,
       engines: servers.map((server) => this.view(server, limits)),
       demand: this.demandOf(service, limits, now),
-      memoryMb: limits.memoryMb,
       loadsLeft: this.ceiling.left(limits.loadsPerS, now),
     });
     for (const move of moves) {
@@ -146,15 +145,18 @@
   private view(server: BackendServer, limits: EngineLimits): EngineView {
     const desk = this.desk(server);
     const sizes = new Map(limits.models.map((model) => [model.name, model.adapterMb]));
-    let adapterMb = 0;
-    for (const resident of server.residents) adapterMb += resident.adapters.length * (sizes.get(resident.model) ?? 0);
-    for (const adapter of desk.comingAdapters) adapterMb += sizes.get(adapter.split("/")[0] ?? "") ?? 0;
+    const resident = server.residents.map((r) => r.model);
+    let usedMb = 0;
+    for (const name of new Set([...resident, ...desk.dropping, ...desk.coming.keys()])) {
+      usedMb += limits.models.find((model) => model.name === name)?.sizeMb ?? 0;
+    }
+    for (const name of adaptersAt(server, desk)) usedMb += sizes.get(name.split("/")[0] ?? "") ?? 0;
     return {
       id: server.id,
       zone: server.zone,
-      models: new Set(server.residents.map((resident) => resident.model)),
+      models: new Set(resident.filter((name) => !desk.dropping.has(name))),
       coming: new Set(desk.coming.keys()),
-      adapterMb,
+      freeMb: limits.memoryMb - usedMb,
       busy: desk.busy,
       atHand: new Set(server.atHand),
       requests: new Map(),
@@ -184,7 +186,7 @@
     const desk = this.desk(server);
     const outcome = await desk.order({ action: move.action, model: move.model, reason: move.reason });
     if (move.action === "unload" && outcome === "accepted") {
-      this.announce({ serverId: server.id, model: move.model, present: false, sequence: desk.accepted });
+      this.announce({ serverId: server.id, model: move.model, present: false });
     }
   }
 
@@ -229,7 +231,7 @@
     await this.ensureAdapter(service, model, adapter);
     const server = this.options.serving.fleet.available(service).find((s) => holds(s, model, adapter));
     if (server === undefined) return null;
-    return { serverId: server.id, model, adapter, present: true, sequence: this.desk(server).accepted };
+    return { serverId: server.id, model, adapter, present: true };
   }
 
   private onResidency(params: unknown): boolean {
@@ -238,7 +240,7 @@
         this.log.warn({ event: "peer-message-rejected", detail: failure.message });
       })
       .map((change) => {
-        this.options.serving.fleet.apply(change);
+        this.options.serving.fleet.apply(change, performance.now());
         this.options.serving.fleetChanged.fire(undefined);
         return true;
       })
@@ -251,29 +253,39 @@
     const servers = serving.fleet.available(service).filter((server) => holds(server, model, undefined));
     if (limits === undefined || servers.some((server) => holds(server, model, adapter))) return;
     const now = performance.now();
+    const adapterMb = limits.models.find((m) => m.name === model)?.adapterMb ?? 0;
     const move = planAdapter({
-      engines: servers.map((server) => this.adapterEngine(server, now)).filter((engine) => !engine.busy),
+      engines: servers
+        .filter((server) => this.view(server, limits).freeMb >= adapterMb)
+        .map((server) => this.adapterEngine(server, now))
+        .filter((engine) => !engine.busy),
       slots: limits.adapterSlots,
       lastUsedMs: (name) => this.adapterUsedMs(service, name, now),
       nowMs: now,
     });
     const server = servers.find((s) => s.id === move?.engineId);
     if (move === undefined || server === undefined) return;
-    if (move.evict !== undefined && !(await this.dropAdapter(server, move.evict))) return;
+    // Reserved before anything is awaited: others that ask meanwhile must not count on the same place.
     const desk = this.desk(server);
+    const release = desk.reserveAdapter(`${model}/${adapter}`);
+    if (move.evict !== undefined && !(await this.dropAdapter(server, move.evict))) {
+      release();
+      return;
+    }
     const outcome = await desk.order({ action: "load", model, adapter, reason: "waiting" });
-    if (outcome !== "accepted" && outcome !== "already-holds") return;
+    if (outcome !== "accepted" && outcome !== "already-holds") {
+      if (outcome !== "unknown") release();
+      return;
+    }
     await new Promise((resolve) => setTimeout(resolve, adapterReadyMs));
-    this.announce({ serverId: server.id, model, adapter, present: true, sequence: desk.accepted });
+    this.announce({ serverId: server.id, model, adapter, present: true });
   }
 
   private async dropAdapter(server: BackendServer, name: string): Promise<boolean> {
     const [model, adapter] = name.split("/");
     if (model === undefined || adapter === undefined) return false;
-    const desk = this.desk(server);
-    const sequence = desk.accepted + 1;
-    this.announce({ serverId: server.id, model, adapter, present: false, sequence });
-    const outcome = await desk.order({ action: "unload", model, adapter, reason: "make-room" });
+    this.announce({ serverId: server.id, model, adapter, present: false });
+    const outcome = await this.desk(server).order({ action: "unload", model, adapter, reason: "make-room" });
     return outcome === "already-holds" || outcome === "accepted";
   }
 
@@ -281,10 +293,9 @@
     const { serving } = this.options;
     const load = serving.loads.at(server.id, now);
     const desk = this.desk(server);
-    const adapters = server.residents.flatMap((r) => r.adapters.map((adapter) => `${r.model}/${adapter}`));
     return {
       id: server.id,
-      adapters: [...new Set([...adapters, ...desk.comingAdapters])],
+      adapters: adaptersAt(server, desk),
       expectedMs: load.pendingTokens / prefillTokensPerMs + load.requests,
       busy: desk.busy || serving.outliers.health(server.id, now).ejected,
     };
@@ -302,8 +313,14 @@
 
   /** Takes a change of an engine's memory here and tells the peers. */
   private announce(change: Residency): void {
-    this.options.serving.fleet.apply(change);
+    this.options.serving.fleet.apply(change, performance.now());
     this.options.serving.fleetChanged.fire(undefined);
     this.options.peers.notify("residency", change);
   }
 }
+
+/** Adapters at the engine or on their way, as MODEL/NAME. */
+function adaptersAt(server: BackendServer, desk: EngineDesk): string[] {
+  const resident = server.residents.flatMap((r) => r.adapters.map((adapter) => `${r.model}/${adapter}`));
+  return [...new Set([...resident, ...desk.comingAdapters])];
+}
--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -22,8 +22,6 @@
   leaving: Schema.Boolean,
   /** Time until it is gone, where it was given notice, ms. */
   goneInMs: Schema.optionalKey(Schema.Number),
-  /** Orders it has accepted since its start. */
-  sequence: Schema.Number,
   residents: Schema.Array(Resident),
   /** Models whose weights lie in its host memory or on its disk: a load of these needs no weight store. */
   atHand: Schema.Array(Schema.String),
--- a/src/serving/fleet.ts
+++ b/src/serving/fleet.ts
@@ -10,21 +10,27 @@
  */
 const lapsedGraceMs = 2_200;
 
+/**
+ * How long a change by an order goes before what registrations say, ms: one may be a heartbeat of 1.2 s and
+ * a read of 0.65 s old, and was made from a state some hundred ms old.
+ */
+const changeHoldsMs = 2_300;
+
 /** A change of one engine's memory by an order, known before its next registration. */
 export interface Residency {
   readonly serverId: string;
   readonly model: string;
   readonly adapter?: string | undefined;
   readonly present: boolean;
-  /** Orders the engine had accepted with this one. */
-  readonly sequence: number;
 }
 
 interface Entry {
+  /** As registered, and with the changes since. */
+  registered: BackendServer;
   server: BackendServer;
   version: number;
-  /** Applied while the registration's sequence is below the change's own. */
-  readonly changes: Residency[];
+  /** The newest change of each model and adapter. */
+  readonly changes: Map<string, { change: Residency; untilMs: number }>;
 }
 
 /** The backend servers known to this node. */
@@ -36,7 +42,7 @@
 
   /** Takes registrations read from the store; `complete` if they are the whole table. */
   learn(servers: readonly { server: BackendServer; version: number }[], complete: boolean, nowMs: number): void {
-    for (const { server, version } of servers) this.learnOne(server, version);
+    for (const { server, version } of servers) this.learnOne(server, version, nowMs);
     if (!complete) return;
     const seen = new Set(servers.map((entry) => entry.server.id));
     for (const id of [...this.entries.keys()]) if (!seen.has(id)) this.remove(id, nowMs);
@@ -64,20 +70,22 @@
   }
 
   /** Takes the effect of an order. */
-  apply(change: Residency): void {
+  apply(change: Residency, nowMs: number): void {
     const entry = this.entries.get(change.serverId);
-    if (entry === undefined || entry.server.sequence >= change.sequence) return;
-    if (entry.changes.some((c) => c.sequence === change.sequence && c.model === change.model && c.adapter === change.adapter && c.present === change.present)) return;
-    entry.changes.push(change);
-    entry.server = withChange(entry.server, change);
+    if (entry === undefined) return;
+    const key = `${change.model}/${change.adapter ?? ""}`;
+    entry.changes.set(key, { change, untilMs: nowMs + changeHoldsMs });
+    entry.server = withChanges(entry, nowMs);
   }
 
   /** A server answered that it doesn't hold the model or adapter: believe it until it says otherwise. */
-  forget(serverId: string, model: string, adapter: string | undefined): void {
-    const entry = this.entries.get(serverId);
-    if (entry === undefined) return;
-    const sequence = entry.server.sequence;
-    entry.server = withChange(entry.server, { serverId, model, adapter, present: false, sequence });
+  forget(serverId: string, model: string, adapter: string | undefined, nowMs: number): void {
+    this.apply({ serverId, model, adapter, present: false }, nowMs);
+  }
+
+  /** Every server as it registered itself, without the changes since. */
+  registered(): BackendServer[] {
+    return [...this.entries.values()].map((entry) => entry.registered);
   }
 
   get(id: string): BackendServer | undefined {
@@ -99,20 +107,28 @@
     return this.available(service).some((server) => holds(server, model, adapter));
   }
 
-  private learnOne(server: BackendServer, version: number): void {
+  private learnOne(server: BackendServer, version: number, nowMs: number): void {
     this.lapsed.delete(server.id);
     const entry = this.entries.get(server.id);
     if (entry === undefined) {
-      this.entries.set(server.id, { server, version, changes: [] });
+      this.entries.set(server.id, { registered: server, server, version, changes: new Map() });
       return;
     }
     // Registrations may come out of order: an older one must not bring back a server that is leaving.
     if (version <= entry.version) return;
-    const changes = entry.changes.filter((change) => change.sequence > server.sequence);
-    entry.changes.splice(0, entry.changes.length, ...changes);
     entry.version = version;
-    entry.server = changes.reduce(withChange, { ...server, leaving: server.leaving || entry.server.leaving });
+    entry.registered = { ...server, leaving: server.leaving || entry.registered.leaving };
+    entry.server = withChanges(entry, nowMs);
+  }
+}
+
+function withChanges(entry: Entry, nowMs: number): BackendServer {
+  let server = entry.registered;
+  for (const [key, { change, untilMs }] of entry.changes) {
+    if (nowMs >= untilMs) entry.changes.delete(key);
+    else server = withChange(server, change);
   }
+  return server;
 }
 
 function withChange(server: BackendServer, change: Residency): BackendServer {
--- a/src/serving/placementPlan.ts
+++ b/src/serving/placementPlan.ts
@@ -9,12 +9,12 @@
 export interface EngineView {
   readonly id: string;
   readonly zone: string;
-  /** Models in memory. */
+  /** Models in memory that are to stay. */
   readonly models: ReadonlySet<string>;
-  /** Models ordered whose load is not confirmed: their memory counts as taken. */
+  /** Models ordered whose load is not confirmed. */
   readonly coming: ReadonlySet<string>;
-  /** Memory taken by adapters, MB. */
-  readonly adapterMb: number;
+  /** Memory left if every load under way succeeds and no unload has, MB. */
+  readonly freeMb: number;
   /** An order is under way, so that no other is taken. */
   readonly busy: boolean;
   /** Models it can load without the weight store. */
@@ -38,7 +38,6 @@
   readonly models: readonly Model[];
   readonly engines: readonly EngineView[];
   readonly demand: ReadonlyMap<string, ModelDemand>;
-  readonly memoryMb: number;
   /** Loads that may still begin from the weight store now. */
   readonly loadsLeft: number;
 }
@@ -71,19 +70,35 @@
 /** The orders to give now, at most one per engine. */
 export function planMoves(view: PlacementView): Move[] {
   const moves: Move[] = [];
-  const taken = new Set<string>();
-  let loadsLeft = view.loadsLeft;
+  let current = view;
   for (const want of wants(view)) {
-    const move = moveFor(view, want, taken, loadsLeft);
+    const move = moveFor(current, want);
     if (move === undefined) continue;
-    taken.add(move.engineId);
     moves.push(move);
-    const engine = view.engines.find((e) => e.id === move.engineId);
-    if (move.action === "load" && engine?.atHand.has(move.model) !== true) loadsLeft -= 1;
+    current = afterMove(current, move);
   }
   return moves;
 }
 
+/**
+ * The view once a move is ordered. Guards "all copies of a model go at once": several wants of one round
+ * would each drop another surplus copy of the same model, if they didn't see each other's moves.
+ */
+function afterMove(view: PlacementView, move: Move): PlacementView {
+  const engines = view.engines.map((engine) => (engine.id === move.engineId ? engineAfter(engine, move) : engine));
+  const engine = view.engines.find((e) => e.id === move.engineId);
+  const fromStore = move.action === "load" && engine?.atHand.has(move.model) !== true;
+  return { ...view, engines, loadsLeft: view.loadsLeft - (fromStore ? 1 : 0) };
+}
+
+function engineAfter(engine: EngineView, move: Move): EngineView {
+  const models = new Set(engine.models);
+  const coming = new Set(engine.coming);
+  if (move.action === "load") coming.add(move.model);
+  else models.delete(move.model);
+  return { ...engine, models, coming, busy: true };
+}
+
 /** Copies of the model in memory or on their way. */
 export function copiesOf(view: PlacementView, model: string): number {
   return view.engines.filter((e) => e.models.has(model) || e.coming.has(model)).length;
@@ -112,12 +127,12 @@
   return Math.min(engines, Math.max(1, Math.ceil(load / copyLoadMs)));
 }
 
-function moveFor(view: PlacementView, want: Want, taken: Set<string>, loadsLeft: number): Move | undefined {
+function moveFor(view: PlacementView, want: Want): Move | undefined {
   const open = view.engines.filter(
-    (e) => !e.busy && !taken.has(e.id) && !e.models.has(want.model.name) && !e.coming.has(want.model.name),
+    (e) => !e.busy && !e.models.has(want.model.name) && !e.coming.has(want.model.name),
   );
-  const affordable = open.filter((e) => loadsLeft >= 1 || e.atHand.has(want.model.name));
-  const withRoom = affordable.filter((e) => freeMb(view, e) >= want.model.sizeMb);
+  const affordable = open.filter((e) => view.loadsLeft >= 1 || e.atHand.has(want.model.name));
+  const withRoom = affordable.filter((e) => e.freeMb >= want.model.sizeMb);
   const target = best(withRoom, (e) => loadCost(view, e, want.model));
   if (target !== undefined) {
     return { engineId: target.id, action: "load", model: want.model.name, reason: want.reason };
@@ -129,7 +144,7 @@
 /** Lower is better: at hand first, then the engine whose models ask for least, then the tightest fit. */
 function loadCost(view: PlacementView, engine: EngineView, model: Model): number {
   const slow = engine.atHand.has(model.name) ? 0 : 1_000;
-  return slow + engineLoad(view, engine) + (freeMb(view, engine) - model.sizeMb) / 1_000;
+  return slow + engineLoad(view, engine) + (engine.freeMb - model.sizeMb) / 1_000;
 }
 
 /** Engine time per second asked of the engine, if the demand of each model is spread over its copies. */
@@ -158,7 +173,7 @@
 }
 
 function evictions(view: PlacementView, want: Want, engine: EngineView): Eviction[] {
-  const missing = want.model.sizeMb - freeMb(view, engine);
+  const missing = want.model.sizeMb - engine.freeMb;
   const found: Eviction[] = [];
   for (const name of engine.models) {
     const model = view.models.find((m) => m.name === name);
@@ -189,14 +204,6 @@
   return 5_000 - Math.min(4_000, (demand?.idleMs ?? 4_000) / 10);
 }
 
-/** Memory left if every order under way succeeds, MB. */
-function freeMb(view: PlacementView, engine: EngineView): number {
-  const held = new Set([...engine.models, ...engine.coming]);
-  let used = engine.adapterMb;
-  for (const name of held) used += view.models.find((m) => m.name === name)?.sizeMb ?? 0;
-  return view.memoryMb - used;
-}
-
 function best<T>(items: readonly T[], cost: (item: T) => number): T | undefined {
   let found: T | undefined;
   let lowest = Number.POSITIVE_INFINITY;
