--- a/src/gateway/configurationTask.ts
+++ b/src/gateway/configurationTask.ts
@@ -1,11 +1,15 @@
-/** Keeps the configuration in force up to date with the store. */
+/** Keeps the configuration in force up to date: read from the store, or told by a peer that has a newer one. */
+import * as Schema from "effect/Schema";
+import type * as purify from "purify-ts";
+import { decode } from "../common/decode.ts";
 import { toFailure, type Failure } from "../common/errors.ts";
 import type { Log } from "../common/log.ts";
+import type { Handler } from "../common/rpc.ts";
 import type { Task } from "../common/supervisor.ts";
-import type * as purify from "purify-ts";
 import type { Configuration } from "../serving/configuration.ts";
+import type { Pulse } from "../serving/peerTable.ts";
 import { RouteTable } from "../serving/routeTable.ts";
-import type { Row, Store } from "../serving/store.ts";
+import type { Store } from "../serving/store.ts";
 import type { ConfigurationInForce } from "./serving.ts";
 import type { StoreLink } from "./storeLink.ts";
 
@@ -14,9 +18,12 @@
  * so this and the store client's own limit bound how late a configuration can be in force.
  */
 const waitMs = 3_000;
-/** Pause after a failed call, ms. */
+/** Pause after a failed call, or while others read, ms. */
 const retryMs = 250;
 
+/** The configuration as it was stored. */
+const StoredConfiguration = Schema.Struct({ text: Schema.String });
+
 /** Options of a `ConfigurationTask`. */
 export interface ConfigurationTaskOptions {
   readonly store: Store;
@@ -26,15 +33,26 @@
   /** Where the configuration lies. */
   readonly row: { readonly table: string; readonly key: string };
   readonly decode: (text: string) => purify.Either<Failure, Configuration>;
+  /** Is it on this node to read? */
+  readonly reads: () => boolean;
+  /** Calls a peer. */
+  readonly ask: (peer: Pulse, method: string) => Promise<unknown>;
 }
 
 /** Reads the configuration, then waits for changes. */
 export class ConfigurationTask implements Task {
   readonly name = "configuration";
   private stopped = false;
+  private text: string | undefined;
+  private pulling = false;
 
   constructor(private readonly options: ConfigurationTaskOptions) {}
 
+  /** Methods for peers. */
+  get handlers(): Record<string, Handler> {
+    return { "configuration.get": () => Promise.resolve({ text: this.text ?? "" }) };
+  }
+
   start(): Promise<void> {
     void this.follow();
     return Promise.resolve();
@@ -45,38 +63,67 @@
     return Promise.resolve();
   }
 
+  /** A peer may have a newer configuration. */
+  async hear(pulse: Pulse): Promise<void> {
+    const { configuration, log } = this.options;
+    if (pulse.version <= (configuration.current?.version ?? 0) || this.pulling) return;
+    this.pulling = true;
+    try {
+      const { text } = decode(StoredConfiguration, await this.options.ask(pulse, "configuration.get"));
+      if (text !== "") this.apply(text, pulse.host);
+    } catch (error) {
+      log.debug({ event: "configuration-not-pulled", peer: pulse.host, detail: toFailure(error).message });
+    } finally {
+      this.pulling = false;
+    }
+  }
+
   private async follow(): Promise<void> {
     const { store, link, row } = this.options;
     let version: number | undefined;
     while (!this.stopped) {
+      if (this.options.configuration.current !== undefined && !this.options.reads()) {
+        // What changed meanwhile is read whole when it is on this node again.
+        version = undefined;
+        await pause(retryMs);
+        continue;
+      }
       try {
         const read = version === undefined ? store.get(row.table, row.key) : store.changes(row.table, version, waitMs);
         const set = await read;
         link.succeeded();
         version = set.version;
         const found = set.rows.find((r) => r.key === row.key);
-        if (found !== undefined) this.apply(found);
+        if (found !== undefined) this.apply(found.value, "store");
       } catch (error) {
         const failure = toFailure(error);
-        if (failure.kind === "history-lost") version = undefined;
-        else link.failed(failure);
-        await new Promise((resolve) => setTimeout(resolve, failure.kind === "history-lost" ? 10 : retryMs));
+        version = undefined;
+        if (failure.kind !== "history-lost") link.failed(failure);
+        await pause(failure.kind === "history-lost" ? 10 : retryMs);
       }
     }
   }
 
-  private apply(row: Row): void {
+  private apply(text: string, from: string): void {
+    if (text === this.text) return;
     const { log, configuration } = this.options;
-    this.options.decode(row.value).caseOf({
+    this.options.decode(text).caseOf({
       // The last good configuration stays in force.
       Left: (failure) => {
-        log.error({ event: "configuration-rejected", rowVersion: row.version, detail: failure.message });
+        log.error({ event: "configuration-rejected", from, detail: failure.message });
       },
       Right: (decoded) => {
         const previous = configuration.current?.version;
-        if (!configuration.offer(new RouteTable(decoded))) return;
-        log.info({ event: "configuration-applied", version: decoded.version, previous, routes: decoded.routes.length });
+        const table = new RouteTable(decoded);
+        if (previous !== undefined && previous >= table.version) return;
+        this.text = text;
+        configuration.offer(table);
+        log.info({ event: "configuration-applied", version: decoded.version, previous, from, routes: decoded.routes.length });
       },
     });
   }
 }
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/src/gateway/engineDesk.ts
+++ b/src/gateway/engineDesk.ts
@@ -1,4 +1,4 @@
-/** Orders to one engine: one at a time, each void once a newer one was accepted. */
+/** Orders to one engine, one at a time, and what its memory holds for all that is known of them. */
 import { toFailure } from "../common/errors.ts";
 import type { Log } from "../common/log.ts";
 import type { BackendServer } from "../serving/backendServer.ts";
@@ -29,17 +29,26 @@
 interface Coming {
   readonly sinceMs: number;
   /** The order's outcome is unknown: it may never be carried out. */
-  uncertain: boolean;
+  readonly uncertain: boolean;
 }
 
+/**
+ * A registration may be this old when it is read, ms. Until then it can still show a model that was dropped,
+ * or lack one that was loaded, so a model that just went isn't ordered back to the same engine.
+ */
+const registrationAgeMs = 2_500;
+
 /** The desk of one incarnation of an engine. */
 export class EngineDesk {
   /** Models ordered, by name: their memory counts as taken. */
   readonly coming = new Map<string, Coming>();
-  /** Models whose unloading was ordered and isn't confirmed. */
+  /** Models whose unloading was ordered and isn't confirmed: their memory counts as taken too. */
   readonly dropping = new Set<string>();
-  /** Adapters ordered, as MODEL/NAME, until the registration shows them. */
-  readonly comingAdapters = new Set<string>();
+  private readonly comingAdapters = new Set<string>();
+  /** Adapters unloaded that registrations may still show. */
+  private readonly goneAdapters = new Set<string>();
+  private readonly movedMs = new Map<string, number>();
+  private registered: BackendServer;
   /** Orders accepted so far, as far as is known; never falls within one incarnation. */
   private sequence = 0;
   private line: Promise<unknown> = Promise.resolve();
@@ -47,15 +56,44 @@
   private askFirst = true;
 
   constructor(
-    readonly server: BackendServer,
+    server: BackendServer,
     private readonly options: DeskOptions,
-  ) {}
+  ) {
+    this.registered = server;
+  }
+
+  /** The engine as it last registered. */
+  get server(): BackendServer {
+    return this.registered;
+  }
 
   /** Is a model on its way in or out? Then no other model order is taken. */
   get busy(): boolean {
     return this.coming.size > 0 || this.dropping.size > 0;
   }
 
+  /** Models in memory that are to stay. */
+  get staying(): string[] {
+    return this.registered.residents.map((r) => r.model).filter((model) => !this.dropping.has(model));
+  }
+
+  /** Every model that may take memory. */
+  get occupying(): Set<string> {
+    const resident = this.registered.residents.map((r) => r.model);
+    return new Set([...resident, ...this.dropping, ...this.coming.keys()]);
+  }
+
+  /** Adapters that may take a place, as MODEL/NAME. */
+  get adapters(): string[] {
+    const resident = this.registered.residents.flatMap((r) => r.adapters.map((a) => `${r.model}/${a}`));
+    return [...new Set([...resident, ...this.comingAdapters])].filter((name) => !this.goneAdapters.has(name));
+  }
+
+  /** Was the model loaded or dropped here so lately that registrations may not tell yet? */
+  movedLately(model: string): boolean {
+    return performance.now() - (this.movedMs.get(model) ?? Number.NEGATIVE_INFINITY) < registrationAgeMs;
+  }
+
   /** Gives the order once those before it were answered. */
   order(request: Request): Promise<DeskOutcome> {
     const result = this.line.then(() => this.send(request));
@@ -66,22 +104,26 @@
   /** Counts an adapter as there before its order is sent; call the result if it won't come. */
   reserveAdapter(name: string): () => void {
     this.comingAdapters.add(name);
+    this.goneAdapters.delete(name);
     return () => this.comingAdapters.delete(name);
   }
 
   /** Takes what the engine's registration says. */
   learn(server: BackendServer): void {
+    if (server === this.registered) return;
+    this.registered = server;
     const held = new Set(server.residents.map((resident) => resident.model));
     for (const model of held) this.coming.delete(model);
     for (const model of [...this.dropping]) if (!held.has(model)) this.dropping.delete(model);
-    for (const resident of server.residents) {
-      for (const adapter of resident.adapters) this.comingAdapters.delete(`${resident.model}/${adapter}`);
-    }
+    const adapters = new Set(server.residents.flatMap((r) => r.adapters.map((a) => `${r.model}/${a}`)));
+    for (const name of adapters) this.comingAdapters.delete(name);
+    for (const name of [...this.goneAdapters]) if (!adapters.has(name)) this.goneAdapters.delete(name);
   }
 
   /** Asks the engine itself, where an order's outcome is not known from its answer. */
   async ask(): Promise<void> {
-    const report = await this.options.engines.report({ serverId: this.server.id, address: this.server.address });
+    const { id, address } = this.registered;
+    const report = await this.options.engines.report({ serverId: id, address });
     this.askFirst = false;
     // A report may be some hundred ms old and then lacks the last orders.
     const moved = report.sequence > this.sequence;
@@ -89,15 +131,19 @@
     if (report.busy) return;
     const held = new Set(report.residents.map((resident) => resident.model));
     for (const [model, coming] of [...this.coming]) {
-      if (held.has(model) || moved || !coming.uncertain) this.coming.delete(model);
+      // One of unknown outcome is void only once another order was accepted after it.
+      if (!held.has(model) && (moved || !coming.uncertain)) this.coming.delete(model);
     }
-    this.dropping.clear();
   }
 
   private async send(request: Request): Promise<DeskOutcome> {
     const { engines, log, metrics, holder, token } = this.options;
-    const target = { serverId: this.server.id, address: this.server.address };
-    if (this.askFirst) await this.ask().catch(() => undefined);
+    const target = { serverId: this.registered.id, address: this.registered.address };
+    if (this.askFirst) {
+      await this.ask().catch((error: unknown) => {
+        log.debug({ event: "report-failed", server: target.serverId, detail: toFailure(error).message });
+      });
+    }
     const fencingToken = token();
     if (fencingToken === undefined) return "no-lease";
     const { action, model, adapter } = request;
@@ -118,11 +164,28 @@
   private conclude(request: Request, outcome: DeskOutcome): void {
     const { action, model, adapter } = request;
     const unloadedAdapter = action === "unload" && adapter !== undefined && outcome === "already-holds";
-    if (outcome === "accepted" || unloadedAdapter) this.sequence += 1;
+    if (outcome === "accepted" || unloadedAdapter) {
+      this.sequence += 1;
+      // A newer order was accepted, so one of unknown outcome before it is void.
+      for (const [name, coming] of [...this.coming]) if (coming.uncertain) this.coming.delete(name);
+    }
     if (outcome === "conflict" || outcome === "unknown") this.askFirst = true;
-    if (outcome !== "accepted" && outcome !== "unknown") return;
-    if (adapter !== undefined) return;
-    if (action === "load") this.coming.set(model, { sinceMs: performance.now(), uncertain: outcome === "unknown" });
-    else if (outcome === "accepted") this.dropping.add(model);
+    if (adapter !== undefined) {
+      if (!unloadedAdapter) return;
+      this.comingAdapters.delete(`${model}/${adapter}`);
+      this.goneAdapters.add(`${model}/${adapter}`);
+      return;
+    }
+    this.concludeModel(action, model, outcome);
+  }
+
+  private concludeModel(action: Request["action"], model: string, outcome: DeskOutcome): void {
+    const done = outcome === "accepted" || outcome === "already-holds";
+    if (!done && outcome !== "unknown") return;
+    const now = performance.now();
+    this.movedMs.set(model, now);
+    if (action === "load") this.coming.set(model, { sinceMs: now, uncertain: outcome === "unknown" });
+    // Also where the outcome is unknown: new requests would meet the unloading.
+    else this.dropping.add(model);
   }
 }
--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/fleetTask.ts
@@ -1,8 +1,13 @@
-/** Keeps the fleet up to date with the servers' registrations in the store. */
+/** Keeps the fleet up to date with the servers' registrations: read from the store, or told by a peer that reads. */
+import * as Schema from "effect/Schema";
+import type * as purify from "purify-ts";
+import { decode } from "../common/decode.ts";
 import { toFailure, type Failure } from "../common/errors.ts";
+import type { Handler } from "../common/rpc.ts";
 import type { Task } from "../common/supervisor.ts";
-import type * as purify from "purify-ts";
-import type { BackendServer } from "../serving/backendServer.ts";
+import { BackendServer } from "../serving/backendServer.ts";
+import type { Registration } from "../serving/fleet.ts";
+import type { Pulse } from "../serving/peerTable.ts";
 import type { RowSet, Store } from "../serving/store.ts";
 import type { Serving } from "./serving.ts";
 import type { StoreLink } from "./storeLink.ts";
@@ -11,7 +16,16 @@
  * Pause between reads, ms. A server that leaves must get nothing after 2 s, and registrations change with
  * every heartbeat, so a wait for changes would return at once each time; a read in time costs one call.
  */
-const periodMs = 650;
+const periodMs = 500;
+/** Pause between tries of a node that the store turns away while it serves others, ms. */
+const probeMs = 1_500;
+
+/** The registrations as one node knows them, for a peer that doesn't read the store. */
+const FleetSnapshot = Schema.Struct({
+  /** The store's version of the newest read. */
+  asOf: Schema.Number,
+  registrations: Schema.Array(Schema.Struct({ server: BackendServer, version: Schema.Number })),
+});
 
 /** Options of a `FleetTask`. */
 export interface FleetTaskOptions {
@@ -20,13 +34,25 @@
   readonly serving: Serving;
   readonly table: string;
   readonly decode: (id: string, text: string) => purify.Either<Failure, BackendServer>;
+  /** Is it on this node to read? */
+  readonly reads: () => boolean;
+  /** Calls a peer. */
+  readonly ask: (peer: Pulse, method: string) => Promise<unknown>;
+  /** What was read differs from what peers were told. */
+  readonly onChange: () => void;
 }
 
-/** Reads registrations at a steady pace. */
+/** Reads registrations at a steady pace while it is on this node to read. */
 export class FleetTask implements Task {
   readonly name = "fleet";
   private stopped = false;
   private version: number | undefined;
+  private lastTryMs = Number.NEGATIVE_INFINITY;
+  private lastReadMs = Number.NEGATIVE_INFINITY;
+  private revisionCount = 0;
+  /** The revision of each peer that was pulled last. */
+  private readonly pulled = new Map<string, string>();
+  private readonly pulling = new Set<string>();
 
   constructor(private readonly options: FleetTaskOptions) {
     options.link.returned.on(() => {
@@ -34,6 +60,21 @@
     });
   }
 
+  /** Grows with each change that was read; peers pull when it differs from what they have. */
+  get revision(): number {
+    return this.revisionCount;
+  }
+
+  /** Time since the last read that succeeded, ms; infinite while the store doesn't answer. */
+  get readAgeMs(): number {
+    return this.options.link.reachable ? performance.now() - this.lastReadMs : Number.POSITIVE_INFINITY;
+  }
+
+  /** Methods for peers. */
+  get handlers(): Record<string, Handler> {
+    return { "fleet.get": () => Promise.resolve(this.snapshot()) };
+  }
+
   start(): Promise<void> {
     void this.follow();
     return Promise.resolve();
@@ -44,25 +85,53 @@
     return Promise.resolve();
   }
 
+  /** A peer that reads the store has another revision than was pulled from it. */
+  async hear(pulse: Pulse): Promise<void> {
+    if (pulse.readAgeMs === undefined || this.pulling.has(pulse.ip)) return;
+    const revision = `${pulse.boot} ${pulse.fleetRevision}`;
+    if (this.pulled.get(pulse.ip) === revision) return;
+    if (this.options.reads() && this.readAgeMs < periodMs * 2) return;
+    this.pulling.add(pulse.ip);
+    try {
+      const snapshot = decode(FleetSnapshot, await this.options.ask(pulse, "fleet.get"));
+      this.pulled.set(pulse.ip, revision);
+      this.take(snapshot);
+    } catch (error) {
+      this.options.serving.log.debug({ event: "fleet-not-pulled", peer: pulse.host, detail: toFailure(error).message });
+    } finally {
+      this.pulling.delete(pulse.ip);
+    }
+  }
+
+  private snapshot(): typeof FleetSnapshot.Type {
+    return { asOf: this.version ?? 0, registrations: this.options.serving.fleet.registrations() };
+  }
+
   private async follow(): Promise<void> {
     while (!this.stopped) {
       const startedMs = performance.now();
-      await this.readOnce();
+      if (this.options.reads() || this.shouldProbe(startedMs)) await this.readOnce();
+      this.tidy();
       const pause = Math.max(50, periodMs - (performance.now() - startedMs));
       await new Promise((resolve) => setTimeout(resolve, pause));
     }
   }
 
+  /** While the store doesn't answer this node and others read, it tries at times whether it does again. */
+  private shouldProbe(now: number): boolean {
+    return !this.options.link.reachable && now - this.lastTryMs >= probeMs;
+  }
+
   private async readOnce(): Promise<void> {
+    this.lastTryMs = performance.now();
     const { store, link, table } = this.options;
-    const complete = this.version === undefined;
+    const since = this.version;
     try {
-      const set = await (this.version === undefined
-        ? store.list(table)
-        : store.changes(table, this.version, 0));
+      const set = await (since === undefined ? store.list(table) : store.changes(table, since, 0));
       link.succeeded();
+      this.lastReadMs = performance.now();
       this.version = set.version;
-      this.learn(set, complete);
+      this.learn(set, since === undefined);
     } catch (error) {
       const failure = toFailure(error);
       if (failure.kind === "history-lost") this.version = undefined;
@@ -72,25 +141,60 @@
 
   private learn(set: RowSet, complete: boolean): void {
     const { serving } = this.options;
-    const now = performance.now();
-    const servers = set.rows.flatMap((row) => {
+    const registrations = set.rows.flatMap((row) => {
       const decoded = this.options.decode(row.key, row.value);
       decoded.ifLeft((failure) => {
         serving.log.warn({ event: "registration-rejected", server: row.key, detail: failure.message });
       });
       return decoded.map((server) => [{ server, version: row.version }]).orDefault([]);
     });
-    for (const { server } of servers) this.logChange(server);
-    serving.fleet.learn(servers, complete, now);
-    for (const id of set.removed) {
-      serving.log.info({ event: "server-removed", server: id });
-      serving.fleet.remove(id, now);
+    const now = performance.now();
+    let changed = this.learnAll(registrations, now);
+    const gone = complete ? serving.fleet.missing(registrations, set.version) : set.removed;
+    changed = this.removeAll(gone, now) || changed;
+    if (!changed) return;
+    this.revisionCount += 1;
+    this.options.onChange();
+  }
+
+  private take(snapshot: typeof FleetSnapshot.Type): void {
+    const now = performance.now();
+    const changed = this.learnAll(snapshot.registrations, now);
+    const gone = this.options.serving.fleet.missing(snapshot.registrations, snapshot.asOf);
+    if (this.removeAll(gone, now) || changed) this.options.serving.fleetChanged.fire(undefined);
+    // The next read of the store goes on from here.
+    if (this.version !== undefined) this.version = Math.max(this.version, snapshot.asOf);
+  }
+
+  private learnAll(registrations: readonly Registration[], now: number): boolean {
+    const { fleet } = this.options.serving;
+    let changed = false;
+    for (const registration of registrations) {
+      this.logChange(registration.server);
+      if (fleet.learn(registration, now)) changed = true;
+    }
+    if (changed) this.options.serving.fleetChanged.fire(undefined);
+    return changed;
+  }
+
+  private removeAll(ids: readonly string[], now: number): boolean {
+    const { fleet, log } = this.options.serving;
+    let changed = false;
+    for (const id of ids) {
+      if (!fleet.remove(id, now)) continue;
+      log.info({ event: "server-removed", server: id });
+      changed = true;
     }
-    serving.fleet.expire(now);
+    return changed;
+  }
+
+  /** Drops lapsed registrations, and what was kept for servers that are gone. */
+  private tidy(): void {
+    const { serving } = this.options;
+    if (serving.fleet.expire(performance.now())) this.revisionCount += 1;
     const known = new Set(serving.fleet.all().map((server) => server.id));
     serving.pool.retain(known);
     serving.outliers.retain(known);
-    serving.fleetChanged.fire(undefined);
   }
 
   private logChange(server: BackendServer): void {
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -15,6 +15,7 @@
 import type { Engines } from "../serving/orders.ts";
 import { Outliers } from "../serving/outliers.ts";
 import { PeerTable, type Asked, type Pulse } from "../serving/peerTable.ts";
+import { shouldRead, type Reader } from "../serving/readers.ts";
 import type { Store } from "../serving/store.ts";
 import { CallerServer } from "./callerServer.ts";
 import { ConfigurationTask } from "./configurationTask.ts";
@@ -23,6 +24,7 @@
 import { GatewayMetrics } from "./gatewayMetrics.ts";
 import { LeaseTask } from "./leaseTask.ts";
 import { MemberTask } from "./memberTask.ts";
+import { PeerCalls } from "./peerCalls.ts";
 import { PeerTask } from "./peerTask.ts";
 import { PlacementTask } from "./placementTask.ts";
 import { ConfigurationInForce, Waiting, type Serving } from "./serving.ts";
@@ -63,6 +65,8 @@
   private readonly serving: Serving;
   private readonly table: PeerTable;
   private readonly peers: PeerTask;
+  private readonly calls: PeerCalls;
+  private readonly fleet: FleetTask;
   private readonly lease: LeaseTask;
   private readonly member: MemberTask;
   private readonly callers: CallerServer;
@@ -111,20 +115,42 @@
       retryBurst: settings.retryBurst,
       nodes: () => this.table.alive(performance.now()).length + 1,
     });
-    const { configurationRow: row, decodeConfiguration, serversTable, decodeServer } = platform;
+    const reads = (): boolean => this.shouldRead();
+    const ask = (peer: Pulse, method: string): Promise<unknown> => this.calls.call(peer, method, {});
+    const configuration = new ConfigurationTask({
+      store,
+      link,
+      log,
+      configuration: this.serving.configuration,
+      row: platform.configurationRow,
+      decode: platform.decodeConfiguration,
+      reads,
+      ask,
+    });
+    this.fleet = new FleetTask({
+      store,
+      link,
+      serving: this.serving,
+      table: platform.serversTable,
+      decode: platform.decodeServer,
+      reads,
+      ask,
+      onChange: () => {
+        this.peers.tell();
+      },
+    });
+    this.calls = new PeerCalls(settings.peers, { ...configuration.handlers, ...this.fleet.handlers });
+    this.peers.heard.on((pulse) => {
+      void configuration.hear(pulse);
+      void this.fleet.hear(pulse);
+    });
     this.supervisor = new Supervisor(
       "gateway",
       [
         ...this.controlServers(),
-        new ConfigurationTask({
-          store,
-          link,
-          log,
-          configuration: this.serving.configuration,
-          row,
-          decode: decodeConfiguration,
-        }),
-        new FleetTask({ store, link, serving: this.serving, table: serversTable, decode: decodeServer }),
+        this.calls,
+        configuration,
+        this.fleet,
         this.peers,
         this.callers,
         this.member,
@@ -138,6 +164,7 @@
     });
     this.serving.configuration.changed.on((table) => {
       this.serving.metrics.configVersion.set(table.version);
+      this.peers.tell();
     });
   }
 
@@ -222,6 +249,7 @@
   private pulse(): Pulse {
     const { settings } = this.options;
     const token = this.lease.heldToken;
+    const { readAgeMs } = this.fleet;
     return {
       host: settings.host,
       boot: this.boot,
@@ -230,11 +258,23 @@
       callers: formatEndpoint(settings.callers),
       ready: this.ready,
       version: this.serving.configuration.current?.version ?? 0,
+      ...(Number.isFinite(readAgeMs) ? { readAgeMs: Math.round(readAgeMs) } : {}),
+      fleetRevision: this.fleet.revision,
       ...(token === undefined ? {} : { token }),
       loads: this.serving.loads.mine(),
     };
   }
 
+  private shouldRead(): boolean {
+    const now = performance.now();
+    const peers = this.table.alive(now).map(({ pulse, heardMs }): Reader => {
+      const readAgeMs = (pulse.readAgeMs ?? Number.POSITIVE_INFINITY) + (now - heardMs);
+      return { ip: pulse.ip, holder: pulse.token !== undefined, readAgeMs };
+    });
+    const self = { ip: this.options.settings.ip, holder: this.lease.holding, readAgeMs: this.fleet.readAgeMs };
+    return shouldRead(self, peers);
+  }
+
   private asked(): Asked {
     const now = performance.now();
     return {
--- a/src/gateway/placementTask.ts
+++ b/src/gateway/placementTask.ts
@@ -104,7 +104,7 @@
   private learnDesks(): void {
     const known = new Set<string>();
     // What the engines say themselves: the fleet's own view already counts orders that are still under way.
-    for (const server of this.options.serving.fleet.registered()) {
+    for (const { server } of this.options.serving.fleet.registrations()) {
       if (!server.engine) continue;
       known.add(server.id);
       this.desk(server).learn(server);
@@ -145,16 +145,14 @@
   private view(server: BackendServer, limits: EngineLimits): EngineView {
     const desk = this.desk(server);
     const sizes = new Map(limits.models.map((model) => [model.name, model.adapterMb]));
-    const resident = server.residents.map((r) => r.model);
     let usedMb = 0;
-    for (const name of new Set([...resident, ...desk.dropping, ...desk.coming.keys()])) {
-      usedMb += limits.models.find((model) => model.name === name)?.sizeMb ?? 0;
-    }
-    for (const name of adaptersAt(server, desk)) usedMb += sizes.get(name.split("/")[0] ?? "") ?? 0;
+    for (const name of desk.occupying) usedMb += limits.models.find((model) => model.name === name)?.sizeMb ?? 0;
+    for (const name of desk.adapters) usedMb += sizes.get(name.split("/")[0] ?? "") ?? 0;
     return {
       id: server.id,
       zone: server.zone,
-      models: new Set(resident.filter((name) => !desk.dropping.has(name))),
+      models: new Set(desk.staying),
+      unsettled: new Set(limits.models.map((model) => model.name).filter((name) => desk.movedLately(name))),
       coming: new Set(desk.coming.keys()),
       freeMb: limits.memoryMb - usedMb,
       busy: desk.busy,
@@ -295,7 +293,7 @@
     const desk = this.desk(server);
     return {
       id: server.id,
-      adapters: adaptersAt(server, desk),
+      adapters: desk.adapters,
       expectedMs: load.pendingTokens / prefillTokensPerMs + load.requests,
       busy: desk.busy || serving.outliers.health(server.id, now).ejected,
     };
@@ -318,9 +316,3 @@
     this.options.peers.notify("residency", change);
   }
 }
-
-/** Adapters at the engine or on their way, as MODEL/NAME. */
-function adaptersAt(server: BackendServer, desk: EngineDesk): string[] {
-  const resident = server.residents.flatMap((r) => r.adapters.map((adapter) => `${r.model}/${adapter}`));
-  return [...new Set([...resident, ...desk.comingAdapters])];
-}
--- a/src/serving/fleet.ts
+++ b/src/serving/fleet.ts
@@ -24,6 +24,13 @@
   readonly present: boolean;
 }
 
+/** A registration as read. */
+export interface Registration {
+  readonly server: BackendServer;
+  /** Of the store's row. */
+  readonly version: number;
+}
+
 interface Entry {
   /** As registered, and with the changes since. */
   registered: BackendServer;
@@ -40,19 +47,43 @@
   private readonly lapsed = new Map<string, number>();
   private graceUntil = 0;
 
-  /** Takes registrations read from the store; `complete` if they are the whole table. */
-  learn(servers: readonly { server: BackendServer; version: number }[], complete: boolean, nowMs: number): void {
-    for (const { server, version } of servers) this.learnOne(server, version, nowMs);
-    if (!complete) return;
-    const seen = new Set(servers.map((entry) => entry.server.id));
-    for (const id of [...this.entries.keys()]) if (!seen.has(id)) this.remove(id, nowMs);
+  /** Takes a registration; true if it says anything new beside being newer. */
+  learn({ server, version }: Registration, nowMs: number): boolean {
+    this.lapsed.delete(server.id);
+    const entry = this.entries.get(server.id);
+    if (entry === undefined) {
+      this.entries.set(server.id, { registered: server, server, version, changes: new Map() });
+      return true;
+    }
+    // Registrations may come out of order: an older one must not bring back a server that is leaving.
+    if (version <= entry.version) return false;
+    entry.version = version;
+    const registered = { ...server, leaving: server.leaving || entry.registered.leaving };
+    const changed = JSON.stringify(registered) !== JSON.stringify(entry.registered);
+    entry.registered = registered;
+    entry.server = withChanges(entry, nowMs);
+    return changed;
   }
 
-  /** A registration was removed. */
-  remove(id: string, nowMs: number): void {
-    if (!this.entries.has(id)) return;
-    if (nowMs < this.graceUntil) this.lapsed.set(id, this.graceUntil);
-    else this.entries.delete(id);
+  /** Servers known here that are not among all registrations as of the store's version `asOf`. */
+  missing(registrations: readonly Registration[], asOf: number): string[] {
+    const seen = new Set(registrations.map((registration) => registration.server.id));
+    return [...this.entries].filter(([id, entry]) => !seen.has(id) && entry.version <= asOf).map(([id]) => id);
+  }
+
+  /** Every registration, to tell peers. */
+  registrations(): Registration[] {
+    return [...this.entries.values()].map(({ registered, version }) => ({ server: registered, version }));
+  }
+
+  /** A registration was removed; true if it is gone at once. */
+  remove(id: string, nowMs: number): boolean {
+    if (!this.entries.has(id)) return false;
+    if (nowMs < this.graceUntil) {
+      this.lapsed.set(id, this.graceUntil);
+      return false;
+    }
+    return this.entries.delete(id);
   }
 
   /** The store is back after it was out of reach: removals are not final for a while. */
@@ -60,13 +91,15 @@
     this.graceUntil = nowMs + lapsedGraceMs;
   }
 
-  /** Drops lapsed registrations whose grace is over. */
-  expire(nowMs: number): void {
+  /** Drops lapsed registrations whose grace is over; true if there were any. */
+  expire(nowMs: number): boolean {
+    let dropped = false;
     for (const [id, until] of this.lapsed) {
       if (nowMs < until) continue;
       this.lapsed.delete(id);
-      this.entries.delete(id);
+      if (this.entries.delete(id)) dropped = true;
     }
+    return dropped;
   }
 
   /** Takes the effect of an order. */
@@ -106,20 +139,6 @@
   reachable(service: string, model: string, adapter: string | undefined): boolean {
     return this.available(service).some((server) => holds(server, model, adapter));
   }
-
-  private learnOne(server: BackendServer, version: number, nowMs: number): void {
-    this.lapsed.delete(server.id);
-    const entry = this.entries.get(server.id);
-    if (entry === undefined) {
-      this.entries.set(server.id, { registered: server, server, version, changes: new Map() });
-      return;
-    }
-    // Registrations may come out of order: an older one must not bring back a server that is leaving.
-    if (version <= entry.version) return;
-    entry.version = version;
-    entry.registered = { ...server, leaving: server.leaving || entry.registered.leaving };
-    entry.server = withChanges(entry, nowMs);
-  }
 }
 
 function withChanges(entry: Entry, nowMs: number): BackendServer {
--- a/src/serving/peerTable.ts
+++ b/src/serving/peerTable.ts
@@ -29,6 +29,10 @@
   ready: Schema.Boolean,
   /** Version of its configuration; 0 without one. */
   version: Schema.Number,
+  /** Time since it last read the registrations from the store, ms; absent if the store doesn't answer it. */
+  readAgeMs: Schema.optionalKey(Schema.Number),
+  /** Grows with each change of registrations that it read. */
+  fleetRevision: Schema.Number,
   /** Its fencing token while it holds the placement lease. */
   token: Schema.optionalKey(Schema.Number),
   /** Work in flight by server id: pending tokens, requests, held tokens. */
--- a/src/serving/placementPlan.ts
+++ b/src/serving/placementPlan.ts
@@ -13,6 +13,8 @@
   readonly models: ReadonlySet<string>;
   /** Models ordered whose load is not confirmed. */
   readonly coming: ReadonlySet<string>;
+  /** Models that came or went so lately that the engine's registration may not show it. */
+  readonly unsettled: ReadonlySet<string>;
   /** Memory left if every load under way succeeds and no unload has, MB. */
   readonly freeMb: number;
   /** An order is under way, so that no other is taken. */
@@ -129,7 +131,7 @@
 
 function moveFor(view: PlacementView, want: Want): Move | undefined {
   const open = view.engines.filter(
-    (e) => !e.busy && !e.models.has(want.model.name) && !e.coming.has(want.model.name),
+    (e) => !e.busy && !e.models.has(want.model.name) && !e.coming.has(want.model.name) && !e.unsettled.has(want.model.name),
   );
   const affordable = open.filter((e) => view.loadsLeft >= 1 || e.atHand.has(want.model.name));
   const withRoom = affordable.filter((e) => e.freeMb >= want.model.sizeMb);
@@ -176,6 +178,7 @@
   const missing = want.model.sizeMb - engine.freeMb;
   const found: Eviction[] = [];
   for (const name of engine.models) {
+    if (engine.unsettled.has(name)) continue;
     const model = view.models.find((m) => m.name === name);
     const cost = evictionCost(view, name, want);
     if (cost === undefined) continue;
