--- a/src/gateway/engineDesk.ts
+++ b/src/gateway/engineDesk.ts
@@ -38,6 +38,11 @@
  */
 const registrationAgeMs = 2_500;
 
+/** A report shows orders that were accepted at least this long before, ms: its figures lag by some hundred ms. */
+const reportLagMs = 500;
+/** Pause after an order was refused because another is under way or the sequence differs, ms. */
+const restMs = 250;
+
 /** The desk of one incarnation of an engine. */
 export class EngineDesk {
   /** Models ordered, by name: their memory counts as taken. */
@@ -45,15 +50,19 @@
   /** Models whose unloading was ordered and isn't confirmed: their memory counts as taken too. */
   readonly dropping = new Set<string>();
   private readonly comingAdapters = new Set<string>();
+  /** Adapters chosen to make way whose order isn't answered. */
+  private readonly leavingAdapters = new Set<string>();
   /** Adapters unloaded that registrations may still show. */
   private readonly goneAdapters = new Set<string>();
   private readonly movedMs = new Map<string, number>();
   private registered: BackendServer;
-  /** Orders accepted so far, as far as is known; never falls within one incarnation. */
+  /** Orders accepted so far, as far as is known. */
   private sequence = 0;
   private line: Promise<unknown> = Promise.resolve();
   /** The sequence is not known: ask before the next order. */
   private askFirst = true;
+  private lastOrderMs = Number.NEGATIVE_INFINITY;
+  private refusedMs = Number.NEGATIVE_INFINITY;
 
   constructor(
     server: BackendServer,
@@ -72,6 +81,11 @@
     return this.coming.size > 0 || this.dropping.size > 0;
   }
 
+  /** Was an order refused so lately that another would be too? */
+  get resting(): boolean {
+    return performance.now() - this.refusedMs < restMs;
+  }
+
   /** Models in memory that are to stay. */
   get staying(): string[] {
     return this.registered.residents.map((r) => r.model).filter((model) => !this.dropping.has(model));
@@ -89,6 +103,11 @@
     return [...new Set([...resident, ...this.comingAdapters])].filter((name) => !this.goneAdapters.has(name));
   }
 
+  /** Adapters that may be told to make way: neither on their way in nor out. */
+  get evictableAdapters(): string[] {
+    return this.adapters.filter((name) => !this.comingAdapters.has(name) && !this.leavingAdapters.has(name));
+  }
+
   /** Was the model loaded or dropped here so lately that registrations may not tell yet? */
   movedLately(model: string): boolean {
     return performance.now() - (this.movedMs.get(model) ?? Number.NEGATIVE_INFINITY) < registrationAgeMs;
@@ -108,6 +127,17 @@
     return () => this.comingAdapters.delete(name);
   }
 
+  /** Unloads an adapter; true once its place is free. */
+  async evictAdapter(model: string, adapter: string): Promise<boolean> {
+    const name = `${model}/${adapter}`;
+    // Guards "the sequence runs ahead of the engine's": two unloads of one adapter are both answered as done,
+    // but only the first counts, and every later order would be refused. So an adapter is chosen once.
+    this.leavingAdapters.add(name);
+    const outcome = await this.order({ action: "unload", model, adapter, reason: "make-room" });
+    this.leavingAdapters.delete(name);
+    return outcome === "already-holds";
+  }
+
   /** Takes what the engine's registration says. */
   learn(server: BackendServer): void {
     if (server === this.registered) return;
@@ -125,9 +155,9 @@
     const { id, address } = this.registered;
     const report = await this.options.engines.report({ serverId: id, address });
     this.askFirst = false;
-    // A report may be some hundred ms old and then lacks the last orders.
     const moved = report.sequence > this.sequence;
-    this.sequence = Math.max(this.sequence, report.sequence);
+    const upToDate = performance.now() - this.lastOrderMs > reportLagMs;
+    this.sequence = upToDate ? report.sequence : Math.max(this.sequence, report.sequence);
     if (report.busy) return;
     const held = new Set(report.residents.map((resident) => resident.model));
     for (const [model, coming] of [...this.coming]) {
@@ -169,6 +199,8 @@
       // A newer order was accepted, so one of unknown outcome before it is void.
       for (const [name, coming] of [...this.coming]) if (coming.uncertain) this.coming.delete(name);
     }
+    if (outcome === "conflict") this.refusedMs = performance.now();
+    else this.lastOrderMs = performance.now();
     if (outcome === "conflict" || outcome === "unknown") this.askFirst = true;
     if (adapter !== undefined) {
       if (!unloadedAdapter) return;
--- a/src/gateway/placementTask.ts
+++ b/src/gateway/placementTask.ts
@@ -134,6 +134,7 @@
       models: limits.models,
       engines: servers.map((server) => this.view(server, limits)),
       demand: this.demandOf(service, limits, now),
+      adapterSlots: limits.adapterSlots,
       loadsLeft: this.ceiling.left(limits.loadsPerS, now),
     });
     for (const move of moves) {
@@ -155,7 +156,7 @@
       unsettled: new Set(limits.models.map((model) => model.name).filter((name) => desk.movedLately(name))),
       coming: new Set(desk.coming.keys()),
       freeMb: limits.memoryMb - usedMb,
-      busy: desk.busy,
+      busy: desk.busy || desk.resting,
       atHand: new Set(server.atHand),
       requests: new Map(),
     };
@@ -172,11 +173,21 @@
       const waiting = all.reduce((sum, a) => sum + (a.waiting[key] ?? 0), 0);
       if (engineMs >= negligible || waiting > 0) this.lastDemandMs.set(key, now);
       const idleMs = now - (this.lastDemandMs.get(key) ?? Number.NEGATIVE_INFINITY);
-      demand.set(model.name, { engineMs, waiting, idleMs });
+      const adapters = model.adapters === 0 ? 0 : this.adaptersAsked(`${key}/`, now);
+      demand.set(model.name, { engineMs, waiting, idleMs, adapters });
     }
     return demand;
   }
 
+  /** Different adapters of a model asked for lately, over all nodes. */
+  private adaptersAsked(prefix: string, now: number): number {
+    const asked = new Set(Object.keys(this.options.serving.adapterDemand.levels(now)));
+    for (const peer of this.asked.values()) {
+      if (now - peer.atMs < askedMs) for (const key of Object.keys(peer.asked.adapters)) asked.add(key);
+    }
+    return [...asked].filter((key) => key.startsWith(prefix)).length;
+  }
+
   private async give(server: BackendServer, move: Move): Promise<void> {
     const fromStore = move.action === "load" && !server.atHand.includes(move.model);
     // Counted before it is sent: an order without an answer may still begin a load.
@@ -266,7 +277,7 @@
     // Reserved before anything is awaited: others that ask meanwhile must not count on the same place.
     const desk = this.desk(server);
     const release = desk.reserveAdapter(`${model}/${adapter}`);
-    if (move.evict !== undefined && !(await this.dropAdapter(server, move.evict))) {
+    if (move.evict !== undefined && !(await this.evictAdapter(server, move.evict))) {
       release();
       return;
     }
@@ -279,12 +290,11 @@
     this.announce({ serverId: server.id, model, adapter, present: true });
   }
 
-  private async dropAdapter(server: BackendServer, name: string): Promise<boolean> {
+  private async evictAdapter(server: BackendServer, name: string): Promise<boolean> {
     const [model, adapter] = name.split("/");
     if (model === undefined || adapter === undefined) return false;
     this.announce({ serverId: server.id, model, adapter, present: false });
-    const outcome = await this.desk(server).order({ action: "unload", model, adapter, reason: "make-room" });
-    return outcome === "already-holds" || outcome === "accepted";
+    return this.desk(server).evictAdapter(model, adapter);
   }
 
   private adapterEngine(server: BackendServer, now: number): AdapterEngine {
@@ -294,8 +304,9 @@
     return {
       id: server.id,
       adapters: desk.adapters,
+      evictable: desk.evictableAdapters,
       expectedMs: load.pendingTokens / prefillTokensPerMs + load.requests,
-      busy: desk.busy || serving.outliers.health(server.id, now).ejected,
+      busy: desk.busy || desk.resting || serving.outliers.health(server.id, now).ejected,
     };
   }
 
--- a/src/serving/adapterPlan.ts
+++ b/src/serving/adapterPlan.ts
@@ -9,6 +9,8 @@
   readonly id: string;
   /** Adapters there or on their way, as MODEL/NAME, all models together. */
   readonly adapters: readonly string[];
+  /** Those of them that may be told to make way. */
+  readonly evictable: readonly string[];
   /** Prompt tokens and requests in flight, as expected ms to a first token. */
   readonly expectedMs: number;
   readonly busy: boolean;
@@ -52,7 +54,7 @@
     const cost = engine.expectedMs + engine.adapters.length;
     return { move: { engineId: engine.id, evict: undefined }, cost };
   }
-  const victim = longestUnused(view, engine.adapters);
+  const victim = longestUnused(view, engine.evictable);
   if (victim === undefined) return undefined;
   return { move: { engineId: engine.id, evict: victim }, cost: engine.expectedMs + evictionMs };
 }
--- a/src/serving/placementPlan.ts
+++ b/src/serving/placementPlan.ts
@@ -33,6 +33,8 @@
   readonly waiting: number;
   /** Since the model was last asked for, ms. */
   readonly idleMs: number;
+  /** Different adapters of it asked for lately. */
+  readonly adapters: number;
 }
 
 /** What the plan is made from. */
@@ -40,6 +42,8 @@
   readonly models: readonly Model[];
   readonly engines: readonly EngineView[];
   readonly demand: ReadonlyMap<string, ModelDemand>;
+  /** Places for adapters of one engine. */
+  readonly adapterSlots: number;
   /** Loads that may still begin from the weight store now. */
   readonly loadsLeft: number;
 }
@@ -115,7 +119,7 @@
     if (copies === 0) {
       const reason = (demand?.waiting ?? 0) > 0 ? "waiting" : load > 0 ? "demand" : "reachable";
       found.push({ model, reason, urgency: urgencies[reason] + load });
-    } else if (copies < copiesWanted(load, view.engines.length)) {
+    } else if (copies < copiesWanted(view, demand)) {
       found.push({ model, reason: "demand", urgency: load / copies });
     }
   }
@@ -125,8 +129,12 @@
 /** A model that no engine holds goes before another copy of any, one that callers wait for first of all. */
 const urgencies = { waiting: 2_000_000, demand: 1_000_000, reachable: 0 };
 
-function copiesWanted(load: number, engines: number): number {
-  return Math.min(engines, Math.max(1, Math.ceil(load / copyLoadMs)));
+/** Copies to carry the load, and to have a place for each adapter in use. */
+function copiesWanted(view: PlacementView, demand: ModelDemand | undefined): number {
+  if (demand === undefined) return 1;
+  const forLoad = Math.ceil(demand.engineMs / copyLoadMs);
+  const forAdapters = Math.ceil(demand.adapters / Math.max(1, view.adapterSlots));
+  return Math.min(view.engines.length, Math.max(1, forLoad, forAdapters));
 }
 
 function moveFor(view: PlacementView, want: Want): Move | undefined {
@@ -197,8 +205,9 @@
   const load = demand?.engineMs ?? 0;
   const idle = demand === undefined || (demand.idleMs > idleMs && demand.waiting === 0);
   if (copies > 1) {
+    const forAdapters = Math.ceil((demand?.adapters ?? 0) / Math.max(1, view.adapterSlots));
     const afterwards = load / (copies - 1);
-    if (afterwards <= copyLoadMs * surplusLoad) return afterwards;
+    if (afterwards <= copyLoadMs * surplusLoad && copies > forAdapters) return afterwards;
     // A model nobody can reach is worse off than one whose copies get fuller.
     return want.urgency >= urgencies.demand ? 1_000 + afterwards : undefined;
   }
