--- a/src/gateway/engineDesk.ts
+++ b/src/gateway/engineDesk.ts
@@ -43,6 +43,8 @@
 /** Pause after an order was refused because another is under way or the sequence differs, ms. */
 const restMs = 250;
 
+const nothing = { models: [], adapters: [] };
+
 /** The desk of one incarnation of an engine. */
 export class EngineDesk {
   /** Models ordered, by name: their memory counts as taken. */
@@ -56,6 +58,8 @@
   private readonly goneAdapters = new Set<string>();
   private readonly movedMs = new Map<string, number>();
   private registered: BackendServer;
+  /** What the engine's last report showed, as models and as MODEL/NAME of adapters. */
+  private reported: { readonly models: string[]; readonly adapters: string[]; readonly atMs: number } | undefined;
   /** Orders accepted so far, as far as is known. */
   private sequence = 0;
   private line: Promise<unknown> = Promise.resolve();
@@ -76,6 +80,14 @@
     return this.registered;
   }
 
+  /**
+   * Has the engine itself said what it holds? Guards "a new holder overfills an engine": after an outage of
+   * the store the registrations don't show what the last holder ordered during it.
+   */
+  get verified(): boolean {
+    return this.reported !== undefined;
+  }
+
   /** Is a model on its way in or out? Then no other model order is taken. */
   get busy(): boolean {
     return this.coming.size > 0 || this.dropping.size > 0;
@@ -94,13 +106,14 @@
   /** Every model that may take memory. */
   get occupying(): Set<string> {
     const resident = this.registered.residents.map((r) => r.model);
-    return new Set([...resident, ...this.dropping, ...this.coming.keys()]);
+    return new Set([...resident, ...this.lately().models, ...this.dropping, ...this.coming.keys()]);
   }
 
   /** Adapters that may take a place, as MODEL/NAME. */
   get adapters(): string[] {
     const resident = this.registered.residents.flatMap((r) => r.adapters.map((a) => `${r.model}/${a}`));
-    return [...new Set([...resident, ...this.comingAdapters])].filter((name) => !this.goneAdapters.has(name));
+    const all = new Set([...resident, ...this.lately().adapters, ...this.comingAdapters]);
+    return [...all].filter((name) => !this.goneAdapters.has(name));
   }
 
   /** Adapters that may be told to make way: neither on their way in nor out. */
@@ -158,14 +171,28 @@
     const moved = report.sequence > this.sequence;
     const upToDate = performance.now() - this.lastOrderMs > reportLagMs;
     this.sequence = upToDate ? report.sequence : Math.max(this.sequence, report.sequence);
+    const adapters = report.residents.flatMap((r) => r.adapters.map((a) => `${r.model}/${a}`));
+    const models = report.residents.map((r) => r.model);
+    this.reported = { models, adapters: [...adapters, ...report.coming], atMs: performance.now() };
     if (report.busy) return;
-    const held = new Set(report.residents.map((resident) => resident.model));
+    const held = new Set(models);
     for (const [model, coming] of [...this.coming]) {
       // One of unknown outcome is void only once another order was accepted after it.
       if (!held.has(model) && (moved || !coming.uncertain)) this.coming.delete(model);
     }
   }
 
+  /** The last report, until registrations made after it have arrived. */
+  private lately(): { readonly models: readonly string[]; readonly adapters: readonly string[] } {
+    const { reported } = this;
+    if (reported === undefined || performance.now() - reported.atMs > registrationAgeMs) return nothing;
+    return { models: reported.models.filter((model) => !this.droppedSince(model, reported.atMs)), adapters: reported.adapters };
+  }
+
+  private droppedSince(model: string, atMs: number): boolean {
+    return !this.dropping.has(model) && !this.coming.has(model) && (this.movedMs.get(model) ?? 0) > atMs;
+  }
+
   private async send(request: Request): Promise<DeskOutcome> {
     const { engines, log, metrics, holder, token } = this.options;
     const target = { serverId: this.registered.id, address: this.registered.address };
--- a/src/gateway/placementTask.ts
+++ b/src/gateway/placementTask.ts
@@ -91,6 +91,7 @@
     const table = this.options.serving.configuration.current;
     if (table === undefined) return;
     this.learnDesks();
+    await this.verifyDesks();
     for (const service of table.configuration.services) {
       if (service.engine !== undefined) this.place(service.name, service.engine);
     }
@@ -112,6 +113,18 @@
     for (const id of this.desks.keys()) if (!known.has(id)) this.desks.delete(id);
   }
 
+  /** Asks engines whose memory this holder doesn't know yet; they get no orders before. */
+  private async verifyDesks(): Promise<void> {
+    const open = [...this.desks.values()].filter((desk) => !desk.verified);
+    const asks = open.map((desk) =>
+      desk.ask().catch((error: unknown) => {
+        this.log.debug({ event: "report-failed", server: desk.server.id, detail: String(error) });
+      }),
+    );
+    // An engine that doesn't answer must not hold up the others.
+    await Promise.race([Promise.all(asks), new Promise((resolve) => setTimeout(resolve, roundMs / 2))]);
+  }
+
   private desk(server: BackendServer): EngineDesk {
     const known = this.desks.get(server.id);
     if (known !== undefined) return known;
@@ -156,7 +169,7 @@
       unsettled: new Set(limits.models.map((model) => model.name).filter((name) => desk.movedLately(name))),
       coming: new Set(desk.coming.keys()),
       freeMb: limits.memoryMb - usedMb,
-      busy: desk.busy || desk.resting,
+      busy: desk.busy || desk.resting || !desk.verified,
       atHand: new Set(server.atHand),
       requests: new Map(),
     };
@@ -306,7 +319,7 @@
       adapters: desk.adapters,
       evictable: desk.evictableAdapters,
       expectedMs: load.pendingTokens / prefillTokensPerMs + load.requests,
-      busy: desk.busy || desk.resting || serving.outliers.health(server.id, now).ejected,
+      busy: desk.busy || desk.resting || !desk.verified || serving.outliers.health(server.id, now).ejected,
     };
   }
 
