--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -50,7 +50,8 @@
 
 /**
  * How an attempt ended. `unreachable` and `not-run` promise that the server did not run the request; after
- * `broken` and `silent` it may have.
+ * `broken`, `silent` and `timed-out` it may have. `timed-out` says nothing of the server: the caller's time
+ * was over.
  */
 export type AttemptOutcome =
   | { readonly kind: "answered"; readonly answer: WholeAnswer; readonly firstByteMs: number }
@@ -59,6 +60,7 @@
   | { readonly kind: "unreachable"; readonly reason: string }
   | { readonly kind: "broken"; readonly reason: string; readonly lastEvent: number | undefined }
   | { readonly kind: "silent"; readonly reason: string; readonly lastEvent: number | undefined }
+  | { readonly kind: "timed-out"; readonly reason: string; readonly lastEvent: number | undefined }
   | { readonly kind: "cancelled" };
 
 /** Sends once. */
@@ -96,7 +98,7 @@
       setHost: false,
     });
     this.overall = setTimeout(() => {
-      this.end({ kind: "silent", reason: "time limit", lastEvent: this.lastEvent });
+      this.end({ kind: "timed-out", reason: "time limit", lastEvent: this.lastEvent });
     }, options.answerMs);
     this.listen();
     this.req.end(options.body);
--- a/src/gateway/engineDesk.ts
+++ b/src/gateway/engineDesk.ts
@@ -11,6 +11,8 @@
   readonly model: string;
   readonly adapter?: string | undefined;
   readonly reason: string;
+  /** What decided, for the log. */
+  readonly inputs?: Readonly<Record<string, unknown>>;
 }
 
 /** `no-lease`: this node may not order now; `unknown`: it may have been accepted, or may still be. */
@@ -43,6 +45,9 @@
 /** Pause after an order was refused because another is under way or the sequence differs, ms. */
 const restMs = 250;
 
+/** Room is kept for a model this long, ms: an unload waits for the requests that run, mostly a few seconds. */
+const roomKeptMs = 8_000;
+
 const nothing = { models: [], adapters: [] };
 
 /** The desk of one incarnation of an engine. */
@@ -51,6 +56,8 @@
   readonly coming = new Map<string, Coming>();
   /** Models whose unloading was ordered and isn't confirmed: their memory counts as taken too. */
   readonly dropping = new Set<string>();
+  /** The model for which another was told to make way here. */
+  private room: { readonly model: string; readonly sinceMs: number } | undefined;
   private readonly comingAdapters = new Set<string>();
   /** Adapters chosen to make way whose order isn't answered. */
   private readonly leavingAdapters = new Set<string>();
@@ -65,6 +72,8 @@
   private line: Promise<unknown> = Promise.resolve();
   /** The sequence is not known: ask before the next order. */
   private askFirst = true;
+  /** Model orders given and not answered. */
+  private modelOrders = 0;
   private lastOrderMs = Number.NEGATIVE_INFINITY;
   private refusedMs = Number.NEGATIVE_INFINITY;
 
@@ -90,7 +99,18 @@
 
   /** Is a model on its way in or out? Then no other model order is taken. */
   get busy(): boolean {
-    return this.coming.size > 0 || this.dropping.size > 0;
+    return this.modelOrders > 0 || this.coming.size > 0 || this.dropping.size > 0;
+  }
+
+  /** The model whose place is kept here. */
+  get roomFor(): string | undefined {
+    if (this.room === undefined || performance.now() - this.room.sinceMs > roomKeptMs) return undefined;
+    return this.room.model;
+  }
+
+  /** Keeps the place that an unload frees for `model`. */
+  keepRoom(model: string): void {
+    this.room = { model, sinceMs: performance.now() };
   }
 
   /** Was an order refused so lately that another would be too? */
@@ -128,8 +148,14 @@
 
   /** Gives the order once those before it were answered. */
   order(request: Request): Promise<DeskOutcome> {
+    const orders = request.adapter === undefined ? 1 : 0;
+    // Counted before it is sent: a round that starts meanwhile must not give the same order again.
+    this.modelOrders += orders;
     const result = this.line.then(() => this.send(request));
-    this.line = result.catch(() => undefined);
+    this.line = result.then(
+      () => (this.modelOrders -= orders),
+      () => (this.modelOrders -= orders),
+    );
     return result;
   }
 
@@ -151,16 +177,17 @@
     return outcome === "already-holds";
   }
 
-  /** Takes what the engine's registration says. */
-  learn(server: BackendServer): void {
-    if (server === this.registered) return;
+  /** Takes what the engine's registration says; the models whose load it shows to be done. */
+  learn(server: BackendServer): string[] {
+    if (server === this.registered) return [];
     this.registered = server;
     const held = new Set(server.residents.map((resident) => resident.model));
-    for (const model of held) this.coming.delete(model);
+    const arrived = [...held].filter((model) => this.coming.delete(model));
     for (const model of [...this.dropping]) if (!held.has(model)) this.dropping.delete(model);
     const adapters = new Set(server.residents.flatMap((r) => r.adapters.map((a) => `${r.model}/${a}`)));
     for (const name of adapters) this.comingAdapters.delete(name);
     for (const name of [...this.goneAdapters]) if (!adapters.has(name)) this.goneAdapters.delete(name);
+    return arrived;
   }
 
   /** Asks the engine itself, where an order's outcome is not known from its answer. */
@@ -173,8 +200,9 @@
     this.sequence = upToDate ? report.sequence : Math.max(this.sequence, report.sequence);
     const adapters = report.residents.flatMap((r) => r.adapters.map((a) => `${r.model}/${a}`));
     const models = report.residents.map((r) => r.model);
-    this.reported = { models, adapters: [...adapters, ...report.coming], atMs: performance.now() };
+    // While an order is under way the report doesn't show what it brings, so it can't be built on.
     if (report.busy) return;
+    this.reported = { models, adapters: [...adapters, ...report.coming], atMs: performance.now() };
     const held = new Set(models);
     for (const [model, coming] of [...this.coming]) {
       // One of unknown outcome is void only once another order was accepted after it.
@@ -214,7 +242,7 @@
     }
     this.conclude(request, outcome);
     metrics.orders.inc({ action, outcome });
-    log.info({ event: "order", server: target.serverId, ...request, sequence: expectedSequence, token: fencingToken, outcome });
+    log.info({ event: "order", server: target.serverId, action, model, adapter, reason: request.reason, ...request.inputs, sequence: expectedSequence, token: fencingToken, outcome });
     return outcome;
   }
 
@@ -243,6 +271,7 @@
     if (!done && outcome !== "unknown") return;
     const now = performance.now();
     this.movedMs.set(model, now);
+    if (action === "load" && this.room?.model === model) this.room = undefined;
     if (action === "load") this.coming.set(model, { sinceMs: now, uncertain: outcome === "unknown" });
     // Also where the outcome is unknown: new requests would meet the unloading.
     else this.dropping.add(model);
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -4,7 +4,7 @@
 import { repeatable, type Route, type Service } from "../serving/configuration.ts";
 import { engineWorkMs } from "../serving/demandMeter.ts";
 import type { RequestFacts } from "../serving/exchange.ts";
-import { patienceOf, type Patience } from "../serving/patience.ts";
+import { gapPatienceMs, patienceOf, type Patience } from "../serving/patience.ts";
 import type { RetryBudget } from "../serving/retryBudget.ts";
 import { chooseServer, type Chosen } from "../serving/serverChoice.ts";
 import { Attempt, type AttemptOutcome } from "./attempt.ts";
@@ -16,7 +16,9 @@
 /** An answer to a safe call that isn't there after this many times the route's target is asked elsewhere. */
 const silentTargets = 3;
 /** The same for the first event of a stream that may be resumed. */
-const silentStreamTargets = 2.2;
+const silentStreamTargets = 2.5;
+/** Part of the caller's patience with a pause after which a stream is continued elsewhere. */
+const pausePart = 0.6;
 /** Shortest time after which a server counts as silent, ms: the longest calls take 220 ms. */
 const leastSilentMs = 400;
 /** Time kept to write the final answer before the caller's time is over, ms. */
@@ -55,6 +57,8 @@
   private lastEvent: number | undefined;
   private attempt: Attempt | undefined;
   private lastFailure = "";
+  private timeIsUp = false;
+  private retryAfterS = soonS;
 
   constructor(private readonly options: ExchangeOptions) {
     this.serving = options.serving;
@@ -138,6 +142,7 @@
     this.serving.waiting.add(key);
     try {
       this.options.placer.wanted();
+      if (this.comesTooLate(key)) return undefined;
       for (;;) {
         const left = this.patience.firstByteByMs - performance.now();
         if (left <= 0 || this.caller.left) return undefined;
@@ -155,11 +160,30 @@
     }
   }
 
+  /** Will the model come only after the caller has left? Then it is told at once when to come back. */
+  private comesTooLate(key: string): boolean {
+    const { model: name } = this.facts;
+    const model = this.service.engine?.models.find((m) => m.name === name);
+    if (model === undefined || this.modelIsThere()) return false;
+    const now = performance.now();
+    const servers = this.serving.fleet.available(this.service.name);
+    const expectedMs = this.serving.modelWaits.expect(key, model, servers, now);
+    if (now + expectedMs < this.patience.firstByteByMs) return false;
+    this.retryAfterS = expectedMs / 1000;
+    this.lastFailure = `model expected in ${Math.round(expectedMs)} ms`;
+    return true;
+  }
+
   private modelIsThere(): boolean {
     const { model } = this.facts;
     return model !== undefined && this.serving.fleet.reachable(this.service.name, model, undefined);
   }
 
+  private noteFound(): void {
+    const { model } = this.facts;
+    if (model !== undefined) this.serving.modelWaits.found(demandKey(this.service.name, model));
+  }
+
   private choose(): Chosen | undefined {
     const { facts, serving } = this;
     const now = performance.now();
@@ -185,6 +209,7 @@
     const { serving, facts, route } = this;
     const now = performance.now();
     const { server } = chosen;
+    this.noteFound();
     if (this.sends === 0) serving.metrics.queued.observe({ service: this.service.name }, (now - this.arrivedMs) / 1000);
     this.sends += 1;
     this.tried.add(server.id);
@@ -210,7 +235,7 @@
         requestId: facts.requestId,
         sink: stream ? this.caller : undefined,
         afterEvent: this.lastEvent ?? facts.lastEventId,
-        firstByteMs: this.firstByteLimitMs(now),
+        firstByteMs: this.firstByteLimitMs(now, chosen.expectedMs),
         pauseMs: this.pauseLimitMs(),
         answerMs: Math.max(1, answerMs),
       },
@@ -230,17 +255,18 @@
   }
 
   /** May another server be asked in place of one that keeps silent? Else its silence is waited out. */
-  private firstByteLimitMs(now: number): number {
+  private firstByteLimitMs(now: number, expectedMs: number): number {
     const left = this.patience.firstByteByMs - now;
     if (!this.mayRepeat()) return left;
     const targets = this.route.kind === "stream" ? silentStreamTargets : silentTargets;
-    return Math.min(left, Math.max(leastSilentMs, targets * this.route.targetMs));
+    // A busy server is not a silent one: what it was sent is work that would be lost by going elsewhere.
+    const busyMs = 2 * expectedMs + this.route.targetMs;
+    return Math.min(left, Math.max(leastSilentMs, targets * this.route.targetMs, busyMs));
   }
 
   private pauseLimitMs(): number {
-    const { route } = this;
-    const patient = Math.max(2_000, 4 * route.targetMs, 8 * route.pauseMs);
-    return this.mayRepeat() ? Math.max(leastSilentMs, 2 * route.pauseMs) : patient;
+    const patient = gapPatienceMs(this.route);
+    return this.mayRepeat() ? patient * pausePart : patient;
   }
 
   private mayRepeat(): boolean {
@@ -299,6 +325,11 @@
       case "unreachable":
         this.lastFailure = outcome.kind === "unreachable" ? outcome.reason : `refused ${outcome.facts.status}`;
         return this.mayAskAnother(this.sends < this.route.maxAttempts + refusedSends);
+      case "timed-out":
+        this.ran += 1;
+        this.lastFailure = outcome.reason;
+        this.timeIsUp = true;
+        return this.giveUp();
       case "broken":
       case "silent":
         this.ran += 1;
@@ -342,7 +373,7 @@
     if (this.ran === 0) {
       const kind: ErrorKind = this.sends === 0 ? "no-replica" : "not-run";
       this.refuse(new Failure(kind, `not run: no server of ${where} took it (${this.lastFailure})`));
-    } else if (this.timeLeft()) {
+    } else if (!this.timeIsUp && this.timeLeft()) {
       this.refuse(new Failure("upstream-failed", `a server of ${where} failed (${this.lastFailure})`));
     } else {
       this.refuse(new Failure("outcome-unknown", `no answer of ${where} in time (${this.lastFailure})`));
@@ -352,7 +383,7 @@
 
   private refuse(failure: Failure): void {
     const { status } = failure.answer;
-    this.caller.refuse(failure, status === 503 || status === 429 ? soonS : undefined);
+    this.caller.refuse(failure, status === 503 || status === 429 ? this.retryAfterS : undefined);
     this.ended(failure.kind, failure.message);
   }
 
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -12,6 +12,7 @@
 import { Fleet } from "../serving/fleet.ts";
 import { formatEndpoint, type HostSettings } from "../serving/hostSettings.ts";
 import { LoadBoard } from "../serving/loadBoard.ts";
+import { ModelWaits } from "../serving/modelWait.ts";
 import type { Engines } from "../serving/orders.ts";
 import { Outliers } from "../serving/outliers.ts";
 import { PeerTable, type Asked, type Pulse } from "../serving/peerTable.ts";
@@ -299,6 +300,7 @@
     demand: new DemandMeter(),
     adapterDemand: new DemandMeter(),
     waiting: new Waiting(),
+    modelWaits: new ModelWaits(),
     pool: new UpstreamPool(),
     metrics: new GatewayMetrics(),
   };
--- a/src/gateway/placementTask.ts
+++ b/src/gateway/placementTask.ts
@@ -108,7 +108,9 @@
     for (const { server } of this.options.serving.fleet.registrations()) {
       if (!server.engine) continue;
       known.add(server.id);
-      this.desk(server).learn(server);
+      for (const model of this.desk(server).learn(server)) {
+        this.announce({ serverId: server.id, model, present: true });
+      }
     }
     for (const id of this.desks.keys()) if (!known.has(id)) this.desks.delete(id);
   }
@@ -166,12 +168,12 @@
       id: server.id,
       zone: server.zone,
       models: new Set(desk.staying),
+      roomFor: desk.roomFor,
       unsettled: new Set(limits.models.map((model) => model.name).filter((name) => desk.movedLately(name))),
       coming: new Set(desk.coming.keys()),
       freeMb: limits.memoryMb - usedMb,
       busy: desk.busy || desk.resting || !desk.verified,
       atHand: new Set(server.atHand),
-      requests: new Map(),
     };
   }
 
@@ -206,7 +208,9 @@
     // Counted before it is sent: an order without an answer may still begin a load.
     if (fromStore) this.ceiling.begin(performance.now());
     const desk = this.desk(server);
-    const outcome = await desk.order({ action: move.action, model: move.model, reason: move.reason });
+    const { action, model, reason, inFavourOf, demandMs, copies } = move;
+    if (inFavourOf !== undefined) desk.keepRoom(inFavourOf);
+    const outcome = await desk.order({ action, model, reason, inputs: { inFavourOf, demandMs, copies } });
     if (move.action === "unload" && outcome === "accepted") {
       this.announce({ serverId: server.id, model: move.model, present: false });
     }
--- a/src/gateway/serving.ts
+++ b/src/gateway/serving.ts
@@ -5,6 +5,7 @@
 import type { HeaderCodec } from "../serving/exchange.ts";
 import type { Fleet } from "../serving/fleet.ts";
 import type { LoadBoard } from "../serving/loadBoard.ts";
+import type { ModelWaits } from "../serving/modelWait.ts";
 import type { Outliers } from "../serving/outliers.ts";
 import type { RouteTable } from "../serving/routeTable.ts";
 import type { GatewayMetrics } from "./gatewayMetrics.ts";
@@ -74,6 +75,7 @@
   /** Demand for adapters, by adapter key. */
   readonly adapterDemand: DemandMeter;
   readonly waiting: Waiting;
+  readonly modelWaits: ModelWaits;
   readonly pool: UpstreamPool;
   readonly metrics: GatewayMetrics;
 }
--- a/src/serving/demandMeter.ts
+++ b/src/serving/demandMeter.ts
@@ -5,7 +5,7 @@
  */
 
 /** Time constants of the averages, ms. */
-const fastMs = 1_500;
+const fastMs = 2_500;
 const slowMs = 10_000;
 /** Below this the demand counts as none: one short request in the slow window, engine ms per s. */
 export const negligible = 2;
--- a/src/serving/fleet.ts
+++ b/src/serving/fleet.ts
@@ -16,6 +16,9 @@
  */
 const changeHoldsMs = 2_300;
 
+/** An unload that waits for running requests takes at most this much longer, ms: the longest time-out of a route. */
+const slowUnloadMs = 15_000;
+
 /** A change of one engine's memory by an order, known before its next registration. */
 export interface Residency {
   readonly serverId: string;
@@ -141,10 +144,20 @@
   }
 }
 
+/**
+ * Guards "requests go to an engine that drops their model": an unload waits for the requests that run, and
+ * until it is done the registration shows the model while the engine refuses every new request for it.
+ */
+function isSettled(registered: BackendServer, change: Residency, untilMs: number, nowMs: number): boolean {
+  const wholeModel = change.adapter === undefined && !change.present;
+  const stillShown = registered.residents.some((resident) => resident.model === change.model);
+  return nowMs >= untilMs + (wholeModel && stillShown ? slowUnloadMs : 0);
+}
+
 function withChanges(entry: Entry, nowMs: number): BackendServer {
   let server = entry.registered;
   for (const [key, { change, untilMs }] of entry.changes) {
-    if (nowMs >= untilMs) entry.changes.delete(key);
+    if (isSettled(entry.registered, change, untilMs, nowMs)) entry.changes.delete(key);
     else server = withChange(server, change);
   }
   return server;
--- a/src/serving/patience.ts
+++ b/src/serving/patience.ts
@@ -13,13 +13,18 @@
 }
 
 /**
- * Patience of a request that arrived at `arrivedMs`. A stream's caller waits for the first event for the
- * longest of 2 s, four times the route's target and eight times its pause, however long its deadline is.
+ * Patience of a request that arrived at `arrivedMs`. A stream's caller waits for the first event no longer
+ * than for any other, however long its deadline is.
  */
 export function patienceOf(route: Route, deadlineMs: number | undefined, arrivedMs: number): Patience {
   const whole = Math.min(route.timeoutMs, deadlineMs ?? route.timeoutMs);
   const answerByMs = arrivedMs + whole;
   if (route.kind !== "stream") return { answerByMs, firstByteByMs: answerByMs };
-  const gap = Math.max(leastPatienceMs, 4 * route.targetMs, 8 * route.pauseMs);
-  return { answerByMs, firstByteByMs: arrivedMs + Math.min(whole, gap - answerMarginMs) };
+  const gap = gapPatienceMs(route) - answerMarginMs;
+  return { answerByMs, firstByteByMs: arrivedMs + Math.min(whole, gap) };
+}
+
+/** How long a stream's caller waits for the next event, ms. */
+export function gapPatienceMs(route: Route): number {
+  return Math.max(leastPatienceMs, 4 * route.targetMs, 8 * route.pauseMs);
 }
--- a/src/serving/placementPlan.ts
+++ b/src/serving/placementPlan.ts
@@ -13,6 +13,8 @@
   readonly models: ReadonlySet<string>;
   /** Models ordered whose load is not confirmed. */
   readonly coming: ReadonlySet<string>;
+  /** The model for which another was unloaded here. */
+  readonly roomFor: string | undefined;
   /** Models that came or went so lately that the engine's registration may not show it. */
   readonly unsettled: ReadonlySet<string>;
   /** Memory left if every load under way succeeds and no unload has, MB. */
@@ -21,8 +23,6 @@
   readonly busy: boolean;
   /** Models it can load without the weight store. */
   readonly atHand: ReadonlySet<string>;
-  /** Requests in flight there, by model. */
-  readonly requests: ReadonlyMap<string, number>;
 }
 
 /** Demand for one model. */
@@ -53,23 +53,39 @@
   readonly engineId: string;
   readonly action: "load" | "unload";
   readonly model: string;
-  readonly reason: "waiting" | "demand" | "reachable" | "make-room";
+  /** Why the model is wanted, or why another one that takes its place is. */
+  readonly reason: "waiting" | "demand" | "reachable";
+  /** The model that is to take the place of an unloaded one. */
+  readonly inFavourOf?: string;
+  /** What decided: engine time asked of the model per second, ms, and its copies before the move. */
+  readonly demandMs: number;
+  readonly copies: number;
 }
 
 /**
- * Engine time per second that one copy should carry, ms. Half of an engine leaves room for bursts of half
- * as much again, while shared prompts are not yet cached.
+ * Engine time per second that one copy should carry, ms. A third of an engine leaves room for its other
+ * models, for bursts, and for shared prompts that are not yet cached.
  */
 const copyLoadMs = 350;
 /** A copy is surplus only if the others would carry this part of `copyLoadMs`: keeps moves from alternating. */
 const surplusLoad = 0.7;
-/** A model nobody asked for in this time gives way to one that callers wait for, ms. */
+/** Past this each copy's engine is overloaded and answers late, ms per s; no copy is taken from such a model. */
+const overloadMs = 700;
+/** A model nobody asked for in this time may give way, ms. */
 const idleMs = 3_000;
+/** What a model that no engine holds counts beyond its demand: all its requests wait, not only some, ms per s. */
+const missingMs = 60;
+/** What each request waiting for it adds, ms per s. */
+const waitingMs = 50;
+/** Base costs of an eviction, in the same unit, so that the cheapest kind is chosen first. */
+const evictionCosts = { idle: 300, needed: 1_000, tooSmall: 500, cold: 200 };
+/** An idle model's cost falls from twice the base to the base with this time constant, ms. */
+const idleFadeMs = 10_000;
 
 interface Want {
   readonly model: Model;
   readonly reason: "waiting" | "demand" | "reachable";
-  /** Copies missing weigh by what each would carry. */
+  /** Engine time per second that goes unserved or comes late for want of this copy, ms. */
   readonly urgency: number;
 }
 
@@ -77,7 +93,13 @@
 export function planMoves(view: PlacementView): Move[] {
   const moves: Move[] = [];
   let current = view;
-  for (const want of wants(view)) {
+  for (const engine of view.engines) {
+    const move = reservedMove(view, engine);
+    if (move === undefined) continue;
+    moves.push(move);
+    current = afterMove(current, move);
+  }
+  for (const want of wants(current)) {
     const move = moveFor(current, want);
     if (move === undefined) continue;
     moves.push(move);
@@ -97,17 +119,28 @@
   return { ...view, engines, loadsLeft: view.loadsLeft - (fromStore ? 1 : 0) };
 }
 
+/**
+ * Loads the model for which room was made, once it is free. Guards "room is made for one model and taken by
+ * another": the first would be evicted for again elsewhere, and copies would go in turn.
+ */
+function reservedMove(view: PlacementView, engine: EngineView): Move | undefined {
+  const model = view.models.find((m) => m.name === engine.roomFor);
+  if (model === undefined || engine.busy || engine.freeMb < model.sizeMb) return undefined;
+  if (view.loadsLeft < 1 && !engine.atHand.has(model.name)) return undefined;
+  return { engineId: engine.id, action: "load", reason: "demand", ...standing(view, model.name) };
+}
+
 function engineAfter(engine: EngineView, move: Move): EngineView {
   const models = new Set(engine.models);
   const coming = new Set(engine.coming);
   if (move.action === "load") coming.add(move.model);
   else models.delete(move.model);
-  return { ...engine, models, coming, busy: true };
+  return { ...engine, models, coming, busy: true, roomFor: move.inFavourOf };
 }
 
-/** Copies of the model in memory or on their way. */
+/** Copies of the model in memory, on their way, or with room being made for them. */
 export function copiesOf(view: PlacementView, model: string): number {
-  return view.engines.filter((e) => e.models.has(model) || e.coming.has(model)).length;
+  return view.engines.filter((e) => e.models.has(model) || e.coming.has(model) || e.roomFor === model).length;
 }
 
 function wants(view: PlacementView): Want[] {
@@ -116,19 +149,18 @@
     const copies = copiesOf(view, model.name);
     const demand = view.demand.get(model.name);
     const load = demand?.engineMs ?? 0;
+    const waiting = demand?.waiting ?? 0;
     if (copies === 0) {
-      const reason = (demand?.waiting ?? 0) > 0 ? "waiting" : load > 0 ? "demand" : "reachable";
-      found.push({ model, reason, urgency: urgencies[reason] + load });
+      const reason = waiting > 0 ? "waiting" : load > 0 ? "demand" : "reachable";
+      const urgency = reason === "reachable" ? 0 : load + missingMs + waiting * waitingMs;
+      found.push({ model, reason, urgency });
     } else if (copies < copiesWanted(view, demand)) {
-      found.push({ model, reason: "demand", urgency: load / copies });
+      found.push({ model, reason: "demand", urgency: Math.max(1, load - copies * copyLoadMs) });
     }
   }
   return found.sort((a, b) => b.urgency - a.urgency || a.model.name.localeCompare(b.model.name));
 }
 
-/** A model that no engine holds goes before another copy of any, one that callers wait for first of all. */
-const urgencies = { waiting: 2_000_000, demand: 1_000_000, reachable: 0 };
-
 /** Copies to carry the load, and to have a place for each adapter in use. */
 function copiesWanted(view: PlacementView, demand: ModelDemand | undefined): number {
   if (demand === undefined) return 1;
@@ -139,13 +171,13 @@
 
 function moveFor(view: PlacementView, want: Want): Move | undefined {
   const open = view.engines.filter(
-    (e) => !e.busy && !e.models.has(want.model.name) && !e.coming.has(want.model.name) && !e.unsettled.has(want.model.name),
+    (e) => !e.busy && e.roomFor === undefined && !e.models.has(want.model.name) && !e.coming.has(want.model.name) && !e.unsettled.has(want.model.name),
   );
   const affordable = open.filter((e) => view.loadsLeft >= 1 || e.atHand.has(want.model.name));
   const withRoom = affordable.filter((e) => e.freeMb >= want.model.sizeMb);
   const target = best(withRoom, (e) => loadCost(view, e, want.model));
   if (target !== undefined) {
-    return { engineId: target.id, action: "load", model: want.model.name, reason: want.reason };
+    return { engineId: target.id, action: "load", reason: want.reason, ...standing(view, want.model.name) };
   }
   if (want.reason === "reachable") return undefined;
   return makeRoom(view, want, affordable);
@@ -173,7 +205,15 @@
     .flatMap((engine) => evictions(view, want, engine));
   const chosen = best(options, (option) => option.cost);
   if (chosen === undefined) return undefined;
-  return { engineId: chosen.engineId, action: "unload", model: chosen.model, reason: "make-room" };
+  const { engineId, model } = chosen;
+  const inFavourOf = want.model.name;
+  return { engineId, action: "unload", reason: want.reason, inFavourOf, ...standing(view, model) };
+}
+
+/** How a model stands before a move. */
+function standing(view: PlacementView, model: string): { model: string; demandMs: number; copies: number } {
+  const demandMs = view.demand.get(model)?.engineMs ?? 0;
+  return { model, demandMs, copies: copiesOf(view, model) };
 }
 
 interface Eviction {
@@ -190,10 +230,9 @@
     const model = view.models.find((m) => m.name === name);
     const cost = evictionCost(view, name, want);
     if (cost === undefined) continue;
-    const enough = (model?.sizeMb ?? 0) >= missing ? 0 : 500;
-    const running = 20 * (engine.requests.get(name) ?? 0);
-    const cold = engine.atHand.has(want.model.name) ? 0 : 200;
-    found.push({ engineId: engine.id, model: name, cost: cost + enough + running + cold });
+    const enough = (model?.sizeMb ?? 0) >= missing ? 0 : evictionCosts.tooSmall;
+    const cold = engine.atHand.has(want.model.name) ? 0 : evictionCosts.cold;
+    found.push({ engineId: engine.id, model: name, cost: cost + enough + cold });
   }
   return found;
 }
@@ -202,18 +241,21 @@
 function evictionCost(view: PlacementView, name: string, want: Want): number | undefined {
   const copies = copiesOf(view, name);
   const demand = view.demand.get(name);
-  const load = demand?.engineMs ?? 0;
   const idle = demand === undefined || (demand.idleMs > idleMs && demand.waiting === 0);
   if (copies > 1) {
     const forAdapters = Math.ceil((demand?.adapters ?? 0) / Math.max(1, view.adapterSlots));
-    const afterwards = load / (copies - 1);
+    const afterwards = (demand?.engineMs ?? 0) / (copies - 1);
     if (afterwards <= copyLoadMs * surplusLoad && copies > forAdapters) return afterwards;
-    // A model nobody can reach is worse off than one whose copies get fuller.
-    return want.urgency >= urgencies.demand ? 1_000 + afterwards : undefined;
+    // A model nobody can reach is worse off than one whose copies get fuller, unless they get too full.
+    const reachesNobody = copiesOf(view, want.model.name) === 0;
+    return reachesNobody && afterwards < overloadMs ? evictionCosts.needed + afterwards : undefined;
   }
-  // The last copy goes only if nobody asked for it lately and callers wait for the other.
-  if (!idle || want.urgency < urgencies.demand) return undefined;
-  return 5_000 - Math.min(4_000, (demand?.idleMs ?? 4_000) / 10);
+  // The last copy goes only if nobody asked for it lately; it comes back from the engine's own disk.
+  const wanted = copiesOf(view, want.model.name);
+  const load = view.demand.get(want.model.name)?.engineMs ?? 0;
+  const pressing = wanted === 0 || load / wanted >= overloadMs;
+  if (!idle || !pressing) return undefined;
+  return evictionCosts.idle * (1 + Math.exp(-(demand?.idleMs ?? 0) / idleFadeMs));
 }
 
 function best<T>(items: readonly T[], cost: (item: T) => number): T | undefined {
