--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -63,6 +63,14 @@
   | { readonly kind: "timed-out"; readonly reason: string; readonly lastEvent: number | undefined }
   | { readonly kind: "cancelled" };
 
+/** Told of an attempt's progress. */
+export interface AttemptListener {
+  /** The server answers this request. */
+  answer(facts: AnswerFacts): void;
+  /** The first byte of the body, or the first event, is there. */
+  firstByte(): void;
+}
+
 /** Sends once. */
 export class Attempt {
   /** Resolves with the outcome; never rejects. */
@@ -81,7 +89,7 @@
 
   constructor(
     private readonly options: AttemptOptions,
-    private readonly onFirstByte: () => void,
+    private readonly listener: AttemptListener,
   ) {
     this.outcome = new Promise((resolve) => {
       this.settle = resolve;
@@ -166,6 +174,7 @@
       this.end({ kind: "broken", reason: "answer to another request", lastEvent: this.lastEvent });
       return;
     }
+    this.listener.answer(facts);
     if (facts.notRun) {
       this.discard(res, facts);
       return;
@@ -240,7 +249,7 @@
   private sawFirstByte(): void {
     if (this.firstByteMs !== undefined) return;
     this.firstByteMs = performance.now() - this.startedMs;
-    this.onFirstByte();
+    this.listener.firstByte();
   }
 
   /**
--- a/src/gateway/callerConnection.ts
+++ b/src/gateway/callerConnection.ts
@@ -29,6 +29,15 @@
     return this.hasLeft;
   }
 
+  /** Resolves once the answer was handed to the network, or the connection is gone. */
+  flushed(): Promise<void> {
+    if (this.res.writableFinished || this.res.destroyed) return Promise.resolve();
+    return new Promise((resolve) => {
+      this.res.once("close", resolve);
+      this.res.once("finish", resolve);
+    });
+  }
+
   /** Part of a stream was already written. */
   get begun(): boolean {
     return this.res.headersSent;
@@ -79,12 +88,27 @@
   relay(answer: WholeAnswer): void {
     this.closeIfStopping();
     const headers = this.codec.answerHeaders(answer.raw);
+    if (!answer.facts.framed) {
+      this.relayUnframed(answer, headers);
+      return;
+    }
     const length = this.req.method === "HEAD" ? (answer.facts.contentLength ?? 0) : answer.body.length;
     if (answer.facts.status !== 204 && answer.facts.status !== 304) headers.push("Content-Length", String(length));
     this.res.writeHead(answer.facts.status, headers);
     this.res.end(answer.body);
   }
 
+  /**
+   * Guards "an answer that was cut off looks complete": where the server didn't say how long it is, neither
+   * does the gateway, and the caller sees what the gateway saw.
+   */
+  private relayUnframed(answer: WholeAnswer, headers: string[]): void {
+    this.res.useChunkedEncodingByDefault = false;
+    this.res.shouldKeepAlive = false;
+    this.res.writeHead(answer.facts.status, headers);
+    this.res.end(answer.body);
+  }
+
   /** Answers a failure of our own; `retryAfterS` tells when to come back. */
   refuse(failure: Failure, retryAfterS?: number): void {
     if (this.res.headersSent) {
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -97,6 +97,8 @@
     });
     try {
       await exchange.run();
+      // Guards "the last answers are cut at exit": ended is not yet sent, and a stopping node counts on it.
+      await caller.flushed();
     } finally {
       this.inFlight -= 1;
     }
--- a/src/gateway/engineDesk.ts
+++ b/src/gateway/engineDesk.ts
@@ -24,7 +24,8 @@
   readonly log: Log;
   readonly metrics: GatewayMetrics;
   readonly holder: string;
-  readonly token: () => number | undefined;
+  /** The fencing token, while this node may order the engine. */
+  readonly token: (serverId: string) => number | undefined;
 }
 
 /** A load that is not confirmed by the engine's registration yet. */
@@ -229,7 +230,7 @@
         log.debug({ event: "report-failed", server: target.serverId, detail: toFailure(error).message });
       });
     }
-    const fencingToken = token();
+    const fencingToken = token(target.serverId);
     if (fencingToken === undefined) return "no-lease";
     const { action, model, adapter } = request;
     const expectedSequence = this.sequence;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -7,7 +7,7 @@
 import { gapPatienceMs, patienceOf, type Patience } from "../serving/patience.ts";
 import type { RetryBudget } from "../serving/retryBudget.ts";
 import { chooseServer, type Chosen } from "../serving/serverChoice.ts";
-import { Attempt, type AttemptOutcome } from "./attempt.ts";
+import { Attempt, type AttemptOutcome, type WholeAnswer } from "./attempt.ts";
 import type { CallerConnection } from "./callerConnection.ts";
 import { adapterKey, demandKey, type Placer, type Serving } from "./serving.ts";
 
@@ -58,6 +58,8 @@
   private attempt: Attempt | undefined;
   private lastFailure = "";
   private timeIsUp = false;
+  /** An answer to give if no better one comes. */
+  private fallback: WholeAnswer | undefined;
   private retryAfterS = soonS;
 
   constructor(private readonly options: ExchangeOptions) {
@@ -206,14 +208,14 @@
   }
 
   private async send(chosen: Chosen): Promise<AttemptOutcome> {
-    const { serving, facts, route } = this;
+    const { serving, facts: request, route } = this;
     const now = performance.now();
     const { server } = chosen;
     this.noteFound();
     if (this.sends === 0) serving.metrics.queued.observe({ service: this.service.name }, (now - this.arrivedMs) / 1000);
     this.sends += 1;
     this.tried.add(server.id);
-    const inFlight = serving.loads.begin(server.id, facts.promptTokens, facts.promptTokens + facts.outputTokens);
+    const inFlight = serving.loads.begin(server.id, request.promptTokens, request.promptTokens + request.outputTokens);
     const answerMs = this.patience.answerByMs - now - answerMarginMs;
     const stream = route.kind === "stream";
     const body = this.body;
@@ -232,19 +234,22 @@
           bodyBytes: body?.length,
         }),
         body,
-        requestId: facts.requestId,
+        requestId: request.requestId,
         sink: stream ? this.caller : undefined,
-        afterEvent: this.lastEvent ?? facts.lastEventId,
+        afterEvent: this.lastEvent ?? request.lastEventId,
         firstByteMs: this.firstByteLimitMs(now, chosen.expectedMs),
         pauseMs: this.pauseLimitMs(),
         answerMs: Math.max(1, answerMs),
       },
-      () => {
-        inFlight.started();
-        serving.metrics.firstByte.observe(
-          { kind: route.kind, service: this.service.name },
-          (performance.now() - this.arrivedMs) / 1000,
-        );
+      {
+        answer: (facts) => {
+          serving.pool.learnKeepAlive(server.id, facts.keepAliveS);
+        },
+        firstByte: () => {
+          inFlight.started();
+          const labels = { kind: route.kind, service: this.service.name };
+          serving.metrics.firstByte.observe(labels, (performance.now() - this.arrivedMs) / 1000);
+        },
       },
     );
     const outcome = await this.attempt.outcome;
@@ -342,18 +347,31 @@
   }
 
   private onAnswer(outcome: Extract<AttemptOutcome, { kind: "answered" }>): boolean {
-    const { status } = outcome.answer.facts;
-    if (status >= serverErrorStatus && repeatable(this.route) && !this.caller.begun) {
+    const { answer } = outcome;
+    if (this.caller.begun) return this.giveUp();
+    if (this.isDoubtful(answer) && repeatable(this.route)) {
       this.ran += 1;
       const canRepeat = this.ran < this.route.maxAttempts && this.choose() !== undefined;
-      if (canRepeat && this.timeLeft() && this.options.budgetFor(this.service.name).spend()) return true;
+      if (canRepeat && this.timeLeft() && this.options.budgetFor(this.service.name).spend()) {
+        if (answer.facts.status < serverErrorStatus) this.fallback = answer;
+        return true;
+      }
     }
-    if (this.caller.begun) return this.giveUp();
-    this.caller.relay(outcome.answer);
-    this.ended(`status-${String(status)}`);
+    const failed = answer.facts.status >= serverErrorStatus;
+    this.relay(failed ? (this.fallback ?? answer) : answer);
     return false;
   }
 
+  /** Another server may do better: this one failed, or its answer may have been cut off unseen. */
+  private isDoubtful(answer: WholeAnswer): boolean {
+    return answer.facts.status >= serverErrorStatus || !answer.facts.framed;
+  }
+
+  private relay(answer: WholeAnswer): void {
+    this.caller.relay(answer);
+    this.ended(`status-${String(answer.facts.status)}`);
+  }
+
   private mayAskAnother(allowed: boolean): boolean {
     if (allowed && this.timeLeft() && this.options.budgetFor(this.service.name).spend()) return true;
     return this.giveUp();
@@ -369,6 +387,10 @@
       this.ended("caller-left");
       return false;
     }
+    if (this.fallback !== undefined && !this.caller.begun) {
+      this.relay(this.fallback);
+      return false;
+    }
     const where = `${this.service.name}${this.facts.model === undefined ? "" : ` model ${this.facts.model}`}`;
     if (this.ran === 0) {
       const kind: ErrorKind = this.sends === 0 ? "no-replica" : "not-run";
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -16,7 +16,7 @@
 import type { Engines } from "../serving/orders.ts";
 import { Outliers } from "../serving/outliers.ts";
 import { PeerTable, type Asked, type Pulse } from "../serving/peerTable.ts";
-import { shouldRead, type Reader } from "../serving/readers.ts";
+import { freshMs, shouldRead, type Reader } from "../serving/readers.ts";
 import type { Store } from "../serving/store.ts";
 import { CallerServer } from "./callerServer.ts";
 import { ConfigurationTask } from "./configurationTask.ts";
@@ -97,7 +97,13 @@
       self: settings,
       leaseMs: settings.leaseMs,
       holderHeard: () => this.table.holder(performance.now()) !== undefined,
+      storeServesPeers: () => this.readers().some((reader) => reader.readAgeMs < freshMs),
+      tellYield: (message) => {
+        this.peers.notify("lease.yield", message);
+        this.peers.tell();
+      },
     });
+    this.peers.handle("lease.yield", (params) => this.lease.onYield(params));
     const placement = new PlacementTask({
       serving: this.serving,
       engines: platform.engines,
@@ -267,13 +273,17 @@
   }
 
   private shouldRead(): boolean {
+    const self = { ip: this.options.settings.ip, holder: this.lease.holding, readAgeMs: this.fleet.readAgeMs };
+    return shouldRead(self, this.readers());
+  }
+
+  /** Live peers, with how long ago each read the store. */
+  private readers(): Reader[] {
     const now = performance.now();
-    const peers = this.table.alive(now).map(({ pulse, heardMs }): Reader => {
+    return this.table.alive(now).map(({ pulse, heardMs }) => {
       const readAgeMs = (pulse.readAgeMs ?? Number.POSITIVE_INFINITY) + (now - heardMs);
       return { ip: pulse.ip, holder: pulse.token !== undefined, readAgeMs };
     });
-    const self = { ip: this.options.settings.ip, holder: this.lease.holding, readAgeMs: this.fleet.readAgeMs };
-    return shouldRead(self, peers);
   }
 
   private asked(): Asked {
--- a/src/gateway/leaseTask.ts
+++ b/src/gateway/leaseTask.ts
@@ -6,12 +6,14 @@
 import { PeriodicTask } from "../common/supervisor.ts";
 import { ClockWatch, readClocks } from "../serving/clockWatch.ts";
 import {
+  distanceMs,
   isSame,
   LeaseRow,
   leaseRenewMs,
   leaseTtlMs,
   StoreClock,
   waitToTake,
+  Yield,
   type Candidate,
 } from "../serving/leaseRules.ts";
 import type { RowSet, Store } from "../serving/store.ts";
@@ -26,6 +28,8 @@
 const suspectMs = 900;
 /** Nodes spread their first attempts over this time, ms, so that one wins and the others hear of it. */
 const spreadMs = 500;
+/** Time limit of a write, ms: a holder that is cut off finds out within it, and yields. */
+const writeTimeoutMs = 500;
 /** Orders stop this long before the lease ends, ms: the time an order may take on its way. */
 const sendMarginMs = 100;
 
@@ -40,6 +44,10 @@
   readonly leaseMs: number;
   /** Is a holder's pulse heard? */
   readonly holderHeard: () => boolean;
+  /** Does the store answer any peer? */
+  readonly storeServesPeers: () => boolean;
+  /** Tells all peers. */
+  readonly tellYield: (message: Yield) => void;
 }
 
 interface Held {
@@ -60,22 +68,45 @@
   private renewedMs = 0;
   private unheardSinceMs: number | undefined;
   private nextLookMs = 0;
-  private lastOrderMs: number | undefined;
+  /** When this node last ordered each engine, on the steady clock, ms. */
+  private readonly ordered = new Map<string, number>();
+  /** Until when an engine is closed to this node, as another holder ordered it lately. */
+  private closedUntil = new Map<string, number>();
+  /** The last yield heard, and when. */
+  private yielded: { readonly message: Yield; readonly atMs: number } | undefined;
   private stopping = false;
 
   constructor(private readonly options: LeaseTaskOptions) {
     super("lease", tickMs, options.log);
   }
 
-  /** The fencing token, while an order may be sent right now. */
-  token(): number | undefined {
+  /** The fencing token, while an order may be sent to the engine right now. */
+  token(serverId: string): number | undefined {
     this.checkClocks();
     const now = performance.now();
-    if (this.held === undefined || this.stopping || now > this.held.untilMs - sendMarginMs) return undefined;
-    this.lastOrderMs = now;
+    if (this.held === undefined || !this.holding || !this.mayOrder(serverId)) return undefined;
+    this.ordered.set(serverId, now);
     return this.held.token;
   }
 
+  /** Is the engine open to this node, as far as earlier holders go? */
+  mayOrder(serverId: string): boolean {
+    return performance.now() >= (this.closedUntil.get(serverId) ?? 0);
+  }
+
+  /** A holder gives up a lease that it can't renew: no need to wait until it runs out. */
+  onYield(params: unknown): boolean {
+    return decodeEither(Yield, params)
+      .ifLeft((failure) => this.options.log.warn({ event: "peer-message-rejected", detail: failure.message }))
+      .map((message) => {
+        this.yielded = { message, atMs: performance.now() };
+        this.nextLookMs = 0;
+        this.unheardSinceMs = performance.now() - suspectMs + Math.random() * spreadMs * 0.3;
+        return true;
+      })
+      .orDefault(false);
+  }
+
   /** Does this node hold the lease? Asked without sending an order. */
   get holding(): boolean {
     return this.held !== undefined && !this.stopping && performance.now() < this.held.untilMs - sendMarginMs;
@@ -90,8 +121,8 @@
   async release(): Promise<void> {
     this.stopping = true;
     if (this.held === undefined || this.row === undefined) return;
-    const lastOrder = this.lastOrderMs ?? performance.now();
-    const value = { ...this.row.value, untilMs: this.clock.at(Math.min(lastOrder, performance.now())) };
+    const ordered = Object.fromEntries([...this.lastOrders()].map(([id, ms]) => [id, Math.ceil(this.clock.at(ms))]));
+    const value = { ...this.row.value, untilMs: Math.ceil(this.clock.at(performance.now())), ordered };
     try {
       await this.options.store.commit([{ table, key, value: JSON.stringify(value), expected: this.row.version }]);
       this.options.log.info({ event: "lease-released", token: value.token });
@@ -135,7 +166,7 @@
     if (!this.rowKnown) return;
     const { self, leaseMs } = this.options;
     const wait = waitToTake(this.row?.value, self, this.clock.at(performance.now()), leaseMs);
-    if (wait > 0) {
+    if (wait > 0 && this.yielded?.message.token !== this.row?.value.token) {
       this.nextLookMs = performance.now() + wait + Math.random() * spreadMs;
       return;
     }
@@ -172,10 +203,11 @@
     const sentMs = performance.now();
     const value = { holder: self.host, ip: self.ip, token, untilMs: Math.ceil(this.clock.at(sentMs) + leaseTtlMs) };
     const expected = this.row?.version ?? 0;
+    const previous = this.row?.value;
     this.renewedMs = sentMs;
     try {
       const receipt = await store.commit([{ table, key, value: JSON.stringify(value), expected }], {
-        timeoutMs: leaseRenewMs,
+        timeoutMs: writeTimeoutMs,
       });
       this.options.link.succeeded();
       this.clock.learn(receipt.nowMs, sentMs);
@@ -184,10 +216,11 @@
         this.lose("host stood still");
         return;
       }
-      this.hold({ token, untilMs: sentMs + leaseTtlMs });
+      this.hold({ token, untilMs: sentMs + leaseTtlMs }, previous);
     } catch (error) {
       const failure = this.failed(error);
       log.info({ event: "lease-write-failed", token, kind: failure });
+      if (this.held !== undefined && failure !== "conflict" && this.options.storeServesPeers()) this.giveWay();
       await this.settleUnknown();
     }
   }
@@ -204,10 +237,48 @@
     this.nextLookMs = performance.now() + spreadMs * Math.random();
   }
 
-  private hold(held: Held): void {
+  /** Gives the lease up without the store: a peer that reaches it can take over at once. */
+  private giveWay(): void {
+    if (this.held === undefined) return;
+    const now = performance.now();
+    const { token } = this.held;
+    this.lose("store out of reach");
+    const orderedAgoMs = Object.fromEntries([...this.lastOrders()].map(([id, ms]) => [id, Math.floor(now - ms)]));
+    this.options.tellYield({ token, orderedAgoMs });
+  }
+
+  /**
+   * When this node or a holder before it last ordered each engine. Guards "a third holder follows the first
+   * too closely": the second may give up before it has ordered an engine that the first had just ordered.
+   */
+  private lastOrders(): Map<string, number> {
+    const distance = distanceMs(this.options.leaseMs);
+    const orders = new Map([...this.closedUntil].map(([id, untilMs]) => [id, untilMs - distance]));
+    for (const [id, ms] of this.ordered) orders.set(id, Math.max(ms, orders.get(id) ?? ms));
+    return orders;
+  }
+
+  /** What earlier holders ordered lately closes those engines for a while. */
+  private inherit(previous: LeaseRow | undefined): void {
+    const now = performance.now();
+    const distance = distanceMs(this.options.leaseMs);
+    if (previous === undefined || isSame(previous, this.options.self)) return;
+    this.closedUntil = new Map();
+    for (const [id, storeMs] of Object.entries(previous.ordered ?? {})) {
+      this.closedUntil.set(id, this.clock.steadyAt(storeMs) + distance);
+    }
+    if (this.yielded?.message.token !== previous.token) return;
+    const { message, atMs } = this.yielded;
+    for (const [id, agoMs] of Object.entries(message.orderedAgoMs)) {
+      if (agoMs < distance) this.closedUntil.set(id, Math.max(now, atMs - agoMs + distance));
+    }
+  }
+
+  private hold(held: Held, previous: LeaseRow | undefined): void {
     const before = this.held;
     this.held = held;
     if (before !== undefined) return;
+    this.inherit(previous);
     this.options.log.info({ event: "lease-taken", token: held.token });
     this.options.metrics.leaseHeld.set(1);
     this.changed.fire(true);
--- a/src/gateway/placementTask.ts
+++ b/src/gateway/placementTask.ts
@@ -115,6 +115,11 @@
     for (const id of this.desks.keys()) if (!known.has(id)) this.desks.delete(id);
   }
 
+  /** Takes the engine no order now, not even for an adapter? Those are taken while a model is on its way. */
+  private closed(desk: EngineDesk): boolean {
+    return desk.resting || !desk.verified || !this.options.lease.mayOrder(desk.server.id);
+  }
+
   /** Asks engines whose memory this holder doesn't know yet; they get no orders before. */
   private async verifyDesks(): Promise<void> {
     const open = [...this.desks.values()].filter((desk) => !desk.verified);
@@ -136,7 +141,7 @@
       log: this.log,
       metrics: serving.metrics,
       holder: serving.host,
-      token: () => lease.token(),
+      token: (serverId) => lease.token(serverId),
     });
     this.desks.set(server.id, desk);
     return desk;
@@ -172,7 +177,8 @@
       unsettled: new Set(limits.models.map((model) => model.name).filter((name) => desk.movedLately(name))),
       coming: new Set(desk.coming.keys()),
       freeMb: limits.memoryMb - usedMb,
-      busy: desk.busy || desk.resting || !desk.verified,
+      busy: desk.busy || this.closed(desk),
+      soonFree: desk.coming.size === 0,
       atHand: new Set(server.atHand),
     };
   }
@@ -323,7 +329,7 @@
       adapters: desk.adapters,
       evictable: desk.evictableAdapters,
       expectedMs: load.pendingTokens / prefillTokensPerMs + load.requests,
-      busy: desk.busy || desk.resting || !desk.verified || serving.outliers.health(server.id, now).ejected,
+      busy: this.closed(desk) || serving.outliers.health(server.id, now).ejected,
     };
   }
 
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -50,6 +50,8 @@
   readonly wrongServer: boolean;
   readonly sealed: boolean;
   readonly contentLength: number | undefined;
+  /** The answer says where it ends; else it ends with its connection, and may have been cut off unseen. */
+  readonly framed: boolean;
   /** After this idle time the server closes the connection, s. */
   readonly keepAliveS: number | undefined;
   readonly closes: boolean;
--- a/src/serving/leaseRules.ts
+++ b/src/serving/leaseRules.ts
@@ -15,6 +15,11 @@
   token: Schema.Number,
   /** The holder sends no order after this, ms on the store's clock. */
   untilMs: Schema.Number,
+  /**
+   * Set when the holder gave the lease up: when it last ordered each engine, ms on the store's clock. A
+   * successor needn't wait, but keeps its distance at each engine.
+   */
+  ordered: Schema.optionalKey(Schema.Record(Schema.String, Schema.Number)),
 });
 /** A decoded lease row. */
 export type LeaseRow = typeof LeaseRow.Type;
@@ -23,6 +28,11 @@
 export const leaseTtlMs = 2_000;
 /** Period of renewal, ms. */
 export const leaseRenewMs = 800;
+/** How long after another holder's last order to an engine a successor may order it, ms. */
+export function distanceMs(leaseMs: number): number {
+  return leaseMs + handoverSlackMs;
+}
+
 /** Kept between two holders beyond the platform's bound, ms: network delay of an order in flight. */
 const handoverSlackMs = 300;
 
@@ -32,10 +42,19 @@
   readonly ip: string;
 }
 
+/** A holder tells its peers that it gives the lease up, as it can't reach the store any more. */
+export const Yield = Schema.Struct({
+  token: Schema.Number,
+  /** Time since it last ordered each engine, ms; engines not named were left alone for long. */
+  orderedAgoMs: Schema.Record(Schema.String, Schema.Number),
+});
+/** A decoded yield. */
+export type Yield = typeof Yield.Type;
+
 /** Time until `candidate` may take the lease, ms on the store's clock; 0 if now. */
 export function waitToTake(row: LeaseRow | undefined, candidate: Candidate, storeNowMs: number, leaseMs: number): number {
-  if (row === undefined || isSame(row, candidate)) return 0;
-  return Math.max(0, row.untilMs + leaseMs + handoverSlackMs - storeNowMs);
+  if (row === undefined || row.ordered !== undefined || isSame(row, candidate)) return 0;
+  return Math.max(0, row.untilMs + distanceMs(leaseMs) - storeNowMs);
 }
 
 /** Is this the same host, perhaps after a restart? */
--- a/src/serving/placementPlan.ts
+++ b/src/serving/placementPlan.ts
@@ -21,6 +21,8 @@
   readonly freeMb: number;
   /** An order is under way, so that no other is taken. */
   readonly busy: boolean;
+  /** It will take an order again within a round or two. */
+  readonly soonFree: boolean;
   /** Models it can load without the weight store. */
   readonly atHand: ReadonlySet<string>;
 }
@@ -78,7 +80,9 @@
 /** What each request waiting for it adds, ms per s. */
 const waitingMs = 50;
 /** Base costs of an eviction, in the same unit, so that the cheapest kind is chosen first. */
-const evictionCosts = { idle: 300, needed: 1_000, tooSmall: 500, cold: 200 };
+const evictionCosts = { idle: 300, needed: 1_000, cold: 200 };
+/** An eviction this much cheaper is worth a round's wait. */
+const worthWaiting = 150;
 /** An idle model's cost falls from twice the base to the base with this time constant, ms. */
 const idleFadeMs = 10_000;
 
@@ -125,7 +129,11 @@
  */
 function reservedMove(view: PlacementView, engine: EngineView): Move | undefined {
   const model = view.models.find((m) => m.name === engine.roomFor);
-  if (model === undefined || engine.busy || engine.freeMb < model.sizeMb) return undefined;
+  if (model === undefined || engine.busy) return undefined;
+  if (engine.freeMb < model.sizeMb) {
+    const more = cheapestEvictions(view, model, engine);
+    return more === undefined ? undefined : evictionMove(view, model, "demand", more);
+  }
   if (view.loadsLeft < 1 && !engine.atHand.has(model.name)) return undefined;
   return { engineId: engine.id, action: "load", reason: "demand", ...standing(view, model.name) };
 }
@@ -143,6 +151,11 @@
   return view.engines.filter((e) => e.models.has(model) || e.coming.has(model) || e.roomFor === model).length;
 }
 
+/** Copies in memory or on their way, without those that room is only being made for. */
+function servingCopies(view: PlacementView, model: string): number {
+  return view.engines.filter((e) => e.models.has(model) || e.coming.has(model)).length;
+}
+
 function wants(view: PlacementView): Want[] {
   const found: Want[] = [];
   for (const model of view.models) {
@@ -170,17 +183,22 @@
 }
 
 function moveFor(view: PlacementView, want: Want): Move | undefined {
-  const open = view.engines.filter(
-    (e) => !e.busy && e.roomFor === undefined && !e.models.has(want.model.name) && !e.coming.has(want.model.name) && !e.unsettled.has(want.model.name),
-  );
-  const affordable = open.filter((e) => view.loadsLeft >= 1 || e.atHand.has(want.model.name));
+  const lacking = view.engines.filter((engine) => lacks(engine, want.model.name));
+  const affordable = lacking.filter((e) => !e.busy && (view.loadsLeft >= 1 || e.atHand.has(want.model.name)));
   const withRoom = affordable.filter((e) => e.freeMb >= want.model.sizeMb);
   const target = best(withRoom, (e) => loadCost(view, e, want.model));
   if (target !== undefined) {
     return { engineId: target.id, action: "load", reason: want.reason, ...standing(view, want.model.name) };
   }
   if (want.reason === "reachable") return undefined;
-  return makeRoom(view, want, affordable);
+  const soon = lacking.filter((engine) => engine.busy && engine.soonFree);
+  return makeRoom(view, want, affordable, soon);
+}
+
+/** Is the engine one that could be given the model? */
+function lacks(engine: EngineView, model: string): boolean {
+  if (engine.roomFor !== undefined) return false;
+  return !engine.models.has(model) && !engine.coming.has(model) && !engine.unsettled.has(model);
 }
 
 /** Lower is better: at hand first, then the engine whose models ask for least, then the tightest fit. */
@@ -198,16 +216,28 @@
   return load;
 }
 
-function makeRoom(view: PlacementView, want: Want, engines: readonly EngineView[]): Move | undefined {
-  const options = engines
-    // Room on its way: an engine that is to make room for one model does so for that one only.
-    .filter((engine) => engine.coming.size === 0)
-    .flatMap((engine) => evictions(view, want, engine));
-  const chosen = best(options, (option) => option.cost);
-  if (chosen === undefined) return undefined;
-  const { engineId, model } = chosen;
-  const inFavourOf = want.model.name;
-  return { engineId, action: "unload", reason: want.reason, inFavourOf, ...standing(view, model) };
+/** Evicts where it costs least; waits a round if an engine that is free then offers far better. */
+function makeRoom(
+  view: PlacementView,
+  want: Want,
+  open: readonly EngineView[],
+  soon: readonly EngineView[],
+): Move | undefined {
+  const cheapest = (engines: readonly EngineView[]): Evictions | undefined =>
+    best(
+      engines.flatMap((engine) => cheapestEvictions(view, want.model, engine) ?? []),
+      (option) => option.cost,
+    );
+  const now = cheapest(open);
+  const later = cheapest(soon);
+  if (now === undefined) return undefined;
+  if (later !== undefined && later.cost + worthWaiting < now.cost) return undefined;
+  return evictionMove(view, want.model, want.reason, now);
+}
+
+function evictionMove(view: PlacementView, wanted: Model, reason: Move["reason"], eviction: Evictions): Move {
+  const { engineId, first } = eviction;
+  return { engineId, action: "unload", reason, inFavourOf: wanted.name, ...standing(view, first) };
 }
 
 /** How a model stands before a move. */
@@ -216,29 +246,52 @@
   return { model, demandMs, copies: copiesOf(view, model) };
 }
 
-interface Eviction {
+/** The models of one engine that make room together, at the lowest cost. */
+interface Evictions {
   readonly engineId: string;
-  readonly model: string;
+  /** The one to unload first; the others follow while the room is kept. */
+  readonly first: string;
   readonly cost: number;
 }
 
-function evictions(view: PlacementView, want: Want, engine: EngineView): Eviction[] {
-  const missing = want.model.sizeMb - engine.freeMb;
-  const found: Eviction[] = [];
-  for (const name of engine.models) {
-    if (engine.unsettled.has(name)) continue;
-    const model = view.models.find((m) => m.name === name);
-    const cost = evictionCost(view, name, want);
-    if (cost === undefined) continue;
-    const enough = (model?.sizeMb ?? 0) >= missing ? 0 : evictionCosts.tooSmall;
-    const cold = engine.atHand.has(want.model.name) ? 0 : evictionCosts.cold;
-    found.push({ engineId: engine.id, model: name, cost: cost + enough + cold });
+/**
+ * Guards "room is made that is too small": models differ in size, and dropping a small one for a large one
+ * leaves a copy fewer and nothing gained. An engine holds few models, so every choice of them is weighed.
+ */
+function cheapestEvictions(view: PlacementView, wanted: Model, engine: EngineView): Evictions | undefined {
+  const missingMb = wanted.sizeMb - engine.freeMb;
+  const options = evictable(view, wanted, engine);
+  const base = engine.atHand.has(wanted.name) ? 0 : evictionCosts.cold;
+  let found: Evictions | undefined;
+  for (let choice = 1; choice < 1 << options.length; choice += 1) {
+    const chosen = options.filter((_, index) => (choice & (1 << index)) !== 0);
+    const sizeMb = chosen.reduce((sum, option) => sum + option.sizeMb, 0);
+    const cost = base + chosen.reduce((sum, option) => sum + option.cost, 0);
+    const first = best(chosen, (option) => option.cost);
+    if (sizeMb < missingMb || first === undefined || (found !== undefined && cost >= found.cost)) continue;
+    found = { engineId: engine.id, first: first.model, cost };
   }
   return found;
 }
 
+/** Models of the engine that may make way, with what that costs; at most ten, as choices double with each. */
+function evictable(
+  view: PlacementView,
+  wanted: Model,
+  engine: EngineView,
+): { model: string; sizeMb: number; cost: number }[] {
+  return [...engine.models]
+    .filter((name) => !engine.unsettled.has(name))
+    .flatMap((name) => {
+      const cost = evictionCost(view, name, wanted);
+      const sizeMb = view.models.find((m) => m.name === name)?.sizeMb ?? 0;
+      return cost === undefined ? [] : [{ model: name, sizeMb, cost }];
+    })
+    .slice(0, 10);
+}
+
 /** What dropping one copy costs; undefined where it may not be dropped for this want. */
-function evictionCost(view: PlacementView, name: string, want: Want): number | undefined {
+function evictionCost(view: PlacementView, name: string, wantedModel: Model): number | undefined {
   const copies = copiesOf(view, name);
   const demand = view.demand.get(name);
   const idle = demand === undefined || (demand.idleMs > idleMs && demand.waiting === 0);
@@ -247,12 +300,12 @@
     const afterwards = (demand?.engineMs ?? 0) / (copies - 1);
     if (afterwards <= copyLoadMs * surplusLoad && copies > forAdapters) return afterwards;
     // A model nobody can reach is worse off than one whose copies get fuller, unless they get too full.
-    const reachesNobody = copiesOf(view, want.model.name) === 0;
+    const reachesNobody = servingCopies(view, wantedModel.name) === 0;
     return reachesNobody && afterwards < overloadMs ? evictionCosts.needed + afterwards : undefined;
   }
   // The last copy goes only if nobody asked for it lately; it comes back from the engine's own disk.
-  const wanted = copiesOf(view, want.model.name);
-  const load = view.demand.get(want.model.name)?.engineMs ?? 0;
+  const wanted = servingCopies(view, wantedModel.name);
+  const load = view.demand.get(wantedModel.name)?.engineMs ?? 0;
   const pressing = wanted === 0 || load / wanted >= overloadMs;
   if (!idle || !pressing) return undefined;
   return evictionCosts.idle * (1 + Math.exp(-(demand?.idleMs ?? 0) / idleFadeMs));
