--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,12 +4,20 @@
 import prettier from "eslint-config-prettier";
 import tseslint from "typescript-eslint";
 
-const roles = ["entry", "platform", "engine", "service", "bench", "cli"];
+const roles = ["entry", "gateway", "platform", "engine", "service", "bench", "cli"];
 /** Library folders between common/ and the roles: they import common/ and themselves, roles may import them. */
-const libraries = ["placement"];
+const libraries = ["placement", "serving"];
 /** Folders that compose roles (the CLI and the bench run them); no role imports these. */
 const composers = ["cli", "bench"];
 
+/** Only the command line connects a node to the adapter in platform/ at the root. */
+function adapterPattern(folder) {
+  if (composers.includes(folder)) return [];
+  return [
+    { group: ["**/../platform/*", "../../platform/**"], message: `${folder}/ may not import the adapter` },
+  ];
+}
+
 /** One block per role folder: it may import common/ and itself, never another role. */
 const layering = roles.map((role) => ({
   files: [`src/${role}/**/*.ts`],
@@ -17,16 +25,19 @@
     "no-restricted-imports": [
       "error",
       {
-        patterns: roles
-          .filter((other) => other !== role && !composers.includes(role))
-          .map((other) => ({ group: [`../${other}/*`], message: `${role}/ may not import ${other}/` })),
+        patterns: [
+          ...roles
+            .filter((other) => other !== role && !composers.includes(role))
+            .map((other) => ({ group: [`../${other}/*`], message: `${role}/ may not import ${other}/` })),
+          ...adapterPattern(role),
+        ],
       },
     ],
   },
 }));
 
 export default tseslint.config(
-  { ignores: ["node_modules/**", "eslint.config.js", "bin/**"] },
+  { ignores: ["node_modules/**", "target/**", "eslint.config.js", "bin/**", "scripts/**"] },
   js.configs.recommended,
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
@@ -58,10 +69,10 @@
       "no-restricted-imports": [
         "error",
         {
-          patterns: roles.map((role) => ({
-            group: [`../${role}/*`],
-            message: `${library}/ imports no role`,
-          })),
+          patterns: [
+            ...roles.map((role) => ({ group: [`../${role}/*`], message: `${library}/ imports no role` })),
+            ...adapterPattern(library),
+          ],
         },
       ],
     },
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,6 +1,9 @@
 // Bundles the program into target/parsleynotch: one file, plus a chunk per subcommand that is loaded when named.
+import * as fs from "node:fs";
 import * as esbuild from "esbuild";
 
+fs.rmSync("target", { recursive: true, force: true });
+
 await esbuild.build({
   entryPoints: { parsleynotch: "src/cli/main.ts" },
   outdir: "target",
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -25,7 +25,8 @@
 
 try {
   const named = commands[process.argv[2] ?? ""];
-  for (const load of named === undefined ? Object.values(commands) : [named]) program.addCommand(await load());
+  for (const load of named === undefined ? Object.values(commands) : [named])
+    program.addCommand(await load());
   await program.parseAsync(process.argv);
 } catch (error) {
   const failure = toFailure(error);
--- a/src/common/emitter.ts
+++ b/src/common/emitter.ts
@@ -25,7 +25,7 @@
     return new Promise((resolve) => {
       const done = (): void => {
         clearTimeout(timer);
-        listening.dispose();
+        void listening.dispose();
         resolve();
       };
       const timer = setTimeout(done, ms);
--- a/src/common/hostLog.ts
+++ b/src/common/hostLog.ts
@@ -20,7 +20,13 @@
 
 /** Makes the log of a process. */
 export function createHostLog(name: string): HostLog {
-  const out = new sonic.SonicBoom({ fd: 1, sync: false, minLength: batchBytes, maxLength: bufferBytes, periodicFlush: batchMs });
+  const out = new sonic.SonicBoom({
+    fd: 1,
+    sync: false,
+    minLength: batchBytes,
+    maxLength: bufferBytes,
+    periodicFlush: batchMs,
+  });
   let dropped = 0;
   out.on("drop", () => {
     dropped += 1;
--- a/src/gateway/callerConnection.ts
+++ b/src/gateway/callerConnection.ts
@@ -54,7 +54,8 @@
     let size = 0;
     for await (const chunk of this.req as AsyncIterable<Buffer>) {
       size += chunk.length;
-      if (size > limit) throw new Failure("body-too-large", `body is over ${limit} bytes; send a smaller one`);
+      if (size > limit)
+        throw new Failure("body-too-large", `body is over ${limit} bytes; send a smaller one`);
       chunks.push(chunk);
     }
     return chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
@@ -93,7 +94,8 @@
       return;
     }
     const length = this.req.method === "HEAD" ? (answer.facts.contentLength ?? 0) : answer.body.length;
-    if (answer.facts.status !== 204 && answer.facts.status !== 304) headers.push("Content-Length", String(length));
+    if (answer.facts.status !== 204 && answer.facts.status !== 304)
+      headers.push("Content-Length", String(length));
     this.res.writeHead(answer.facts.status, headers);
     this.res.end(answer.body);
   }
--- a/src/gateway/configurationTask.ts
+++ b/src/gateway/configurationTask.ts
@@ -89,7 +89,8 @@
         continue;
       }
       try {
-        const read = version === undefined ? store.get(row.table, row.key) : store.changes(row.table, version, waitMs);
+        const read =
+          version === undefined ? store.get(row.table, row.key) : store.changes(row.table, version, waitMs);
         const set = await read;
         link.succeeded();
         version = set.version;
@@ -118,7 +119,13 @@
         if (previous !== undefined && previous >= table.version) return;
         this.text = text;
         configuration.offer(table);
-        log.info({ event: "configuration-applied", version: decoded.version, previous, from, routes: decoded.routes.length });
+        log.info({
+          event: "configuration-applied",
+          version: decoded.version,
+          previous,
+          from,
+          routes: decoded.routes.length,
+        });
       },
     });
   }
--- a/src/gateway/engineDesk.ts
+++ b/src/gateway/engineDesk.ts
@@ -41,6 +41,8 @@
  */
 const registrationAgeMs = 2_500;
 
+/** An order that was not carried out after this time never will be, ms; late ones took up to 12 s. */
+const lostOrderMs = 15_000;
 /** A report shows orders that were accepted at least this long before, ms: its figures lag by some hundred ms. */
 const reportLagMs = 500;
 /** Pause after an order was refused because another is under way or the sequence differs, ms. */
@@ -59,7 +61,8 @@
   readonly dropping = new Set<string>();
   /** The model for which another was told to make way here. */
   private room: { readonly model: string; readonly sinceMs: number } | undefined;
-  private readonly comingAdapters = new Set<string>();
+  /** Adapters ordered, and when. */
+  private readonly comingAdapters = new Map<string, number>();
   /** Adapters chosen to make way whose order isn't answered. */
   private readonly leavingAdapters = new Set<string>();
   /** Adapters unloaded that registrations may still show. */
@@ -67,7 +70,8 @@
   private readonly movedMs = new Map<string, number>();
   private registered: BackendServer;
   /** What the engine's last report showed, as models and as MODEL/NAME of adapters. */
-  private reported: { readonly models: string[]; readonly adapters: string[]; readonly atMs: number } | undefined;
+  private reported:
+    { readonly models: string[]; readonly adapters: string[]; readonly atMs: number } | undefined;
   /** Orders accepted so far, as far as is known. */
   private sequence = 0;
   private line: Promise<unknown> = Promise.resolve();
@@ -133,7 +137,7 @@
   /** Adapters that may take a place, as MODEL/NAME. */
   get adapters(): string[] {
     const resident = this.registered.residents.flatMap((r) => r.adapters.map((a) => `${r.model}/${a}`));
-    const all = new Set([...resident, ...this.lately().adapters, ...this.comingAdapters]);
+    const all = new Set([...resident, ...this.lately().adapters, ...this.comingAdapters.keys()]);
     return [...all].filter((name) => !this.goneAdapters.has(name));
   }
 
@@ -162,7 +166,7 @@
 
   /** Counts an adapter as there before its order is sent; call the result if it won't come. */
   reserveAdapter(name: string): () => void {
-    this.comingAdapters.add(name);
+    this.comingAdapters.set(name, performance.now());
     this.goneAdapters.delete(name);
     return () => this.comingAdapters.delete(name);
   }
@@ -186,11 +190,25 @@
     const arrived = [...held].filter((model) => this.coming.delete(model));
     for (const model of [...this.dropping]) if (!held.has(model)) this.dropping.delete(model);
     const adapters = new Set(server.residents.flatMap((r) => r.adapters.map((a) => `${r.model}/${a}`)));
-    for (const name of adapters) this.comingAdapters.delete(name);
+    this.settleAdapters(adapters);
     for (const name of [...this.goneAdapters]) if (!adapters.has(name)) this.goneAdapters.delete(name);
     return arrived;
   }
 
+  /**
+   * Guards "an engine's adapter places are overfilled": a registration from before an adapter was dropped and
+   * loaded again shows it, and the next, from between the two, doesn't. So an order keeps its place until
+   * registrations must have been made after it.
+   */
+  private settleAdapters(registered: ReadonlySet<string>): void {
+    const now = performance.now();
+    for (const [name, atMs] of this.comingAdapters) {
+      const ageMs = now - atMs;
+      if (ageMs > lostOrderMs || (ageMs > registrationAgeMs && registered.has(name)))
+        this.comingAdapters.delete(name);
+    }
+  }
+
   /** Asks the engine itself, where an order's outcome is not known from its answer. */
   async ask(): Promise<void> {
     const { id, address } = this.registered;
@@ -215,7 +233,10 @@
   private lately(): { readonly models: readonly string[]; readonly adapters: readonly string[] } {
     const { reported } = this;
     if (reported === undefined || performance.now() - reported.atMs > registrationAgeMs) return nothing;
-    return { models: reported.models.filter((model) => !this.droppedSince(model, reported.atMs)), adapters: reported.adapters };
+    return {
+      models: reported.models.filter((model) => !this.droppedSince(model, reported.atMs)),
+      adapters: reported.adapters,
+    };
   }
 
   private droppedSince(model: string, atMs: number): boolean {
@@ -236,14 +257,32 @@
     const expectedSequence = this.sequence;
     let outcome: DeskOutcome;
     try {
-      outcome = await engines.order(target, { action, model, adapter, expectedSequence, holder, fencingToken });
+      outcome = await engines.order(target, {
+        action,
+        model,
+        adapter,
+        expectedSequence,
+        holder,
+        fencingToken,
+      });
     } catch (error) {
       outcome = "unknown";
       log.warn({ event: "order-unanswered", server: target.serverId, detail: toFailure(error).message });
     }
     this.conclude(request, outcome);
     metrics.orders.inc({ action, outcome });
-    log.info({ event: "order", server: target.serverId, action, model, adapter, reason: request.reason, ...request.inputs, sequence: expectedSequence, token: fencingToken, outcome });
+    log.info({
+      event: "order",
+      server: target.serverId,
+      action,
+      model,
+      adapter,
+      reason: request.reason,
+      ...request.inputs,
+      sequence: expectedSequence,
+      token: fencingToken,
+      outcome,
+    });
     return outcome;
   }
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -27,6 +27,10 @@
 const lookAgainMs = 250;
 /** Retry-After while servers are full or missing, s: a little over one round of placement. */
 const soonS = 0.5;
+/** Shorter prompts say little of a model's pace, ms of reading. */
+const leastPaceMs = 15;
+/** A request is refused at once if its first byte is expected this many times later than its caller waits. */
+const hopelessFactor = 1.5;
 /** Answers of these classes by the server itself may be repeated elsewhere. */
 const serverErrorStatus = 500;
 
@@ -113,7 +117,7 @@
     if (model === undefined || this.service.engine === undefined) return;
     const own = prefix.at(-1)?.tokens ?? promptTokens;
     const output = Math.min(outputTokens, outputHint ?? outputTokens);
-    const work = engineWorkMs(own, output);
+    const work = engineWorkMs(own, output, this.serving.paces.pace(model));
     this.serving.demand.add(demandKey(this.service.name, model), work, this.arrivedMs);
     if (adapter === undefined) return;
     this.serving.adapterDemand.add(adapterKey(this.service.name, model, adapter), work, this.arrivedMs);
@@ -130,6 +134,10 @@
         this.giveUp();
         return;
       }
+      if (this.isHopeless(chosen)) {
+        this.giveUp();
+        return;
+      }
       const outcome = await this.send(chosen);
       if (!this.shouldGoOn(outcome)) return;
     }
@@ -162,6 +170,19 @@
     }
   }
 
+  /**
+   * Answers load at its worst: a request that no engine can start before its caller leaves would only take
+   * engine time from those that can be served, so it is told at once when the engines have caught up.
+   */
+  private isHopeless(chosen: Chosen): boolean {
+    if (this.sends > 0 || this.service.engine === undefined) return false;
+    const left = this.patience.firstByteByMs - performance.now();
+    if (chosen.expectedMs < left * hopelessFactor) return false;
+    this.retryAfterS = (chosen.expectedMs - left) / 1000;
+    this.lastFailure = `first byte expected in ${Math.round(chosen.expectedMs)} ms`;
+    return true;
+  }
+
   /** Will the model come only after the caller has left? Then it is told at once when to come back. */
   private comesTooLate(key: string): boolean {
     const { model: name } = this.facts;
@@ -193,6 +214,7 @@
       candidates: this.candidates(),
       tried: this.tried,
       promptTokens: facts.promptTokens,
+      pace: serving.paces.pace(facts.model),
       prefix: facts.prefix,
       cacheScope: `${facts.model ?? ""}/${facts.adapter ?? ""}`,
       load: (id) => serving.loads.at(id, now),
@@ -212,10 +234,15 @@
     const now = performance.now();
     const { server } = chosen;
     this.noteFound();
-    if (this.sends === 0) serving.metrics.queued.observe({ service: this.service.name }, (now - this.arrivedMs) / 1000);
+    if (this.sends === 0)
+      serving.metrics.queued.observe({ service: this.service.name }, (now - this.arrivedMs) / 1000);
     this.sends += 1;
     this.tried.add(server.id);
-    const inFlight = serving.loads.begin(server.id, request.promptTokens, request.promptTokens + request.outputTokens);
+    const inFlight = serving.loads.begin(
+      server.id,
+      chosen.workMs,
+      request.promptTokens + request.outputTokens,
+    );
     const answerMs = this.patience.answerByMs - now - answerMarginMs;
     const stream = route.kind === "stream";
     const body = this.body;
@@ -287,6 +314,7 @@
       serving.outliers.failed(server.id, now);
     } else if (outcome.kind === "answered" || outcome.kind === "streamed") {
       serving.outliers.succeeded(server.id, outcome.firstByteMs, chosen.expectedMs);
+      this.learnPace(chosen, outcome.firstByteMs);
     } else if (outcome.kind === "unreachable") {
       serving.outliers.unreachable(server.id, now);
     } else if (outcome.kind === "broken" || outcome.kind === "silent") {
@@ -297,15 +325,24 @@
       event: "attempt",
       requestId: this.facts.requestId,
       server: server.id,
+      model: this.facts.model,
+      promptTokens: this.facts.promptTokens,
       expectedMs: Math.round(chosen.expectedMs),
       tookMs: Math.round(now - this.arrivedMs),
       outcome: outcome.kind,
       ...("reason" in outcome ? { reason: outcome.reason } : {}),
+      ...("firstByteMs" in outcome ? { firstByteMs: Math.round(outcome.firstByteMs) } : {}),
       ...("answer" in outcome ? { status: outcome.answer.facts.status } : {}),
       ...("facts" in outcome ? { status: outcome.facts.status } : {}),
     });
   }
 
+  private learnPace(chosen: Chosen, firstByteMs: number): void {
+    const { model } = this.facts;
+    if (model === undefined || !chosen.quiet || chosen.workMs < leastPaceMs) return;
+    this.serving.paces.learn(model, firstByteMs, chosen.workMs / this.serving.paces.pace(model));
+  }
+
   private forgetResident(server: BackendServer): void {
     const { model, adapter } = this.facts;
     if (model === undefined) return;
@@ -328,7 +365,8 @@
         return false;
       case "not-run":
       case "unreachable":
-        this.lastFailure = outcome.kind === "unreachable" ? outcome.reason : `refused ${outcome.facts.status}`;
+        this.lastFailure =
+          outcome.kind === "unreachable" ? outcome.reason : `refused ${outcome.facts.status}`;
         return this.mayAskAnother(this.sends < this.route.maxAttempts + refusedSends);
       case "timed-out":
         this.ran += 1;
--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/fleetTask.ts
@@ -97,7 +97,11 @@
       this.pulled.set(pulse.ip, revision);
       this.take(snapshot);
     } catch (error) {
-      this.options.serving.log.debug({ event: "fleet-not-pulled", peer: pulse.host, detail: toFailure(error).message });
+      this.options.serving.log.debug({
+        event: "fleet-not-pulled",
+        peer: pulse.host,
+        detail: toFailure(error).message,
+      });
     } finally {
       this.pulling.delete(pulse.ip);
     }
@@ -199,7 +203,7 @@
 
   private logChange(server: BackendServer): void {
     const known = this.options.serving.fleet.get(server.id);
-    if (known !== undefined && known.leaving === server.leaving) return;
+    if (known?.leaving === server.leaving) return;
     this.options.serving.log.info({
       event: server.leaving ? "server-leaving" : "server-found",
       server: server.id,
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -12,6 +12,7 @@
 import { Fleet } from "../serving/fleet.ts";
 import { formatEndpoint, type HostSettings } from "../serving/hostSettings.ts";
 import { LoadBoard } from "../serving/loadBoard.ts";
+import { ModelPaces } from "../serving/modelPace.ts";
 import { ModelWaits } from "../serving/modelWait.ts";
 import type { Engines } from "../serving/orders.ts";
 import { Outliers } from "../serving/outliers.ts";
@@ -200,7 +201,11 @@
       if (now >= latestMs || (now - startedMs >= leastDrainMs && this.callers.busy === 0)) break;
       await new Promise((resolve) => setTimeout(resolve, 50));
     }
-    log.info({ event: "stopped", cutOff: this.callers.busy, tookMs: Math.round(performance.now() - startedMs) });
+    log.info({
+      event: "stopped",
+      cutOff: this.callers.busy,
+      tookMs: Math.round(performance.now() - startedMs),
+    });
     await this.supervisor.dispose();
   }
 
@@ -273,7 +278,11 @@
   }
 
   private shouldRead(): boolean {
-    const self = { ip: this.options.settings.ip, holder: this.lease.holding, readAgeMs: this.fleet.readAgeMs };
+    const self = {
+      ip: this.options.settings.ip,
+      holder: this.lease.holding,
+      readAgeMs: this.fleet.readAgeMs,
+    };
     return shouldRead(self, this.readers());
   }
 
@@ -311,6 +320,7 @@
     adapterDemand: new DemandMeter(),
     waiting: new Waiting(),
     modelWaits: new ModelWaits(),
+    paces: new ModelPaces(),
     pool: new UpstreamPool(),
     metrics: new GatewayMetrics(),
   };
--- a/src/gateway/leaseTask.ts
+++ b/src/gateway/leaseTask.ts
@@ -121,10 +121,14 @@
   async release(): Promise<void> {
     this.stopping = true;
     if (this.held === undefined || this.row === undefined) return;
-    const ordered = Object.fromEntries([...this.lastOrders()].map(([id, ms]) => [id, Math.ceil(this.clock.at(ms))]));
+    const ordered = Object.fromEntries(
+      [...this.lastOrders()].map(([id, ms]) => [id, Math.ceil(this.clock.at(ms))]),
+    );
     const value = { ...this.row.value, untilMs: Math.ceil(this.clock.at(performance.now())), ordered };
     try {
-      await this.options.store.commit([{ table, key, value: JSON.stringify(value), expected: this.row.version }]);
+      await this.options.store.commit([
+        { table, key, value: JSON.stringify(value), expected: this.row.version },
+      ]);
       this.options.log.info({ event: "lease-released", token: value.token });
     } catch (error) {
       this.options.log.warn({ event: "lease-release-failed", detail: toFailure(error).message });
@@ -201,7 +205,12 @@
     const { store, self, log } = this.options;
     // A renewal needs the clock; it was learned when the row was read before taking the lease.
     const sentMs = performance.now();
-    const value = { holder: self.host, ip: self.ip, token, untilMs: Math.ceil(this.clock.at(sentMs) + leaseTtlMs) };
+    const value = {
+      holder: self.host,
+      ip: self.ip,
+      token,
+      untilMs: Math.ceil(this.clock.at(sentMs) + leaseTtlMs),
+    };
     const expected = this.row?.version ?? 0;
     const previous = this.row?.value;
     this.renewedMs = sentMs;
@@ -220,7 +229,8 @@
     } catch (error) {
       const failure = this.failed(error);
       log.info({ event: "lease-write-failed", token, kind: failure });
-      if (this.held !== undefined && failure !== "conflict" && this.options.storeServesPeers()) this.giveWay();
+      if (this.held !== undefined && failure !== "conflict" && this.options.storeServesPeers())
+        this.giveWay();
       await this.settleUnknown();
     }
   }
@@ -243,7 +253,9 @@
     const now = performance.now();
     const { token } = this.held;
     this.lose("store out of reach");
-    const orderedAgoMs = Object.fromEntries([...this.lastOrders()].map(([id, ms]) => [id, Math.floor(now - ms)]));
+    const orderedAgoMs = Object.fromEntries(
+      [...this.lastOrders()].map(([id, ms]) => [id, Math.floor(now - ms)]),
+    );
     this.options.tellYield({ token, orderedAgoMs });
   }
 
@@ -295,7 +307,8 @@
 
   private failed(error: unknown): string {
     const failure = toFailure(error);
-    if (failure.kind === "platform-unavailable" || failure.kind === "outcome-unknown") this.options.link.failed(failure);
+    if (failure.kind === "platform-unavailable" || failure.kind === "outcome-unknown")
+      this.options.link.failed(failure);
     return failure.kind;
   }
 }
--- a/src/gateway/memberTask.ts
+++ b/src/gateway/memberTask.ts
@@ -1,7 +1,6 @@
 /** Enters this node in the store's list of gateway nodes, and learns the others from it. */
 import { decodeEither } from "../common/decode.ts";
 import { toFailure } from "../common/errors.ts";
-import * as Schema from "effect/Schema";
 import type { Log } from "../common/log.ts";
 import { PeriodicTask } from "../common/supervisor.ts";
 import { Endpoint } from "../serving/hostSettings.ts";
--- a/src/gateway/peerTask.ts
+++ b/src/gateway/peerTask.ts
@@ -131,7 +131,8 @@
 
   private send(bytes: Buffer, peer: PeerAddress): void {
     this.socket.send(bytes, peer.port, peer.ip, (error) => {
-      if (error !== null) this.options.log.debug({ event: "peer-send-failed", peer: peer.ip, detail: error.message });
+      if (error !== null)
+        this.options.log.debug({ event: "peer-send-failed", peer: peer.ip, detail: error.message });
     });
   }
 
--- a/src/gateway/placementTask.ts
+++ b/src/gateway/placementTask.ts
@@ -12,7 +12,6 @@
 import type { Engines } from "../serving/orders.ts";
 import type { Asked, PeerTable, Pulse } from "../serving/peerTable.ts";
 import { planMoves, type EngineView, type ModelDemand, type Move } from "../serving/placementPlan.ts";
-import { prefillTokensPerMs } from "../serving/serverChoice.ts";
 import { EngineDesk } from "./engineDesk.ts";
 import type { LeaseTask } from "./leaseTask.ts";
 import type { PeerTask } from "./peerTask.ts";
@@ -167,7 +166,8 @@
     const desk = this.desk(server);
     const sizes = new Map(limits.models.map((model) => [model.name, model.adapterMb]));
     let usedMb = 0;
-    for (const name of desk.occupying) usedMb += limits.models.find((model) => model.name === name)?.sizeMb ?? 0;
+    for (const name of desk.occupying)
+      usedMb += limits.models.find((model) => model.name === name)?.sizeMb ?? 0;
     for (const name of desk.adapters) usedMb += sizes.get(name.split("/")[0] ?? "") ?? 0;
     return {
       id: server.id,
@@ -251,7 +251,13 @@
       const result = await this.options.peers.call(holder, "adapter.ensure", { service, model, adapter });
       if (result !== null) this.onResidency(result);
     } catch (error) {
-      this.log.info({ event: "adapter-not-ensured", model, adapter, holder: holder.host, detail: String(error) });
+      this.log.info({
+        event: "adapter-not-ensured",
+        model,
+        adapter,
+        holder: holder.host,
+        detail: String(error),
+      });
     }
     await new Promise((resolve) => setTimeout(resolve, askAgainMs / 4));
   }
@@ -328,7 +334,7 @@
       id: server.id,
       adapters: desk.adapters,
       evictable: desk.evictableAdapters,
-      expectedMs: load.pendingTokens / prefillTokensPerMs + load.requests,
+      expectedMs: load.pendingMs + load.requests,
       busy: this.closed(desk) || serving.outliers.health(server.id, now).ejected,
     };
   }
--- a/src/gateway/serving.ts
+++ b/src/gateway/serving.ts
@@ -6,6 +6,7 @@
 import type { Fleet } from "../serving/fleet.ts";
 import type { LoadBoard } from "../serving/loadBoard.ts";
 import type { ModelWaits } from "../serving/modelWait.ts";
+import type { ModelPaces } from "../serving/modelPace.ts";
 import type { Outliers } from "../serving/outliers.ts";
 import type { RouteTable } from "../serving/routeTable.ts";
 import type { GatewayMetrics } from "./gatewayMetrics.ts";
@@ -76,6 +77,7 @@
   readonly adapterDemand: DemandMeter;
   readonly waiting: Waiting;
   readonly modelWaits: ModelWaits;
+  readonly paces: ModelPaces;
   readonly pool: UpstreamPool;
   readonly metrics: GatewayMetrics;
 }
--- a/src/serving/demandMeter.ts
+++ b/src/serving/demandMeter.ts
@@ -61,6 +61,6 @@
 const outputTokenMs = 0.25;
 
 /** Engine time a request takes, ms: reading the prompt that is its own, and its share of the decoding. */
-export function engineWorkMs(ownTokens: number, outputTokens: number): number {
-  return ownTokens * promptTokenMs + outputTokens * outputTokenMs;
+export function engineWorkMs(ownTokens: number, outputTokens: number, pace: number): number {
+  return (ownTokens * promptTokenMs + outputTokens * outputTokenMs) * pace;
 }
--- a/src/serving/fleet.ts
+++ b/src/serving/fleet.ts
@@ -71,7 +71,9 @@
   /** Servers known here that are not among all registrations as of the store's version `asOf`. */
   missing(registrations: readonly Registration[], asOf: number): string[] {
     const seen = new Set(registrations.map((registration) => registration.server.id));
-    return [...this.entries].filter(([id, entry]) => !seen.has(id) && entry.version <= asOf).map(([id]) => id);
+    return [...this.entries]
+      .filter(([id, entry]) => !seen.has(id) && entry.version <= asOf)
+      .map(([id]) => id);
   }
 
   /** Every registration, to tell peers. */
--- a/src/serving/leaseRules.ts
+++ b/src/serving/leaseRules.ts
@@ -52,7 +52,12 @@
 export type Yield = typeof Yield.Type;
 
 /** Time until `candidate` may take the lease, ms on the store's clock; 0 if now. */
-export function waitToTake(row: LeaseRow | undefined, candidate: Candidate, storeNowMs: number, leaseMs: number): number {
+export function waitToTake(
+  row: LeaseRow | undefined,
+  candidate: Candidate,
+  storeNowMs: number,
+  leaseMs: number,
+): number {
   if (row === undefined || row.ordered !== undefined || isSame(row, candidate)) return 0;
   return Math.max(0, row.untilMs + distanceMs(leaseMs) - storeNowMs);
 }
--- a/src/serving/loadBoard.ts
+++ b/src/serving/loadBoard.ts
@@ -5,15 +5,15 @@
 
 /** Work in flight at one server. */
 export interface Load {
-  /** Prompt tokens of requests whose first event is still to come. */
-  readonly pendingTokens: number;
+  /** Engine time of reading the prompts of requests whose first event is still to come, ms. */
+  readonly pendingMs: number;
   /** Requests sent and not finished. */
   readonly requests: number;
   /** Tokens that the requests in flight hold in memory. */
   readonly heldTokens: number;
 }
 
-/** What one peer has in flight, by server id: pending tokens, requests, held tokens. */
+/** What one peer has in flight, by server id: pending ms, requests, held tokens. */
 export type PeerLoads = Readonly<Record<string, readonly [number, number, number]>>;
 
 /** A request in flight; `started` when its first event comes, `done` at its end. */
@@ -25,18 +25,18 @@
 /** A peer's word on its load is not used after this time, ms: three periods of its messages. */
 const peerLoadMs = 1_000;
 
-const none: Load = { pendingTokens: 0, requests: 0, heldTokens: 0 };
+const none: Load = { pendingMs: 0, requests: 0, heldTokens: 0 };
 
 /** Sums of work in flight per server. */
 export class LoadBoard {
-  private readonly own = new Map<string, { pendingTokens: number; requests: number; heldTokens: number }>();
+  private readonly own = new Map<string, { pendingMs: number; requests: number; heldTokens: number }>();
   private readonly peers = new Map<string, { loads: PeerLoads; atMs: number }>();
 
   /** Counts a request as in flight at the server until its handle is done. */
-  begin(serverId: string, pendingTokens: number, heldTokens: number): InFlight {
-    const load = this.own.get(serverId) ?? { pendingTokens: 0, requests: 0, heldTokens: 0 };
+  begin(serverId: string, pendingMs: number, heldTokens: number): InFlight {
+    const load = this.own.get(serverId) ?? { pendingMs: 0, requests: 0, heldTokens: 0 };
     this.own.set(serverId, load);
-    load.pendingTokens += pendingTokens;
+    load.pendingMs += pendingMs;
     load.requests += 1;
     load.heldTokens += heldTokens;
     let pending = true;
@@ -44,7 +44,7 @@
     const started = (): void => {
       if (!pending) return;
       pending = false;
-      load.pendingTokens -= pendingTokens;
+      load.pendingMs -= pendingMs;
     };
     const done = (): void => {
       started();
@@ -65,20 +65,20 @@
   /** This node's own load, to tell peers. */
   mine(): PeerLoads {
     return Object.fromEntries(
-      [...this.own].map(([id, l]) => [id, [l.pendingTokens, l.requests, l.heldTokens] as const]),
+      [...this.own].map(([id, l]) => [id, [l.pendingMs, l.requests, l.heldTokens] as const]),
     );
   }
 
   /** All work known to be in flight at the server. */
   at(serverId: string, nowMs: number): Load {
-    let { pendingTokens, requests, heldTokens } = this.own.get(serverId) ?? none;
+    let { pendingMs, requests, heldTokens } = this.own.get(serverId) ?? none;
     for (const { loads, atMs } of this.peers.values()) {
       const load = nowMs - atMs > peerLoadMs ? undefined : loads[serverId];
       if (load === undefined) continue;
-      pendingTokens += load[0];
+      pendingMs += load[0];
       requests += load[1];
       heldTokens += load[2];
     }
-    return { pendingTokens, requests, heldTokens };
+    return { pendingMs, requests, heldTokens };
   }
 }
--- a/src/serving/orders.ts
+++ b/src/serving/orders.ts
@@ -21,12 +21,7 @@
 
 /** `conflict`: another order is under way, or the engine's sequence differs. */
 export type OrderOutcome =
-  | "accepted"
-  | "already-holds"
-  | "conflict"
-  | "stale-fencing"
-  | "wrong-server"
-  | "refused";
+  "accepted" | "already-holds" | "conflict" | "stale-fencing" | "wrong-server" | "refused";
 
 /** What an engine says of itself when asked. */
 export interface EngineReport {
--- a/src/serving/peerTable.ts
+++ b/src/serving/peerTable.ts
@@ -35,7 +35,7 @@
   fleetRevision: Schema.Number,
   /** Its fencing token while it holds the placement lease. */
   token: Schema.optionalKey(Schema.Number),
-  /** Work in flight by server id: pending tokens, requests, held tokens. */
+  /** Work in flight by server id: pending ms, requests, held tokens. */
   loads: Schema.Record(Schema.String, Schema.Tuple([Schema.Number, Schema.Number, Schema.Number])),
   /** Only told to the holder of the placement lease, as nobody else uses it. */
   asked: Schema.optionalKey(Asked),
--- a/src/serving/placementPlan.ts
+++ b/src/serving/placementPlan.ts
@@ -79,8 +79,11 @@
 const missingMs = 60;
 /** What each request waiting for it adds, ms per s. */
 const waitingMs = 50;
-/** Base costs of an eviction, in the same unit, so that the cheapest kind is chosen first. */
-const evictionCosts = { idle: 300, needed: 1_000, cold: 200 };
+/**
+ * Base costs of an eviction, in the same unit, so that the cheapest kind is chosen first. `variants` is a
+ * factor for models with adapters: many customers' variants hang on them, so demand comes back in force.
+ */
+const evictionCosts = { idle: 300, needed: 1_000, cold: 200, variants: 1.5 };
 /** An eviction this much cheaper is worth a round's wait. */
 const worthWaiting = 150;
 /** An idle model's cost falls from twice the base to the base with this time constant, ms. */
@@ -117,7 +120,9 @@
  * would each drop another surplus copy of the same model, if they didn't see each other's moves.
  */
 function afterMove(view: PlacementView, move: Move): PlacementView {
-  const engines = view.engines.map((engine) => (engine.id === move.engineId ? engineAfter(engine, move) : engine));
+  const engines = view.engines.map((engine) =>
+    engine.id === move.engineId ? engineAfter(engine, move) : engine,
+  );
   const engine = view.engines.find((e) => e.id === move.engineId);
   const fromStore = move.action === "load" && engine?.atHand.has(move.model) !== true;
   return { ...view, engines, loadsLeft: view.loadsLeft - (fromStore ? 1 : 0) };
@@ -308,7 +313,9 @@
   const load = view.demand.get(wantedModel.name)?.engineMs ?? 0;
   const pressing = wanted === 0 || load / wanted >= overloadMs;
   if (!idle || !pressing) return undefined;
-  return evictionCosts.idle * (1 + Math.exp(-(demand?.idleMs ?? 0) / idleFadeMs));
+  const adapters = view.models.find((m) => m.name === name)?.adapters ?? 0;
+  const variants = adapters > 0 ? evictionCosts.variants : 1;
+  return evictionCosts.idle * variants * (1 + Math.exp(-(demand?.idleMs ?? 0) / idleFadeMs));
 }
 
 function best<T>(items: readonly T[], cost: (item: T) => number): T | undefined {
--- a/src/serving/serverChoice.ts
+++ b/src/serving/serverChoice.ts
@@ -12,6 +12,8 @@
 export const prefillTokensPerMs = 38.7;
 /** What each request in flight adds to the first token of the next, ms: a share of one decoding step. */
 const engineRequestMs = 4;
+/** The first decoding step, ms. */
+const firstTokenMs = 6;
 /** Work of one plain call, ms, before anything was measured. */
 export const plainCallMs = 40;
 /** Part of the shared prompt taken as cached on the server that its hash prefers. */
@@ -25,6 +27,8 @@
   /** Servers that already had this request and are not asked again. */
   readonly tried: ReadonlySet<string>;
   readonly promptTokens: number;
+  /** Pace of the model asked for. */
+  readonly pace: number;
   readonly prefix: readonly PromptPart[];
   /** Model and adapter: caches are kept for each on its own. */
   readonly cacheScope: string;
@@ -36,6 +40,10 @@
 export interface Chosen {
   readonly server: BackendServer;
   readonly expectedMs: number;
+  /** Engine time of reading what isn't expected in its cache, ms; 0 at plain servers. */
+  readonly workMs: number;
+  /** No other prompt is being read there. */
+  readonly quiet: boolean;
 }
 
 /** The best server, or undefined if every candidate was tried. Ejected ones only if nothing else is left. */
@@ -47,23 +55,30 @@
   const home = cacheHome(choice, servers);
   let best: Chosen | undefined;
   for (const server of servers) {
-    const expectedMs = expectedFirstByteMs(choice, server, server.id === home);
-    if (best === undefined || expectedMs < best.expectedMs) best = { server, expectedMs };
+    const option = expectation(choice, server, server.id === home);
+    if (best === undefined || option.expectedMs < best.expectedMs) best = option;
   }
   return best;
 }
 
-function expectedFirstByteMs(choice: Choice, server: BackendServer, isHome: boolean): number {
+function expectation(choice: Choice, server: BackendServer, isHome: boolean): Chosen {
   const load = choice.load(server.id);
   const health = choice.health(server.id);
-  const base = server.engine ? engineMs(choice, load, isHome) : plainMs(server, load);
-  return base * health.slowdown + health.failureShare * failureMs;
+  const workMs = server.engine ? readingMs(choice, isHome) : 0;
+  const base = server.engine
+    ? load.pendingMs + workMs + engineBaseMs(load, choice.pace)
+    : plainMs(server, load);
+  const expectedMs = base * health.slowdown + health.failureShare * failureMs;
+  return { server, expectedMs, workMs, quiet: load.pendingMs === 0 };
 }
 
-function engineMs(choice: Choice, load: Load, isHome: boolean): number {
+function readingMs(choice: Choice, isHome: boolean): number {
   const cached = isHome ? sharedTokens(choice.prefix) * cachedShare : 0;
-  const toRead = load.pendingTokens + Math.max(0, choice.promptTokens - cached);
-  return toRead / prefillTokensPerMs + load.requests * engineRequestMs + 5;
+  return (Math.max(0, choice.promptTokens - cached) / prefillTokensPerMs) * choice.pace;
+}
+
+function engineBaseMs(load: Load, pace: number): number {
+  return (firstTokenMs + load.requests * engineRequestMs) * pace;
 }
 
 /** Up to its slots a plain server works on requests at once; what is beyond them waits in line. */
