--- a/src/common/http.ts
+++ b/src/common/http.ts
@@ -10,6 +10,9 @@
  */
 const keepAliveMs = 65_000;
 
+/** New connections that may wait to be accepted: callers of a mass restart return together. */
+const backlog = 1024;
+
 /** Largest request body accepted by default, in bytes. */
 export const defaultBodyLimit = 1024 * 1024;
 
@@ -52,16 +55,21 @@
   sendJson(res, status, failure.toBody());
 }
 
-/** Starts listening and resolves with the bound port (useful with port 0). */
-export async function listen(server: http.Server, host: string, port: number): Promise<number> {
-  server.keepAliveTimeout = keepAliveMs;
+/** Starts listening; rejects if the address can't be had. */
+export async function bind(server: http.Server, host: string, port: number): Promise<void> {
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
-    server.listen(port, host, () => {
+    server.listen(port, host, backlog, () => {
       server.off("error", reject);
       resolve();
     });
   });
+}
+
+/** Starts listening and resolves with the bound port (useful with port 0). */
+export async function listen(server: http.Server, host: string, port: number): Promise<number> {
+  server.keepAliveTimeout = keepAliveMs;
+  await bind(server, host, port);
   const address = server.address();
   if (address === null || typeof address === "string") throw new Failure("internal", "server has no port");
   return address.port;
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -1,6 +1,6 @@
 /** The HTTP server that callers connect to. */
 import * as http from "node:http";
-import { close } from "../common/http.ts";
+import { bind, close } from "../common/http.ts";
 import type { Task } from "../common/supervisor.ts";
 import type { CallerLimits } from "../serving/configuration.ts";
 import type { Endpoint } from "../serving/hostSettings.ts";
@@ -61,10 +61,7 @@
 
   async start(): Promise<void> {
     const { ip, port } = this.options.endpoint;
-    await new Promise<void>((resolve, reject) => {
-      this.server.once("error", reject);
-      this.server.listen(port, ip, 1024, resolve);
-    });
+    await bind(this.server, ip, port);
   }
 
   /** From now on every answer closes its connection; new requests are still served for a while. */
--- a/src/gateway/controlServers.ts
+++ b/src/gateway/controlServers.ts
@@ -1,6 +1,6 @@
 /** The small HTTP servers beside the callers' one: readiness, directory and metrics. */
 import * as http from "node:http";
-import { close, sendJson } from "../common/http.ts";
+import { bind, close, sendJson } from "../common/http.ts";
 import type { Task } from "../common/supervisor.ts";
 import type { Endpoint } from "../serving/hostSettings.ts";
 
@@ -30,10 +30,7 @@
 
   async start(): Promise<void> {
     const { ip, port } = this.options.endpoint;
-    await new Promise<void>((resolve, reject) => {
-      this.server.once("error", reject);
-      this.server.listen(port, ip, resolve);
-    });
+    await bind(this.server, ip, port);
   }
 
   async dispose(): Promise<void> {
--- a/src/gateway/peerCalls.ts
+++ b/src/gateway/peerCalls.ts
@@ -1,11 +1,10 @@
 /** Larger messages between gateway nodes: JSON-RPC 2.0 over HTTP, on the same port number as the datagrams. */
 import * as http from "node:http";
 import * as rpc from "json-rpc-2.0";
-import { Failure } from "../common/errors.ts";
-import { close, sendFailure } from "../common/http.ts";
+import { Failure, toFailure } from "../common/errors.ts";
+import { bind, close, sendFailure } from "../common/http.ts";
 import { callHttp } from "../common/httpCall.ts";
 import { RpcEndpoint, type Handler } from "../common/rpc.ts";
-import { toFailure } from "../common/errors.ts";
 import type { Task } from "../common/supervisor.ts";
 import type { Endpoint } from "../serving/hostSettings.ts";
 import type { PeerAddress } from "../serving/peerTable.ts";
@@ -35,10 +34,7 @@
 
   async start(): Promise<void> {
     const { ip, port } = this.endpoint;
-    await new Promise<void>((resolve, reject) => {
-      this.server.once("error", reject);
-      this.server.listen(port, ip, resolve);
-    });
+    await bind(this.server, ip, port);
   }
 
   async dispose(): Promise<void> {
--- a/src/gateway/peerTask.ts
+++ b/src/gateway/peerTask.ts
@@ -37,7 +37,8 @@
   /** A pulse of a peer, newer than the last. */
   readonly heard = new Emitter<Pulse>();
   private readonly socket = dgram.createSocket("udp4");
-  private readonly server = new rpc.JSONRPCServer();
+  // Failures are answered to the peer, which logs them; the library's own console output is off.
+  private readonly server = new rpc.JSONRPCServer({ errorListener: () => undefined });
   private readonly pending = new Map<string, (response: rpc.JSONRPCResponse) => void>();
   private timer: NodeJS.Timeout | undefined;
   private rounds = 0;
@@ -137,13 +138,18 @@
   }
 
   private async receive(message: Buffer, from: PeerAddress): Promise<void> {
-    let value: rpc.JSONRPCRequest | rpc.JSONRPCResponse;
+    // Whatever arrives on the port must not end the process.
     try {
-      value = JSON.parse(message.toString("utf8")) as rpc.JSONRPCRequest | rpc.JSONRPCResponse;
+      await this.dispatch(
+        JSON.parse(message.toString("utf8")) as rpc.JSONRPCRequest | rpc.JSONRPCResponse,
+        from,
+      );
     } catch (error) {
       this.options.log.warn({ event: "peer-message-rejected", peer: from.ip, detail: String(error) });
-      return;
     }
+  }
+
+  private async dispatch(value: rpc.JSONRPCRequest | rpc.JSONRPCResponse, from: PeerAddress): Promise<void> {
     if (rpc.isJSONRPCResponse(value)) {
       this.pending.get(String(value.id))?.(value);
       return;
--- a/test/gateway/nodes.spec.ts
+++ b/test/gateway/nodes.spec.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import * as dgram from "node:dgram";
 import { answerOk, BackendStandIn, beginStream, event } from "../fixtures/backends.ts";
 import { ask, configuration, GatewayWorld, route, until, type RunningNode } from "../fixtures/gateways.ts";
 import type { Service } from "../../src/serving/configuration.ts";
@@ -173,4 +174,23 @@
     expect(second?.order.holder).to.not.equal(first?.order.holder);
     expect((second?.atMs ?? 0) - (first?.atMs ?? 0)).to.be.greaterThan(3_000);
   });
+
+  it("should live on when anything at all arrives on its peer port", async () => {
+    world.register(server.registration("s"));
+    world.configure(configuration(1, [route()]));
+    const node = await world.startNode();
+    const socket = dgram.createSocket("udp4");
+    for (const message of [
+      "",
+      "null",
+      "{",
+      "[]",
+      '{"jsonrpc":"2.0","method":"pulse","params":{}}',
+      '{"id":1}',
+    ]) {
+      socket.send(message, 21004, node.ip);
+    }
+    await until(async () => (await status(node)) === 200);
+    socket.close();
+  });
 });
