--- a/src/common/hostLog.ts
+++ b/src/common/hostLog.ts
@@ -2,6 +2,7 @@
  * JSON-line logs of a long-lived process, on standard output. Lines go through a bounded asynchronous
  * buffer: a reader that stops reading costs log lines, never requests.
  */
+// A CommonJS module: its default export is the one that both Node and the bundler see.
 import * as sonic from "sonic-boom";
 import * as tslog from "tslog";
 import { logLevel, type Log } from "./log.ts";
@@ -20,7 +21,7 @@
 
 /** Makes the log of a process. */
 export function createHostLog(name: string): HostLog {
-  const out = new sonic.SonicBoom({
+  const out = new sonic.default.SonicBoom({
     fd: 1,
     sync: false,
     minLength: batchBytes,
