--- a/src/gateway/engineDesk.ts
+++ b/src/gateway/engineDesk.ts
@@ -6,7 +6,7 @@
 import type { GatewayMetrics } from "./gatewayMetrics.ts";
 
 /** What to order. */
-export interface Request {
+export interface OrderRequest {
   readonly action: "load" | "unload";
   readonly model: string;
   readonly adapter?: string | undefined;
@@ -155,7 +155,7 @@
   }
 
   /** Gives the order once those before it were answered. */
-  order(request: Request): Promise<DeskOutcome> {
+  order(request: OrderRequest): Promise<DeskOutcome> {
     const orders = request.adapter === undefined ? 1 : 0;
     // Counted before it is sent: a round that starts meanwhile must not give the same order again.
     this.modelOrders += orders;
@@ -267,7 +267,7 @@
     return !this.dropping.has(model) && !this.coming.has(model) && (this.movedMs.get(model) ?? 0) > atMs;
   }
 
-  private async send(request: Request): Promise<DeskOutcome> {
+  private async send(request: OrderRequest): Promise<DeskOutcome> {
     const { engines, log, metrics, holder, token } = this.options;
     const target = { serverId: this.registered.id, address: this.registered.address };
     if (this.askFirst && (await this.movedUnseen())) return "outdated";
@@ -306,7 +306,7 @@
     return outcome;
   }
 
-  private conclude(request: Request, outcome: DeskOutcome): void {
+  private conclude(request: OrderRequest, outcome: DeskOutcome): void {
     const { action, model, adapter } = request;
     const unloadedAdapter = action === "unload" && adapter !== undefined && outcome === "already-holds";
     if (outcome === "accepted" || unloadedAdapter) {
@@ -326,7 +326,7 @@
     this.concludeModel(action, model, outcome);
   }
 
-  private concludeModel(action: Request["action"], model: string, outcome: DeskOutcome): void {
+  private concludeModel(action: OrderRequest["action"], model: string, outcome: DeskOutcome): void {
     const done = outcome === "accepted" || outcome === "already-holds";
     if (!done && outcome !== "unknown") return;
     const now = performance.now();
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -4,8 +4,9 @@
 import { repeatable, type Route, type Service } from "../serving/configuration.ts";
 import { engineWorkMs } from "../serving/demandMeter.ts";
 import type { RequestFacts } from "../serving/exchange.ts";
-import { gapPatienceMs, patienceOf, type Patience } from "../serving/patience.ts";
+import { patienceOf, type Patience } from "../serving/patience.ts";
 import type { RetryBudget } from "../serving/retryBudget.ts";
+import { firstByteLimitMs, isHopeless, pauseLimitMs } from "../serving/sendRules.ts";
 import { chooseServer, type Chosen } from "../serving/serverChoice.ts";
 import { Attempt, type AttemptOutcome, type WholeAnswer } from "./attempt.ts";
 import type { CallerConnection } from "./callerConnection.ts";
@@ -13,14 +14,6 @@
 
 /** Sends beyond a route's own attempts that servers refused without running, so that it still ends. */
 const refusedSends = 3;
-/** An answer to a safe call that isn't there after this many times the route's target is asked elsewhere. */
-const silentTargets = 3;
-/** The same for the first event of a stream that may be resumed. */
-const silentStreamTargets = 2.5;
-/** Part of the caller's patience with a pause after which a stream is continued elsewhere. */
-const pausePart = 0.6;
-/** Shortest time after which a server counts as silent, ms: the longest calls take 220 ms. */
-const leastSilentMs = 400;
 /** Time kept to write the final answer before the caller's time is over, ms. */
 const answerMarginMs = 40;
 /** Longest sleep between looks at whether a server can be had, ms. */
@@ -29,8 +22,6 @@
 const soonS = 0.5;
 /** Shorter prompts say little of a model's pace, ms of reading. */
 const leastPaceMs = 15;
-/** A request is refused at once if its first byte is expected this many times later than its caller waits. */
-const hopelessFactor = 1.5;
 /** Answers of these classes by the server itself may be repeated elsewhere. */
 const serverErrorStatus = 500;
 
@@ -134,7 +125,7 @@
         this.giveUp();
         return;
       }
-      if (this.isHopeless(chosen)) {
+      if (this.comesTooLateFrom(chosen)) {
         this.giveUp();
         return;
       }
@@ -170,14 +161,11 @@
     }
   }
 
-  /**
-   * Answers load at its worst: a request that no engine can start before its caller leaves would only take
-   * engine time from those that can be served, so it is told at once when the engines have caught up.
-   */
-  private isHopeless(chosen: Chosen): boolean {
+  /** Would the first byte come only after the caller has left? It is told when the engines have caught up. */
+  private comesTooLateFrom(chosen: Chosen): boolean {
     if (this.sends > 0 || this.service.engine === undefined) return false;
     const left = this.patience.firstByteByMs - performance.now();
-    if (chosen.expectedMs < left * hopelessFactor) return false;
+    if (!isHopeless(chosen.expectedMs, left)) return false;
     this.retryAfterS = (chosen.expectedMs - left) / 1000;
     this.lastFailure = `first byte expected in ${Math.round(chosen.expectedMs)} ms`;
     return true;
@@ -264,8 +252,13 @@
         requestId: request.requestId,
         sink: stream ? this.caller : undefined,
         afterEvent: this.lastEvent ?? request.lastEventId,
-        firstByteMs: this.firstByteLimitMs(now, chosen.expectedMs),
-        pauseMs: this.pauseLimitMs(),
+        firstByteMs: firstByteLimitMs({
+          route,
+          ran: this.ran,
+          leftMs: this.patience.firstByteByMs - now,
+          expectedMs: chosen.expectedMs,
+        }),
+        pauseMs: pauseLimitMs(route, this.ran),
         answerMs: Math.max(1, answerMs),
       },
       {
@@ -286,25 +279,6 @@
     return outcome;
   }
 
-  /** May another server be asked in place of one that keeps silent? Else its silence is waited out. */
-  private firstByteLimitMs(now: number, expectedMs: number): number {
-    const left = this.patience.firstByteByMs - now;
-    if (!this.mayRepeat()) return left;
-    const targets = this.route.kind === "stream" ? silentStreamTargets : silentTargets;
-    // A busy server is not a silent one: what it was sent is work that would be lost by going elsewhere.
-    const busyMs = 2 * expectedMs + this.route.targetMs;
-    return Math.min(left, Math.max(leastSilentMs, targets * this.route.targetMs, busyMs));
-  }
-
-  private pauseLimitMs(): number {
-    const patient = gapPatienceMs(this.route);
-    return this.mayRepeat() ? patient * pausePart : patient;
-  }
-
-  private mayRepeat(): boolean {
-    return repeatable(this.route) && this.ran + 1 < this.route.maxAttempts;
-  }
-
   private judge(chosen: Chosen, outcome: AttemptOutcome): void {
     const { serving } = this;
     const { server } = chosen;
--- a/test/serving/decisions.spec.ts
+++ b/test/serving/decisions.spec.ts
@@ -14,6 +14,7 @@
 import { PeerTable, type Pulse } from "../../src/serving/peerTable.ts";
 import { shouldRead } from "../../src/serving/readers.ts";
 import { RouteTable } from "../../src/serving/routeTable.ts";
+import { firstByteLimitMs, isHopeless, pauseLimitMs } from "../../src/serving/sendRules.ts";
 import { chooseServer } from "../../src/serving/serverChoice.ts";
 import { configuration, route } from "../fixtures/gateways.ts";
 
@@ -207,6 +208,24 @@
     });
   });
 
+  it("should give a busy server more time than a silent one, and all of it if no other may be asked", () => {
+    // Engines that were busy counted as silent: their work was thrown away and done again on others that were
+    // as busy, and the streams that ran out of servers were broken off.
+    const stream = route({ kind: "stream", resumable: true, targetMs: 500, pauseMs: 400 });
+    const idle = { route: stream, ran: 0, leftMs: 2_950, expectedMs: 50 };
+    expect(firstByteLimitMs(idle)).to.equal(1_250);
+    expect(firstByteLimitMs({ ...idle, expectedMs: 900 })).to.equal(2_300);
+    expect(firstByteLimitMs({ ...idle, ran: 1 })).to.equal(2_950);
+    expect(pauseLimitMs(stream, 0)).to.equal(1_920);
+    expect(pauseLimitMs({ ...stream, resumable: false }, 0)).to.equal(3_200);
+    expect(firstByteLimitMs({ route: route(), ran: 0, leftMs: 1_500, expectedMs: 40 })).to.equal(450);
+  });
+
+  it("should refuse only what is sure to come too late", () => {
+    expect(isHopeless(4_000, 2_950)).to.equal(false);
+    expect(isHopeless(4_500, 2_950)).to.equal(true);
+  });
+
   it("should follow demand up within a second and forget it when it ends", () => {
     const meter = new DemandMeter();
     for (let ms = 0; ms < 1_000; ms += 100) meter.add("m", 50, ms);
