--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -138,6 +138,7 @@
   private async awaitServer(): Promise<Chosen | undefined> {
     const first = this.choose();
     if (first !== undefined) return first;
+    if (this.sends > 0) return this.awaitAnother();
     const { model, adapter } = this.facts;
     const key = demandKey(this.service.name, model ?? "");
     this.serving.waiting.add(key);
@@ -161,6 +162,18 @@
     }
   }
 
+  /**
+   * After every server had the request. Guards "a request is held to its time limit": where one may have run
+   * it there is no other to wait for; where all refused it, they are asked once more after a moment.
+   */
+  private async awaitAnother(): Promise<Chosen | undefined> {
+    const left = this.patience.firstByteByMs - performance.now();
+    if (this.ran > 0 || left <= lookAgainMs) return undefined;
+    await new Promise((resolve) => setTimeout(resolve, lookAgainMs));
+    this.tried.clear();
+    return this.choose();
+  }
+
   /** Would the first byte come only after the caller has left? It is told when the engines have caught up. */
   private comesTooLateFrom(chosen: Chosen): boolean {
     if (this.sends > 0 || this.service.engine === undefined) return false;
--- a/test/gateway/requests.spec.ts
+++ b/test/gateway/requests.spec.ts
@@ -200,6 +200,40 @@
     expect(reply.status).to.equal(504);
   });
 
+  it("should give up at once when every server has had the request, not at its time limit", async () => {
+    // Both servers of a service reset the connection. The request was kept until its caller's time was over, in the
+    // hope of a third server, instead of telling the caller.
+    const cut = ({ req }: Arrival): void => {
+      req.socket.resetAndDestroy();
+    };
+    await serve([route({ maxAttempts: 5 })], cut, cut);
+    const started = performance.now();
+    const reply = await ask({ ip });
+    expect(reply.status).to.equal(502);
+    expect(performance.now() - started).to.be.lessThan(500);
+  });
+
+  it("should ask the only server again that refused without running the request", async () => {
+    // The one engine with the model refuses while an order is under way, for a moment. Its requests were held until
+    // their callers left, though it would have taken them a quarter of a second later.
+    let refusals = 0;
+    const refuseOnce = (arrival: Arrival): void => {
+      const { req, res } = arrival;
+      refusals += 1;
+      if (refusals > 1) {
+        answerOk(arrival);
+        return;
+      }
+      res
+        .writeHead(503, { "X-Request-Id": String(req.headers["x-request-id"]), "X-Not-Executed": "1" })
+        .end();
+    };
+    await serve([route({ kind: "non-idempotent", maxAttempts: 1 })], refuseOnce);
+    const started = performance.now();
+    expect((await ask({ ip, method: "POST", body: "x" })).status).to.equal(200);
+    expect(performance.now() - started).to.be.lessThan(1_000);
+  });
+
   it("should gather no listeners on a connection that is kept", async () => {
     // A connection to a server carried many requests and kept a listener of each; Node warned of a leak.
     await serve([route()], answerOk);
