--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -17,6 +17,8 @@
 const firstLimits = { headerTimeoutMs: 10_000, idleTimeoutMs: 60_000 };
 /** After a signal to stop, streams that arrive later than this may not end in time and are refused, ms. */
 const streamsUntilMs = 2_500;
+/** From this long before its end a stopping node refuses every new request, ms: plain calls in flight finish. */
+const refuseAllMs = 1_200;
 /** Part of the retry budget of the whole system that the nodes share out; the rest is slack for restarts. */
 const budgetShare = 0.6;
 
@@ -37,8 +39,8 @@
   readonly name = "callers";
   private readonly server: http.Server;
   private readonly budgets = new Map<string, RetryBudget>();
-  private stoppingSinceMs: number | undefined;
-  private inFlight = 0;
+  private stopping: { readonly sinceMs: number; readonly endMs: number } | undefined;
+  private readonly exchanges = new Set<Exchange>();
 
   constructor(private readonly options: CallerServerOptions) {
     this.server = http.createServer({ maxHeaderSize: maxHeadBytes, noDelay: true }, (req, res) => {
@@ -56,7 +58,7 @@
 
   /** Requests being served. */
   get busy(): number {
-    return this.inFlight;
+    return this.exchanges.size;
   }
 
   async start(): Promise<void> {
@@ -65,8 +67,13 @@
   }
 
   /** From now on every answer closes its connection; new requests are still served for a while. */
-  stopSoon(): void {
-    this.stoppingSinceMs = performance.now();
+  stopSoon(endMs: number): void {
+    this.stopping = { sinceMs: performance.now(), endMs };
+  }
+
+  /** Answers what can still be answered, just before the end. */
+  abandonAll(): void {
+    for (const exchange of this.exchanges) exchange.abandon();
   }
 
   async dispose(): Promise<void> {
@@ -81,23 +88,24 @@
   }
 
   private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
-    this.inFlight += 1;
     const { serving, placer } = this.options;
-    const caller = new CallerConnection(req, res, serving.codec, () => this.stoppingSinceMs !== undefined);
+    const caller = new CallerConnection(req, res, serving.codec, () => this.stopping !== undefined);
     const exchange = new Exchange({
       serving,
       placer,
       caller,
       budgetFor: (service) => this.budgetFor(service),
       refuseStreams: () =>
-        this.stoppingSinceMs !== undefined && performance.now() - this.stoppingSinceMs > streamsUntilMs,
+        this.stopping !== undefined && performance.now() - this.stopping.sinceMs > streamsUntilMs,
+      refuseAll: () => this.stopping !== undefined && this.stopping.endMs - performance.now() < refuseAllMs,
     });
+    this.exchanges.add(exchange);
     try {
       await exchange.run();
       // Guards "the last answers are cut at exit": ended is not yet sent, and a stopping node counts on it.
       await caller.flushed();
     } finally {
-      this.inFlight -= 1;
+      this.exchanges.delete(exchange);
     }
   }
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -33,6 +33,8 @@
   readonly caller: CallerConnection;
   /** New streams are refused: the node stops before they could end. */
   readonly refuseStreams: () => boolean;
+  /** Every new request is refused: the node ends within moments. */
+  readonly refuseAll: () => boolean;
 }
 
 /** Serves one request. */
@@ -53,6 +55,7 @@
   private attempt: Attempt | undefined;
   private lastFailure = "";
   private timeIsUp = false;
+  private abandoned = false;
   /** An answer to give if no better one comes. */
   private fallback: WholeAnswer | undefined;
   private retryAfterS = soonS;
@@ -75,6 +78,16 @@
     }
   }
 
+  /**
+   * The node is about to end: answers now unless a stream has begun. Guards "a request gets neither an answer
+   * nor a refusal": one that still waits, or whose server hasn't begun, would end with its connection.
+   */
+  abandon(): void {
+    if (this.caller.begun) return;
+    this.abandoned = true;
+    this.attempt?.cancel();
+  }
+
   private async prepare(): Promise<void> {
     const { req } = this.caller;
     this.facts = this.serving.codec.readRequest(req.headers);
@@ -88,7 +101,7 @@
     this.route = route;
     this.service = service;
     this.patience = patienceOf(route, this.facts.deadlineMs, this.arrivedMs);
-    if (route.kind === "stream" && this.options.refuseStreams()) {
+    if (this.options.refuseAll() || (route.kind === "stream" && this.options.refuseStreams())) {
       throw new Failure("draining", "this node is stopping; use another address");
     }
     this.countDemand();
@@ -147,7 +160,7 @@
       if (this.comesTooLate(key)) return undefined;
       for (;;) {
         const left = this.patience.firstByteByMs - performance.now();
-        if (left <= 0 || this.caller.left) return undefined;
+        if (left <= 0 || this.caller.left || this.abandoned) return undefined;
         if (this.modelIsThere() && model !== undefined && adapter !== undefined) {
           await this.options.placer.ensureAdapter(this.service.name, model, adapter);
           const found = this.choose();
@@ -348,8 +361,14 @@
         this.ended("ok");
         return false;
       case "cancelled":
-        this.ended("caller-left");
-        return false;
+        if (!this.abandoned) {
+          this.ended("caller-left");
+          return false;
+        }
+        this.ran += 1;
+        this.timeIsUp = true;
+        this.lastFailure = "this node is stopping";
+        return this.giveUp();
       case "not-run":
       case "unreachable":
         this.lastFailure =
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -37,6 +37,8 @@
 const directoryTtlS = 2;
 /** A stopping node serves on for at least this long, ms: callers' answers of the directory run out. */
 const leastDrainMs = 2_600;
+/** What still waits is answered this long before the end, ms: the answers have to reach their callers. */
+const lastAnswersMs = 300;
 /** Kept of the grace period for the exit itself, ms. */
 const exitMarginMs = 700;
 
@@ -192,13 +194,14 @@
     const latestMs = startedMs + settings.graceMs - exitMarginMs;
     log.info({ event: "stopping", inFlight: this.callers.busy });
     this.stopping = true;
-    this.callers.stopSoon();
+    this.callers.stopSoon(latestMs);
     this.peers.tell();
     await Promise.all([this.lease.release(), this.member.leave()]);
     this.peers.tell();
     for (;;) {
       const now = performance.now();
       if (now >= latestMs || (now - startedMs >= leastDrainMs && this.callers.busy === 0)) break;
+      if (now >= latestMs - lastAnswersMs) this.callers.abandonAll();
       await new Promise((resolve) => setTimeout(resolve, 50));
     }
     log.info({
--- a/test/gateway/nodes.spec.ts
+++ b/test/gateway/nodes.spec.ts
@@ -125,6 +125,24 @@
     await slow.stop();
   });
 
+  it("should answer every request that still waits before it ends", async () => {
+    // A node gets SIGTERM while a call is at a server that doesn't answer. At the end of the grace period the process
+    // ended with the request: its caller got neither an answer nor a refusal.
+    const silent = await BackendStandIn.start("i-1", () => undefined);
+    world.register(silent.registration("s"));
+    world.configure(configuration(1, [route({ kind: "non-idempotent", timeoutMs: 20_000 })]));
+    const node = await world.startNode();
+    await until(async () => (await ask({ ip: node.ip, port: "readiness", path: "/ready" })).status === 200);
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    const headers = { "x-deadline-ms": "20000" };
+    const waiting = ask({ ip: node.ip, method: "POST", body: "x", headers });
+    await until(() => silent.arrivals.length === 1);
+    const stopped = node.node.stop();
+    expect((await waiting).status).to.equal(504);
+    await stopped;
+    await silent.stop();
+  });
+
   it("should read the store on two nodes only", async () => {
     world.configure(configuration(1, [route()]));
     const nodes = [];
