--- a/src/common/httpCall.ts
+++ b/src/common/httpCall.ts
@@ -23,8 +23,9 @@
 }
 
 /**
- * Makes the call; rejects with `upstream-failed` on a connection error and `deadline-exceeded` past its
- * time limit. Either way it is unknown whether the call was carried out. The connection of a call that
+ * Makes the call; rejects with `not-run` where nothing listens at the address, `upstream-failed` on any other
+ * connection error and `deadline-exceeded` past its time limit. After the latter two it is unknown whether the
+ * call was carried out. The connection of a call that
  * timed out is reset, so bytes held up on the way are lost rather than delivered late.
  */
 export function callHttp(call: HttpCall): Promise<HttpReply> {
@@ -49,9 +50,10 @@
       req.socket?.resetAndDestroy();
       req.destroy();
     }, call.timeoutMs);
-    const fail = (error: Error): void => {
+    const fail = (error: NodeJS.ErrnoException): void => {
       clearTimeout(timer);
-      reject(new Failure("upstream-failed", `${target}: ${error.message}`));
+      const kind = error.code === "ECONNREFUSED" ? "not-run" : "upstream-failed";
+      reject(new Failure(kind, `${target}: ${error.message}`));
     };
     req.on("error", fail);
     req.on("response", (res) => {
--- a/src/common/tokenBucket.ts
+++ b/src/common/tokenBucket.ts
@@ -2,9 +2,18 @@
 export class TokenBucket {
   private tokens: number;
 
-  /** A full bucket of `capacity` tokens. */
-  constructor(private readonly capacity: number) {
-    this.tokens = capacity;
+  /** A bucket of `capacity` tokens, full unless `tokens` says otherwise. */
+  constructor(
+    private capacity: number,
+    tokens = capacity,
+  ) {
+    this.tokens = tokens;
+  }
+
+  /** From now on it holds `capacity` tokens at most. */
+  resize(capacity: number): void {
+    this.capacity = capacity;
+    this.tokens = Math.min(capacity, this.tokens);
   }
 
   /** Whole tokens in the bucket. */
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -59,7 +59,13 @@
   | { readonly kind: "not-run"; readonly facts: AnswerFacts }
   | { readonly kind: "unreachable"; readonly reason: string }
   | { readonly kind: "broken"; readonly reason: string; readonly lastEvent: number | undefined }
-  | { readonly kind: "silent"; readonly reason: string; readonly lastEvent: number | undefined }
+  | {
+      readonly kind: "silent";
+      readonly reason: string;
+      readonly lastEvent: number | undefined;
+      /** Given where not even a first byte came: how long it was waited for, ms. */
+      readonly waitedMs: number | undefined;
+    }
   | { readonly kind: "timed-out"; readonly reason: string; readonly lastEvent: number | undefined }
   | { readonly kind: "cancelled" };
 
@@ -162,7 +168,8 @@
     clearTimeout(this.silence);
     if (this.settled) return;
     this.silence = setTimeout(() => {
-      this.end({ kind: "silent", reason, lastEvent: this.lastEvent });
+      const waitedMs = this.firstByteMs === undefined ? ms : undefined;
+      this.end({ kind: "silent", reason, lastEvent: this.lastEvent, waitedMs });
     }, ms);
   }
 
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -15,12 +15,12 @@
 const idleMarginMs = 2_000;
 /** Limits until a configuration is known. */
 const firstLimits = { headerTimeoutMs: 10_000, idleTimeoutMs: 60_000 };
+/** Part of its share of the retry budget that a node begins with; the other tenth of the whole is slack for it. */
+const firstPart = 0.1;
 /** After a signal to stop, streams that arrive later than this may not end in time and are refused, ms. */
 const streamsUntilMs = 2_500;
 /** From this long before its end a stopping node refuses every new request, ms: plain calls in flight finish. */
 const refuseAllMs = 1_200;
-/** Part of the retry budget of the whole system that the nodes share out; the rest is slack for restarts. */
-const budgetShare = 0.6;
 
 /** Options of a `CallerServer`. */
 export interface CallerServerOptions {
@@ -112,8 +112,8 @@
   private budgetFor(service: string): RetryBudget {
     const known = this.budgets.get(service);
     if (known !== undefined) return known;
-    const burst = Math.max(1, (this.options.retryBurst * budgetShare) / Math.max(1, this.options.nodes()));
-    const budget = new RetryBudget({ ratio: this.options.retryRatio, burst });
+    const { retryRatio, retryBurst, nodes } = this.options;
+    const budget = new RetryBudget({ ratio: retryRatio, burst: retryBurst, nodes, firstPart });
     this.budgets.set(service, budget);
     return budget;
   }
--- a/src/gateway/engineDesk.ts
+++ b/src/gateway/engineDesk.ts
@@ -31,8 +31,8 @@
   readonly token: (serverId: string) => number | undefined;
 }
 
-/** A load that is not confirmed by the engine's registration yet. */
-interface Coming {
+/** A model order that is not confirmed by the engine's registration yet. */
+interface Unconfirmed {
   readonly sinceMs: number;
   /** The order's outcome is unknown: it may never be carried out. */
   readonly uncertain: boolean;
@@ -48,6 +48,8 @@
 const lostOrderMs = 15_000;
 /** A report shows orders that were accepted at least this long before, ms: its figures lag by some hundred ms. */
 const reportLagMs = 500;
+/** An order without an answer is given again this often: three lost in a row are rare even on a bad day. */
+const repeats = 2;
 /** Pause after an order was refused because another is under way or the sequence differs, ms. */
 const restMs = 250;
 
@@ -59,9 +61,9 @@
 /** The desk of one incarnation of an engine. */
 export class EngineDesk {
   /** Models ordered, by name: their memory counts as taken. */
-  readonly coming = new Map<string, Coming>();
+  readonly coming = new Map<string, Unconfirmed>();
   /** Models whose unloading was ordered and isn't confirmed: their memory counts as taken too. */
-  readonly dropping = new Set<string>();
+  readonly dropping = new Map<string, Unconfirmed>();
   /** The model for which another was told to make way here. */
   private room: { readonly model: string; readonly sinceMs: number } | undefined;
   /** Adapters ordered, and when. */
@@ -105,9 +107,14 @@
     return this.reported !== undefined;
   }
 
-  /** Is a model on its way in or out? Then no other model order is taken. */
+  /**
+   * Is a model on its way in or out? Then no other model order is taken. One of unknown outcome is no reason
+   * to wait: the engine takes the next order, and that makes the one before void.
+   */
   get busy(): boolean {
-    return this.modelOrders > 0 || this.coming.size > 0 || this.dropping.size > 0;
+    const underWay = (orders: ReadonlyMap<string, Unconfirmed>): boolean =>
+      [...orders.values()].some((order) => !order.uncertain);
+    return this.modelOrders > 0 || underWay(this.coming) || underWay(this.dropping);
   }
 
   /** The model whose place is kept here. */
@@ -128,13 +135,15 @@
 
   /** Models in memory that are to stay. */
   get staying(): string[] {
-    return this.registered.residents.map((r) => r.model).filter((model) => !this.dropping.has(model));
+    return this.registered.residents
+      .map((r) => r.model)
+      .filter((model) => this.dropping.get(model)?.uncertain !== false);
   }
 
   /** Every model that may take memory. */
   get occupying(): Set<string> {
     const resident = this.registered.residents.map((r) => r.model);
-    return new Set([...resident, ...this.lately().models, ...this.dropping, ...this.coming.keys()]);
+    return new Set([...resident, ...this.lately().models, ...this.dropping.keys(), ...this.coming.keys()]);
   }
 
   /** Adapters that may take a place, as MODEL/NAME. */
@@ -154,6 +163,18 @@
     return performance.now() - (this.movedMs.get(model) ?? Number.NEGATIVE_INFINITY) < registrationAgeMs;
   }
 
+  /**
+   * Gives the order, and gives it again while its outcome is unknown. Guards "an engine takes no orders for
+   * seconds because one answer was lost": an order may be carried out up to twelve seconds late, but only if
+   * none was accepted meanwhile. Both carry the same count of orders, so at most one of them takes effect.
+   */
+  async insist(request: OrderRequest): Promise<DeskOutcome> {
+    for (let left = repeats; ; left -= 1) {
+      const outcome = await this.order(request);
+      if (outcome !== "unknown" || left === 0) return outcome;
+    }
+  }
+
   /** Gives the order once those before it were answered. */
   order(request: OrderRequest): Promise<DeskOutcome> {
     const orders = request.adapter === undefined ? 1 : 0;
@@ -191,7 +212,7 @@
     this.registered = server;
     const held = new Set(server.residents.map((resident) => resident.model));
     const arrived = [...held].filter((model) => this.coming.delete(model));
-    for (const model of [...this.dropping]) if (!held.has(model)) this.dropping.delete(model);
+    for (const model of [...this.dropping.keys()]) if (!held.has(model)) this.dropping.delete(model);
     const adapters = new Set(server.residents.flatMap((r) => r.adapters.map((a) => `${r.model}/${a}`)));
     this.settleAdapters(adapters);
     for (const name of [...this.goneAdapters]) if (!adapters.has(name)) this.goneAdapters.delete(name);
@@ -228,6 +249,7 @@
     this.reported = { models, adapters: [...adapters, ...report.coming], atMs: performance.now() };
     if (!upToDate) return;
     const held = new Set(models);
+    for (const [model, drop] of [...this.dropping]) if (moved && drop.uncertain) this.dropping.delete(model);
     for (const [model, coming] of [...this.coming]) {
       // One of unknown outcome is void only once another order was accepted after it.
       if (!held.has(model) && (moved || !coming.uncertain)) this.coming.delete(model);
@@ -312,7 +334,8 @@
     if (outcome === "accepted" || unloadedAdapter) {
       this.sequence += 1;
       // A newer order was accepted, so one of unknown outcome before it is void.
-      for (const [name, coming] of [...this.coming]) if (coming.uncertain) this.coming.delete(name);
+      dropUncertain(this.coming);
+      dropUncertain(this.dropping);
     }
     if (outcome === "conflict") this.refusedMs = performance.now();
     else this.lastOrderMs = performance.now();
@@ -332,8 +355,11 @@
     const now = performance.now();
     this.movedMs.set(model, now);
     if (action === "load" && this.room?.model === model) this.room = undefined;
-    if (action === "load") this.coming.set(model, { sinceMs: now, uncertain: outcome === "unknown" });
-    // Also where the outcome is unknown: new requests would meet the unloading.
-    else this.dropping.add(model);
+    const orders = action === "load" ? this.coming : this.dropping;
+    orders.set(model, { sinceMs: now, uncertain: outcome === "unknown" });
   }
 }
+
+function dropUncertain(orders: Map<string, Unconfirmed>): void {
+  for (const [name, order] of [...orders]) if (order.uncertain) orders.delete(name);
+}
--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/fleetTask.ts
@@ -199,6 +199,7 @@
     const known = new Set(serving.fleet.all().map((server) => server.id));
     serving.pool.retain(known);
     serving.outliers.retain(known);
+    serving.refusals.retain(known);
   }
 
   private logChange(server: BackendServer): void {
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -7,7 +7,7 @@
 import { Supervisor, type Task } from "../common/supervisor.ts";
 import type { BackendServer } from "../serving/backendServer.ts";
 import type { Configuration } from "../serving/configuration.ts";
-import { DemandMeter } from "../serving/demandMeter.ts";
+import { DemandMeter, negligible } from "../serving/demandMeter.ts";
 import type { HeaderCodec } from "../serving/exchange.ts";
 import { Fleet } from "../serving/fleet.ts";
 import { formatEndpoint, type HostSettings } from "../serving/hostSettings.ts";
@@ -17,6 +17,7 @@
 import type { Engines } from "../serving/orders.ts";
 import { Outliers } from "../serving/outliers.ts";
 import { PeerTable, type Asked, type Pulse } from "../serving/peerTable.ts";
+import { Refusals } from "../serving/refusals.ts";
 import { freshMs, shouldRead, type Reader } from "../serving/readers.ts";
 import type { Store } from "../serving/store.ts";
 import { CallerServer } from "./callerServer.ts";
@@ -29,7 +30,7 @@
 import { PeerCalls } from "./peerCalls.ts";
 import { PeerTask } from "./peerTask.ts";
 import { PlacementTask } from "./placementTask.ts";
-import { ConfigurationInForce, Waiting, type Serving } from "./serving.ts";
+import { ConfigurationInForce, RequestCounts, type Serving } from "./serving.ts";
 import { StoreLink } from "./storeLink.ts";
 import { UpstreamPool } from "./upstreamPool.ts";
 
@@ -73,6 +74,7 @@
   private readonly fleet: FleetTask;
   private readonly lease: LeaseTask;
   private readonly member: MemberTask;
+  private readonly placement: PlacementTask;
   private readonly callers: CallerServer;
   private readonly supervisor: Supervisor;
   private readonly boot = Date.now();
@@ -107,7 +109,7 @@
       },
     });
     this.peers.handle("lease.yield", (params) => this.lease.onYield(params));
-    const placement = new PlacementTask({
+    this.placement = new PlacementTask({
       serving: this.serving,
       engines: platform.engines,
       lease: this.lease,
@@ -120,7 +122,7 @@
     this.callers = new CallerServer({
       endpoint: settings.callers,
       serving: this.serving,
-      placer: placement,
+      placer: this.placement,
       retryRatio: settings.retryRatio,
       retryBurst: settings.retryBurst,
       nodes: () => this.table.alive(performance.now()).length + 1,
@@ -151,6 +153,8 @@
     });
     this.calls = new PeerCalls(settings.peers, { ...configuration.handlers, ...this.fleet.handlers });
     this.peers.heard.on((pulse) => {
+      if (pulse.paces !== undefined) this.serving.paces.hear(pulse.ip, pulse.paces);
+      if (pulse.coming !== undefined) this.serving.modelWaits.announce(pulse.coming, performance.now());
       void configuration.hear(pulse);
       void this.fleet.hear(pulse);
     });
@@ -165,7 +169,7 @@
         this.callers,
         this.member,
         this.lease,
-        placement,
+        this.placement,
       ],
       log,
     );
@@ -281,8 +285,9 @@
       version: this.serving.configuration.current?.version ?? 0,
       ...(Number.isFinite(readAgeMs) ? { readAgeMs: Math.round(readAgeMs) } : {}),
       fleetRevision: this.fleet.revision,
-      ...(token === undefined ? {} : { token }),
+      ...(token === undefined ? {} : { token, coming: this.placement.expected() }),
       loads: this.serving.loads.mine(),
+      paces: this.serving.paces.mine(),
     };
   }
 
@@ -306,10 +311,14 @@
 
   private asked(): Asked {
     const now = performance.now();
+    const running = Object.fromEntries(
+      Object.keys(this.serving.adaptersRunning.all()).map((key) => [key, negligible]),
+    );
     return {
       demand: this.serving.demand.levels(now),
       waiting: this.serving.waiting.all(),
-      adapters: this.serving.adapterDemand.levels(now),
+      adapters: { ...running, ...this.serving.adapterDemand.levels(now) },
+      running: this.serving.modelsRunning.all(),
     };
   }
 }
@@ -327,7 +336,10 @@
     outliers: new Outliers(),
     demand: new DemandMeter(),
     adapterDemand: new DemandMeter(),
-    waiting: new Waiting(),
+    waiting: new RequestCounts(),
+    adaptersRunning: new RequestCounts(),
+    modelsRunning: new RequestCounts(),
+    refusals: new Refusals(),
     modelWaits: new ModelWaits(),
     paces: new ModelPaces(),
     pool: new UpstreamPool(),
--- a/src/gateway/leaseTask.ts
+++ b/src/gateway/leaseTask.ts
@@ -75,6 +75,7 @@
   /** The last yield heard, and when. */
   private yielded: { readonly message: Yield; readonly atMs: number } | undefined;
   private stopping = false;
+  private lookedAtStart = false;
 
   constructor(private readonly options: LeaseTaskOptions) {
     super("lease", tickMs, options.log);
@@ -159,12 +160,24 @@
     if (this.held !== undefined) this.lose("host stood still");
   }
 
+  /**
+   * Reads the row once when this process starts: a host that held the lease takes it back at once, as nobody
+   * else may order before it lapses. Where all nodes are killed together, orders begin 1.2 s sooner.
+   */
+  private async lookAtStart(): Promise<void> {
+    this.lookedAtStart = true;
+    await this.read();
+    if (this.row === undefined || !isSame(this.row.value, this.options.self)) return;
+    this.unheardSinceMs = Number.NEGATIVE_INFINITY;
+  }
+
   private async maybeTake(now: number): Promise<void> {
     if (this.options.holderHeard()) {
       this.unheardSinceMs = undefined;
       return;
     }
     this.unheardSinceMs ??= now + Math.random() * spreadMs;
+    if (!this.lookedAtStart) await this.lookAtStart();
     if (now - this.unheardSinceMs < suspectMs || now < this.nextLookMs) return;
     await this.read();
     if (!this.rowKnown) return;
--- a/src/gateway/placementTask.ts
+++ b/src/gateway/placementTask.ts
@@ -9,13 +9,15 @@
 import { negligible } from "../serving/demandMeter.ts";
 import type { Residency } from "../serving/fleet.ts";
 import { LoadCeiling } from "../serving/loadCeiling.ts";
+import { loadMs } from "../serving/modelWait.ts";
 import type { Engines } from "../serving/orders.ts";
 import type { Asked, PeerTable, Pulse } from "../serving/peerTable.ts";
-import { planMoves, type EngineView, type ModelDemand, type Move } from "../serving/placementPlan.ts";
-import { EngineDesk } from "./engineDesk.ts";
+import { planMoves } from "../serving/placementPlan.ts";
+import type { EngineView, ModelDemand, Move } from "../serving/placementView.ts";
+import { EngineDesk, type DeskOutcome } from "./engineDesk.ts";
 import type { LeaseTask } from "./leaseTask.ts";
 import type { PeerTask } from "./peerTask.ts";
-import { adapterKey, demandKey, type Placer, type Serving } from "./serving.ts";
+import { adapterKey, demandKey, residencyKey, type Placer, type Serving } from "./serving.ts";
 
 /** Period of placement rounds, ms. */
 const roundMs = 250;
@@ -26,6 +28,13 @@
 const adapterReadyMs = 12;
 /** A peer's demand counts for this long, ms. */
 const askedMs = 1_500;
+/** A new holder waits this long at most to hear the demand of its peers, ms: three of their periods. */
+const hearingMs = 1_000;
+/**
+ * A process that has just started orders loads into free memory only, ms. Guards "the busiest model is dropped
+ * after all nodes were killed": no node has measured any demand yet, so every model looks idle.
+ */
+const settleMs = 2_000;
 /** A node asks the holder for the same adapter again after this time, ms. */
 const askAgainMs = 60;
 
@@ -55,6 +64,9 @@
   private readonly lastDemandMs = new Map<string, number>();
   private readonly ensuring = new Map<string, Promise<void>>();
   private readonly ceiling: LoadCeiling;
+  private readonly startedMs = performance.now();
+  /** When the lease was last taken or lost here. */
+  private changedMs = performance.now();
   private readonly log: Log;
 
   constructor(private readonly options: PlacementTaskOptions) {
@@ -69,6 +81,7 @@
     // A new holder starts from what the engines say now; a former one forgets what it ordered.
     options.lease.changed.on(() => {
       this.desks.clear();
+      this.changedMs = performance.now();
     });
   }
 
@@ -90,7 +103,9 @@
     const table = this.options.serving.configuration.current;
     if (table === undefined) return;
     this.learnDesks();
+    this.options.serving.modelWaits.announce(this.expected(), performance.now());
     await this.verifyDesks();
+    if (!this.demandKnown()) return;
     for (const service of table.configuration.services) {
       if (service.engine !== undefined) this.place(service.name, service.engine);
     }
@@ -114,7 +129,7 @@
     for (const id of this.desks.keys()) if (!known.has(id)) this.desks.delete(id);
   }
 
-  /** Takes the engine no order now, not even for an adapter? Those are taken while a model is on its way. */
+  /** Takes the engine no order now? */
   private closed(desk: EngineDesk): boolean {
     return desk.resting || !desk.verified || !this.options.lease.mayOrder(desk.server.id);
   }
@@ -124,11 +139,7 @@
     const { lease } = this.options;
     // One that an earlier holder ordered lately may not report that order yet, and is closed until it does.
     const open = [...this.desks.values()].filter((desk) => !desk.verified && lease.mayOrder(desk.server.id));
-    const asks = open.map((desk) =>
-      desk.ask().catch((error: unknown) => {
-        this.log.debug({ event: "report-failed", server: desk.server.id, detail: String(error) });
-      }),
-    );
+    const asks = open.map((desk) => this.askDesk(desk));
     // An engine that doesn't answer must not hold up the others.
     await Promise.race([Promise.all(asks), new Promise((resolve) => setTimeout(resolve, roundMs / 2))]);
   }
@@ -150,12 +161,17 @@
 
   private place(service: string, limits: EngineLimits): void {
     const now = performance.now();
-    const servers = this.options.serving.fleet.available(service).filter((server) => server.engine);
+    const { fleet, outliers } = this.options.serving;
+    // One that can't be reached is most likely gone, though its registration lives on for seconds.
+    const servers = fleet
+      .available(service)
+      .filter((server) => server.engine && !outliers.health(server.id, now).unreachable);
     const moves = planMoves({
       models: limits.models,
       engines: servers.map((server) => this.view(server, limits)),
       demand: this.demandOf(service, limits, now),
       adapterSlots: limits.adapterSlots,
+      mayEvict: now - this.startedMs > settleMs,
       loadsLeft: this.ceiling.left(limits.loadsPerS, now),
     });
     for (const move of moves) {
@@ -173,18 +189,43 @@
     for (const name of desk.adapters) usedMb += sizes.get(name.split("/")[0] ?? "") ?? 0;
     return {
       id: server.id,
-      zone: server.zone,
       models: new Set(desk.staying),
+      running: this.runningAt(server.id, limits),
       roomFor: desk.roomFor,
       unsettled: new Set(limits.models.map((model) => model.name).filter((name) => desk.movedLately(name))),
       coming: new Set(desk.coming.keys()),
       freeMb: limits.memoryMb - usedMb,
       busy: desk.busy || this.closed(desk),
-      soonFree: desk.coming.size === 0,
       atHand: new Set(server.atHand),
     };
   }
 
+  /**
+   * Has every peer told this holder what is asked of it? Guards "a new holder drops the busiest model": before
+   * it has heard its peers it takes every model for idle.
+   */
+  private demandKnown(): boolean {
+    const now = performance.now();
+    if (now - this.changedMs > hearingMs) return true;
+    const peers = this.options.table.alive(now).map((peer) => peer.pulse.ip);
+    return peers.every((ip) => (this.asked.get(ip)?.atMs ?? Number.NEGATIVE_INFINITY) > this.changedMs);
+  }
+
+  /** Requests in flight at the engine by model, over all nodes. */
+  private runningAt(serverId: string, limits: EngineLimits): Map<string, number> {
+    const now = performance.now();
+    const running = new Map<string, number>();
+    for (const { name } of limits.models) {
+      const key = residencyKey(serverId, name);
+      let count = this.options.serving.modelsRunning.get(key);
+      for (const { asked, atMs } of this.asked.values()) {
+        if (now - atMs < askedMs) count += asked.running[key] ?? 0;
+      }
+      if (count > 0) running.set(name, count);
+    }
+    return running;
+  }
+
   private demandOf(service: string, limits: EngineLimits, now: number): Map<string, ModelDemand> {
     const { serving } = this.options;
     const all = [{ demand: serving.demand.levels(now), waiting: serving.waiting.all() }];
@@ -195,7 +236,7 @@
       const engineMs = all.reduce((sum, a) => sum + (a.demand[key] ?? 0), 0);
       const waiting = all.reduce((sum, a) => sum + (a.waiting[key] ?? 0), 0);
       if (engineMs >= negligible || waiting > 0) this.lastDemandMs.set(key, now);
-      const idleMs = now - (this.lastDemandMs.get(key) ?? Number.NEGATIVE_INFINITY);
+      const idleMs = now - (this.lastDemandMs.get(key) ?? this.startedMs);
       const adapters = model.adapters === 0 ? 0 : this.adaptersAsked(`${key}/`, now);
       demand.set(model.name, { engineMs, waiting, idleMs, adapters });
     }
@@ -218,12 +259,19 @@
     const desk = this.desk(server);
     const { action, model, reason, inFavourOf, demandMs, copies } = move;
     if (inFavourOf !== undefined) desk.keepRoom(inFavourOf);
-    const outcome = await desk.order({ action, model, reason, inputs: { inFavourOf, demandMs, copies } });
+    const outcome = await desk.insist({ action, model, reason, inputs: { inFavourOf, demandMs, copies } });
+    this.noteGone(server, outcome);
     if (move.action === "unload" && outcome === "accepted") {
       this.announce({ serverId: server.id, model: move.model, present: false });
     }
   }
 
+  /** An engine that crashed is left alone at once, not only when its registration lapses seconds later. */
+  private noteGone(server: BackendServer, outcome: DeskOutcome): void {
+    if (outcome !== "wrong-server" && outcome !== "unreachable") return;
+    this.options.serving.outliers.unreachable(server.id, performance.now());
+  }
+
   private async lookIntoOverdue(models: readonly { name: string; loadS: number }[]): Promise<void> {
     const now = performance.now();
     for (const desk of this.desks.values()) {
@@ -231,14 +279,38 @@
         const usualMs = (models.find((model) => model.name === name)?.loadS ?? 0) * 1000;
         const limitMs = coming.uncertain ? 700 : Math.max(leastOverdueMs, usualMs * overdueFactor);
         if (now - coming.sinceMs < limitMs) continue;
-        await desk.ask().catch((error: unknown) => {
-          this.log.debug({ event: "report-failed", server: desk.server.id, detail: String(error) });
-        });
+        // One of unknown outcome is given again: the engine takes effect of the two but once.
+        if (coming.uncertain) void desk.insist({ action: "load", model: name, reason: "unanswered" });
+        else await this.askDesk(desk);
         break;
       }
     }
   }
 
+  private askDesk(desk: EngineDesk): Promise<void> {
+    return desk.ask().catch((error: unknown) => {
+      this.log.debug({ event: "report-failed", server: desk.server.id, detail: String(error) });
+    });
+  }
+
+  /** Models on their way, by demand key, and the time until they are expected to be there, ms. */
+  expected(): Record<string, number> {
+    const table = this.options.serving.configuration.current;
+    if (!this.options.lease.holding || table === undefined) return {};
+    const due: Record<string, number> = {};
+    const now = performance.now();
+    for (const { server, coming } of this.desks.values()) {
+      const models = table.service(server.service)?.engine?.models ?? [];
+      for (const [name, { sinceMs }] of coming) {
+        const usualMs = loadMs(models.find((model) => model.name === name)?.loadS ?? 0, server, name);
+        const key = demandKey(server.service, name);
+        const leftMs = Math.round(Math.max(0, sinceMs + usualMs - now));
+        due[key] = Math.min(due[key] ?? leftMs, leftMs);
+      }
+    }
+    return due;
+  }
+
   private async ensureOnce(service: string, model: string, adapter: string): Promise<void> {
     if (this.options.lease.holding) {
       await this.orderAdapter(service, model, adapter);
@@ -312,7 +384,8 @@
       release();
       return;
     }
-    const outcome = await desk.order({ action: "load", model, adapter, reason: "waiting" });
+    const outcome = await desk.insist({ action: "load", model, adapter, reason: "waiting" });
+    this.noteGone(server, outcome);
     if (outcome !== "accepted" && outcome !== "already-holds") {
       if (outcome !== "unknown") release();
       return;
@@ -337,18 +410,24 @@
       adapters: desk.adapters,
       evictable: desk.evictableAdapters,
       expectedMs: load.pendingMs + load.requests,
-      busy: this.closed(desk) || serving.outliers.health(server.id, now).ejected,
+      // While a model is on its way in or out the engine refuses every other order.
+      busy: desk.busy || this.closed(desk) || serving.outliers.health(server.id, now).ejected,
     };
   }
 
-  /** When the adapter was last asked for anywhere, as far as is known. */
-  private adapterUsedMs(service: string, name: string, now: number): number | undefined {
+  /**
+   * When the adapter was last asked for anywhere, as far as is known. Guards "an engine takes no orders for
+   * seconds": an adapter that is told to make way while requests run with it closes the engine until they end.
+   * A new holder has not heard yet what its peers run, so it takes any adapter for used until then.
+   */
+  private adapterUsedMs(service: string, name: string, now: number): number {
     const key = `${service} ${name}`;
-    if (this.options.serving.adapterDemand.level(key, now) >= negligible) return now;
+    const { adapterDemand, adaptersRunning } = this.options.serving;
+    if (adaptersRunning.has(key) || adapterDemand.level(key, now) >= negligible) return now;
     for (const { asked, atMs } of this.asked.values()) {
-      if (now - atMs < askedMs && asked.adapters[key] !== undefined) return now - 1 / asked.adapters[key];
+      if (now - atMs < askedMs && asked.adapters[key] !== undefined) return now;
     }
-    return undefined;
+    return this.changedMs;
   }
 
   /** Takes a change of an engine's memory here and tells the peers. */
--- /dev/null
+++ b/src/gateway/serverWait.ts
@@ -0,0 +1,212 @@
+/** Finds a server for one request: at once where there is one, or once its model, adapter or turn has come. */
+import { admit } from "../serving/admission.ts";
+import { holds, type BackendServer } from "../serving/backendServer.ts";
+import type { Route, Service } from "../serving/configuration.ts";
+import type { AnswerFacts, RequestFacts } from "../serving/exchange.ts";
+import type { Patience } from "../serving/patience.ts";
+import { chooseServer, type Chosen } from "../serving/serverChoice.ts";
+import { demandKey, type Placer, type Serving } from "./serving.ts";
+
+/** Longest sleep between looks at whether a server can be had, ms. */
+const lookAgainMs = 250;
+/** Pause between looks at whether the engines have caught up, ms: a few decoding steps. */
+const turnMs = 50;
+/** Retry-After while servers are full or missing, s: a little over one round of placement. */
+export const soonS = 0.5;
+/** Longest Retry-After, s: placement may have changed by then. */
+const longestRetryAfterS = 5;
+
+/** What the wait works with. */
+export interface ServerWaitOptions {
+  readonly serving: Serving;
+  readonly placer: Placer;
+  readonly facts: RequestFacts;
+  readonly route: Route;
+  readonly service: Service;
+  readonly patience: Patience;
+  readonly arrivedMs: number;
+  /** Nobody waits for the answer any more. */
+  readonly over: () => boolean;
+}
+
+/** How far the request has come. */
+export interface Progress {
+  readonly sends: number;
+  /** Sends whose server may have run the request. */
+  readonly ran: number;
+}
+
+/** The wait of one request. */
+export class ServerWait {
+  /** Why no server was found, for the log and the caller. */
+  refusal = "";
+  /** When the caller should come back, s. */
+  retryAfterS = soonS;
+  private readonly tried = new Set<string>();
+  private askedAgain = false;
+
+  constructor(private readonly options: ServerWaitOptions) {}
+
+  /** The best server, as soon as there is one; undefined once waiting can't help any more. */
+  async next(progress: Progress): Promise<Chosen | undefined> {
+    const key = demandKey(this.options.service.name, this.scope);
+    const { waiting } = this.options.serving;
+    let counted = false;
+    try {
+      for (;;) {
+        if (this.options.over() || this.leftMs <= 0) return undefined;
+        const chosen = this.choose();
+        if (chosen === undefined) {
+          if (!counted) waiting.add(key);
+          counted = true;
+          if (!(await this.serverMayCome(progress))) return undefined;
+          continue;
+        }
+        const admission = this.admission(chosen, progress);
+        if (admission === "send") {
+          this.tried.add(chosen.server.id);
+          this.options.serving.modelWaits.found(key);
+          return chosen;
+        }
+        if (admission === "refuse") return undefined;
+        await new Promise((resolve) => setTimeout(resolve, turnMs));
+      }
+    } finally {
+      if (counted) waiting.remove(key);
+    }
+  }
+
+  /** Is there another server that could be asked now? */
+  hasAnother(): boolean {
+    return this.choose() !== undefined;
+  }
+
+  /** A server that refused may be asked again, once it takes requests or holds the model after all. */
+  noteRefusal(server: BackendServer, answer: AnswerFacts): void {
+    const { model, adapter } = this.options.facts;
+    const { refusals, fleet } = this.options.serving;
+    const now = performance.now();
+    this.tried.delete(server.id);
+    if (!answer.wrongServer) refusals.refused(server.id, this.scope, now);
+    else if (model !== undefined) fleet.forget(server.id, model, adapter, now);
+    // Another incarnation has the address: it isn't this server any more.
+    else this.tried.add(server.id);
+  }
+
+  noteAccepted(server: BackendServer): void {
+    this.options.serving.refusals.accepted(server.id, this.scope);
+  }
+
+  private get leftMs(): number {
+    return this.options.patience.firstByteByMs - performance.now();
+  }
+
+  /** What a refusal is about: the model at engines, the whole server elsewhere. */
+  private get scope(): string {
+    return this.options.facts.model ?? "";
+  }
+
+  private choose(): Chosen | undefined {
+    const { facts, service, serving } = this.options;
+    const now = performance.now();
+    return chooseServer({
+      candidates: this.candidates(),
+      tried: this.tried,
+      promptTokens: facts.promptTokens,
+      pace: serving.paces.pace(service.engine?.models.find((m) => m.name === facts.model)),
+      prefix: facts.prefix,
+      cacheScope: `${facts.model ?? ""}/${facts.adapter ?? ""}`,
+      load: (id) => serving.loads.at(id, now),
+      health: (id) => serving.outliers.health(id, now),
+    });
+  }
+
+  private candidates(): BackendServer[] {
+    const { facts, service, serving } = this.options;
+    const now = performance.now();
+    const servers = this.reachableServers().filter((s) => serving.refusals.open(s.id, this.scope, now));
+    const { model, adapter } = facts;
+    if (model === undefined || service.engine === undefined) return servers;
+    return servers.filter((server) => holds(server, model, adapter));
+  }
+
+  /**
+   * Servers that take requests. One that can't be reached is none, not even where it is the only one: guards
+   * "every request runs into a dead server": its registration outlives a crash by seconds, and each request
+   * that was sent to it meanwhile was refused with no word on when to come back.
+   */
+  private reachableServers(): BackendServer[] {
+    const now = performance.now();
+    const { fleet, outliers } = this.options.serving;
+    return fleet
+      .available(this.options.service.name)
+      .filter((server) => !outliers.health(server.id, now).unreachable);
+  }
+
+  private modelIsThere(): boolean {
+    const { model } = this.options.facts;
+    return model !== undefined && this.reachableServers().some((s) => holds(s, model, undefined));
+  }
+
+  private admission(chosen: Chosen, { sends }: Progress): "send" | "wait" | "refuse" {
+    const { route, service, patience, arrivedMs } = this.options;
+    if (sends > 0 || service.engine === undefined) return "send";
+    const admission = admit({
+      queueMs: chosen.queueMs,
+      expectedMs: chosen.healthyMs,
+      leftMs: this.leftMs,
+      patienceMs: patience.firstByteByMs - arrivedMs,
+      targetMs: route.targetMs,
+      priority: route.priority,
+    });
+    if (admission.kind === "refuse") {
+      this.refuse(admission.retryAfterMs, `first byte expected in ${Math.round(chosen.expectedMs)} ms`);
+    }
+    return admission.kind;
+  }
+
+  /** Sleeps until a server may have come; false if none will in time. */
+  private async serverMayCome(progress: Progress): Promise<boolean> {
+    if (this.tried.size > 0) return this.askAgain(progress);
+    this.options.placer.wanted();
+    if (this.comesTooLate()) return false;
+    const { model, adapter } = this.options.facts;
+    if (model !== undefined && adapter !== undefined && this.modelIsThere()) {
+      await this.options.placer.ensureAdapter(this.options.service.name, model, adapter);
+      if (this.choose() !== undefined) return true;
+    }
+    await this.options.serving.fleetChanged.next(Math.max(1, Math.min(this.leftMs, lookAgainMs)));
+    return true;
+  }
+
+  /**
+   * After every server had the request. Guards "a request is held to its time limit": where one may have run
+   * it there is no other to wait for; where all refused it, they are asked once more after a moment.
+   */
+  private async askAgain({ ran }: Progress): Promise<boolean> {
+    if (ran > 0 || this.askedAgain || this.leftMs <= lookAgainMs) return false;
+    this.askedAgain = true;
+    await new Promise((resolve) => setTimeout(resolve, lookAgainMs));
+    this.tried.clear();
+    return true;
+  }
+
+  /** Will the model come only after the caller has left? Then it is told at once when to come back. */
+  private comesTooLate(): boolean {
+    const { facts, service, serving, patience } = this.options;
+    const model = service.engine?.models.find((m) => m.name === facts.model);
+    if (model === undefined || this.modelIsThere()) return false;
+    const now = performance.now();
+    const key = demandKey(service.name, model.name);
+    const servers = serving.fleet.available(service.name);
+    const expectedMs = serving.modelWaits.expect(key, model, servers, now);
+    if (now + expectedMs < patience.firstByteByMs) return false;
+    this.refuse(expectedMs, `model expected in ${Math.round(expectedMs)} ms`);
+    return true;
+  }
+
+  private refuse(retryAfterMs: number, why: string): void {
+    this.retryAfterS = Math.min(longestRetryAfterS, Math.max(0.1, retryAfterMs / 1000));
+    this.refusal = why;
+  }
+}
--- a/src/gateway/serving.ts
+++ b/src/gateway/serving.ts
@@ -8,6 +8,7 @@
 import type { ModelWaits } from "../serving/modelWait.ts";
 import type { ModelPaces } from "../serving/modelPace.ts";
 import type { Outliers } from "../serving/outliers.ts";
+import type { Refusals } from "../serving/refusals.ts";
 import type { RouteTable } from "../serving/routeTable.ts";
 import type { GatewayMetrics } from "./gatewayMetrics.ts";
 import type { UpstreamPool } from "./upstreamPool.ts";
@@ -39,8 +40,8 @@
   wanted(): void;
 }
 
-/** Requests waiting for a model that no engine holds, by demand key. */
-export class Waiting {
+/** Requests that wait or run, counted by demand key or adapter key. */
+export class RequestCounts {
   private readonly counts = new Map<string, number>();
 
   add(key: string): void {
@@ -53,6 +54,14 @@
     else this.counts.delete(key);
   }
 
+  has(key: string): boolean {
+    return this.counts.has(key);
+  }
+
+  get(key: string): number {
+    return this.counts.get(key) ?? 0;
+  }
+
   /** Counts by key, to tell peers. */
   all(): Record<string, number> {
     return Object.fromEntries(this.counts);
@@ -75,7 +84,13 @@
   readonly demand: DemandMeter;
   /** Demand for adapters, by adapter key. */
   readonly adapterDemand: DemandMeter;
-  readonly waiting: Waiting;
+  /** Requests waiting for a model that no engine holds, by demand key. */
+  readonly waiting: RequestCounts;
+  /** Requests sent and not finished, by adapter key. */
+  readonly adaptersRunning: RequestCounts;
+  /** The same by residency key. */
+  readonly modelsRunning: RequestCounts;
+  readonly refusals: Refusals;
   readonly modelWaits: ModelWaits;
   readonly paces: ModelPaces;
   readonly pool: UpstreamPool;
@@ -87,6 +102,11 @@
   return `${service} ${model}`;
 }
 
+/** The key under which requests at one engine are counted by model. */
+export function residencyKey(serverId: string, model: string): string {
+  return `${serverId} ${model}`;
+}
+
 /** The key under which demand for an adapter is counted. */
 export function adapterKey(service: string, model: string, adapter: string): string {
   return `${service} ${model}/${adapter}`;
--- a/src/serving/loadBoard.ts
+++ b/src/serving/loadBoard.ts
@@ -9,12 +9,10 @@
   readonly pendingMs: number;
   /** Requests sent and not finished. */
   readonly requests: number;
-  /** Tokens that the requests in flight hold in memory. */
-  readonly heldTokens: number;
 }
 
-/** What one peer has in flight, by server id: pending ms, requests, held tokens. */
-export type PeerLoads = Readonly<Record<string, readonly [number, number, number]>>;
+/** What one peer has in flight, by server id: pending ms, requests. */
+export type PeerLoads = Readonly<Record<string, readonly [number, number]>>;
 
 /** A request in flight; `started` when its first event comes, `done` at its end. */
 export interface InFlight {
@@ -25,20 +23,19 @@
 /** A peer's word on its load is not used after this time, ms: three periods of its messages. */
 const peerLoadMs = 1_000;
 
-const none: Load = { pendingMs: 0, requests: 0, heldTokens: 0 };
+const none: Load = { pendingMs: 0, requests: 0 };
 
 /** Sums of work in flight per server. */
 export class LoadBoard {
-  private readonly own = new Map<string, { pendingMs: number; requests: number; heldTokens: number }>();
+  private readonly own = new Map<string, { pendingMs: number; requests: number }>();
   private readonly peers = new Map<string, { loads: PeerLoads; atMs: number }>();
 
   /** Counts a request as in flight at the server until its handle is done. */
-  begin(serverId: string, pendingMs: number, heldTokens: number): InFlight {
-    const load = this.own.get(serverId) ?? { pendingMs: 0, requests: 0, heldTokens: 0 };
+  begin(serverId: string, pendingMs: number): InFlight {
+    const load = this.own.get(serverId) ?? { pendingMs: 0, requests: 0 };
     this.own.set(serverId, load);
     load.pendingMs += pendingMs;
     load.requests += 1;
-    load.heldTokens += heldTokens;
     let pending = true;
     let open = true;
     const started = (): void => {
@@ -51,7 +48,6 @@
       if (!open) return;
       open = false;
       load.requests -= 1;
-      load.heldTokens -= heldTokens;
       if (load.requests === 0) this.own.delete(serverId);
     };
     return { started, done };
@@ -65,20 +61,19 @@
   /** This node's own load, to tell peers. */
   mine(): PeerLoads {
     return Object.fromEntries(
-      [...this.own].map(([id, l]) => [id, [l.pendingMs, l.requests, l.heldTokens] as const]),
+      [...this.own].map(([id, load]) => [id, [load.pendingMs, load.requests] as const]),
     );
   }
 
   /** All work known to be in flight at the server. */
   at(serverId: string, nowMs: number): Load {
-    let { pendingMs, requests, heldTokens } = this.own.get(serverId) ?? none;
+    let { pendingMs, requests } = this.own.get(serverId) ?? none;
     for (const { loads, atMs } of this.peers.values()) {
       const load = nowMs - atMs > peerLoadMs ? undefined : loads[serverId];
       if (load === undefined) continue;
       pendingMs += load[0];
       requests += load[1];
-      heldTokens += load[2];
     }
-    return { pendingMs, requests, heldTokens };
+    return { pendingMs, requests };
   }
 }
--- a/src/serving/orders.ts
+++ b/src/serving/orders.ts
@@ -19,9 +19,12 @@
   readonly fencingToken: number;
 }
 
-/** `conflict`: another order is under way, or the engine's sequence differs. */
+/**
+ * `conflict`: another order is under way, or the engine's sequence differs. `wrong-server` and `unreachable`:
+ * this incarnation isn't there any more, so the order was not delivered.
+ */
 export type OrderOutcome =
-  "accepted" | "already-holds" | "conflict" | "stale-fencing" | "wrong-server" | "refused";
+  "accepted" | "already-holds" | "conflict" | "stale-fencing" | "wrong-server" | "unreachable" | "refused";
 
 /** What an engine says of itself when asked. */
 export interface EngineReport {
--- a/src/serving/outliers.ts
+++ b/src/serving/outliers.ts
@@ -17,6 +17,7 @@
 interface AnswerRecord {
   consecutive: number;
   ejectedUntilMs: number;
+  unreachableUntilMs: number;
   failureShare: number;
   slowdown: number;
 }
@@ -25,6 +26,8 @@
 export interface Health {
   /** Not to be used while another server is to be had. */
   readonly ejected: boolean;
+  /** Couldn't be connected to a moment ago. */
+  readonly unreachable: boolean;
   /** Part of its requests that fail, moving average. */
   readonly failureShare: number;
   /** Observed over expected time to the first byte, moving average; 1 is as expected. */
@@ -40,9 +43,18 @@
     const record = this.record(serverId);
     record.consecutive = 0;
     record.ejectedUntilMs = 0;
+    record.unreachableUntilMs = 0;
     record.failureShare *= 1 - newest;
-    const ratio = Math.min(longestSlowdown, observedMs / Math.max(1, expectedMs));
-    record.slowdown += (Math.max(1, ratio) - record.slowdown) * newest;
+    this.slowed(record, observedMs, expectedMs);
+  }
+
+  /**
+   * The server gave no first byte within `waitedMs`: it is at least that much slower than expected. Guards
+   * "an engine that answers nobody in time looks as fast as before", as those it doesn't answer say nothing else.
+   */
+  late(serverId: string, waitedMs: number, expectedMs: number): void {
+    const record = this.record(serverId);
+    if (waitedMs > expectedMs * record.slowdown) this.slowed(record, waitedMs, expectedMs);
   }
 
   /** The server failed a request that another server might have served. */
@@ -58,14 +70,20 @@
     const record = this.record(serverId);
     record.consecutive += 1;
     this.eject(record, record.consecutive - 1, nowMs);
+    record.unreachableUntilMs = record.ejectedUntilMs;
   }
 
   /** What is known of the server now. */
   health(serverId: string, nowMs: number): Health {
     const record = this.records.get(serverId);
-    if (record === undefined) return { ejected: false, failureShare: 0, slowdown: 1 };
+    if (record === undefined) return { ejected: false, unreachable: false, failureShare: 0, slowdown: 1 };
     const { failureShare, slowdown } = record;
-    return { ejected: nowMs < record.ejectedUntilMs, failureShare, slowdown };
+    return {
+      ejected: nowMs < record.ejectedUntilMs,
+      unreachable: nowMs < record.unreachableUntilMs,
+      failureShare,
+      slowdown,
+    };
   }
 
   /** Drops what is known of servers that are gone. */
@@ -73,6 +91,11 @@
     for (const id of this.records.keys()) if (!serverIds.has(id)) this.records.delete(id);
   }
 
+  private slowed(record: AnswerRecord, observedMs: number, expectedMs: number): void {
+    const ratio = Math.min(longestSlowdown, observedMs / Math.max(1, expectedMs));
+    record.slowdown += (Math.max(1, ratio) - record.slowdown) * newest;
+  }
+
   private eject(record: AnswerRecord, times: number, nowMs: number): void {
     const time = Math.min(longestEjectionMs, firstEjectionMs * 2 ** Math.min(times, 8));
     record.ejectedUntilMs = nowMs + time;
@@ -81,7 +104,13 @@
   private record(serverId: string): AnswerRecord {
     const known = this.records.get(serverId);
     if (known !== undefined) return known;
-    const record = { consecutive: 0, ejectedUntilMs: 0, failureShare: 0, slowdown: 1 };
+    const record = {
+      consecutive: 0,
+      ejectedUntilMs: 0,
+      unreachableUntilMs: 0,
+      failureShare: 0,
+      slowdown: 1,
+    };
     this.records.set(serverId, record);
     return record;
   }
--- a/src/serving/peerTable.ts
+++ b/src/serving/peerTable.ts
@@ -12,6 +12,8 @@
   waiting: Schema.Record(Schema.String, Schema.Number),
   /** Engine ms asked for per second, by adapter key. */
   adapters: Schema.Record(Schema.String, Schema.Number),
+  /** Requests sent and not finished, by residency key. */
+  running: Schema.Record(Schema.String, Schema.Number),
 });
 /** Decoded demand of a node. */
 export type Asked = typeof Asked.Type;
@@ -35,8 +37,12 @@
   fleetRevision: Schema.Number,
   /** Its fencing token while it holds the placement lease. */
   token: Schema.optionalKey(Schema.Number),
-  /** Work in flight by server id: pending ms, requests, held tokens. */
-  loads: Schema.Record(Schema.String, Schema.Tuple([Schema.Number, Schema.Number, Schema.Number])),
+  /** Told by the holder: models on their way by demand key, and the time until they should be there, ms. */
+  coming: Schema.optionalKey(Schema.Record(Schema.String, Schema.Number)),
+  /** Work in flight by server id: pending ms, requests. */
+  loads: Schema.Record(Schema.String, Schema.Tuple([Schema.Number, Schema.Number])),
+  /** What it has learned of models' paces: pace and observations by kind. */
+  paces: Schema.optionalKey(Schema.Record(Schema.String, Schema.Tuple([Schema.Number, Schema.Number]))),
   /** Only told to the holder of the placement lease, as nobody else uses it. */
   asked: Schema.optionalKey(Asked),
 });
--- a/src/serving/retryBudget.ts
+++ b/src/serving/retryBudget.ts
@@ -1,17 +1,28 @@
-/** Bounds retries to a part of the requests, so that a failing pool is not buried under its own retries. */
-
+/**
+ * Bounds retries to a part of the requests, so that a failing pool is not buried under its own retries. The
+ * bound is on all nodes together; each takes an equal part of the burst without asking the others.
+ */
 import { TokenBucket } from "../common/tokenBucket.ts";
 
 /** Options of a `RetryBudget`. */
 export interface RetryBudgetOptions {
   /** Retries earned by each request. */
   readonly ratio?: number;
-  /** Retries that may be saved up. */
+  /** Retries that may be saved up, over all nodes. */
   readonly burst?: number;
+  /** Nodes that share the burst now, this one included. */
+  readonly nodes?: () => number;
+  /**
+   * What a node begins with, as a part of its share. Guards "the bound is exceeded when all nodes are killed":
+   * each forgets what it has used of the window, and a full share each would allow almost twice the burst.
+   */
+  readonly firstPart?: number;
 }
 
-const defaults = { ratio: 0.2, burst: 20 };
+const defaults = { ratio: 0.2, burst: 20, nodes: () => 1, firstPart: 1 };
 
+/** Part of the burst that the nodes share out; the rest is slack for those that start anew. */
+const sharedPart = 0.9;
 /** A bucket that requests fill and retries empty. */
 export class RetryBudget {
   private readonly options: Required<RetryBudgetOptions>;
@@ -19,11 +30,13 @@
 
   constructor(options: RetryBudgetOptions = {}) {
     this.options = { ...defaults, ...options };
-    this.tokens = new TokenBucket(this.options.burst);
+    this.tokens = new TokenBucket(this.share, this.share * this.options.firstPart);
   }
 
   /** Counts a request, which earns part of a retry. */
   earn(): void {
+    // Nodes come and go, and a node that has just started knows of none.
+    this.tokens.resize(this.share);
     this.tokens.add(this.options.ratio);
   }
 
@@ -31,4 +44,9 @@
   spend(): boolean {
     return this.tokens.take();
   }
+
+  private get share(): number {
+    const { burst, nodes } = this.options;
+    return Math.max(1, (burst * sharedPart) / Math.max(1, nodes()));
+  }
 }
--- a/src/serving/sendRules.ts
+++ b/src/serving/sendRules.ts
@@ -30,11 +30,14 @@
   readonly leftMs: number;
   /** Until the first byte as expected, ms. */
   readonly expectedMs: number;
+  /** Another server could be asked instead. */
+  readonly another: boolean;
 }
 
 /** How long the first byte may take, ms: all the caller has, unless another server can be asked. */
-export function firstByteLimitMs({ route, ran, leftMs, expectedMs }: SendLimits): number {
-  if (!mayRepeat(route, ran)) return leftMs;
+export function firstByteLimitMs({ route, ran, leftMs, expectedMs, another }: SendLimits): number {
+  // Nor is a silent server given up where there is no other: its work would be lost for nothing.
+  if (!another || !mayRepeat(route, ran)) return leftMs;
   const targets = route.kind === "stream" ? silentStreamTargets : silentTargets;
   // A busy server is not a silent one: what it was sent is work that would be lost by going elsewhere.
   const busyMs = 2 * expectedMs + route.targetMs;
--- a/src/serving/serverChoice.ts
+++ b/src/serving/serverChoice.ts
@@ -18,6 +18,8 @@
 export const plainCallMs = 40;
 /** Part of the shared prompt taken as cached on the server that its hash prefers. */
 const cachedShare = 0.9;
+/** Up to so many requests in flight an engine counts as quiet. */
+const quietRequests = 4;
 /** What one failure costs in expectation, ms: sending again and waiting for it. */
 const failureMs = 400;
 
@@ -40,10 +42,16 @@
 export interface Chosen {
   readonly server: BackendServer;
   readonly expectedMs: number;
+  /** The same of a server in full health, which its answers are measured by, ms. */
+  readonly healthyMs: number;
+  /** The part of the expected time that is due to what is ahead of the request there, ms. */
+  readonly queueMs: number;
   /** Engine time of reading what isn't expected in its cache, ms; 0 at plain servers. */
   readonly workMs: number;
-  /** No other prompt is being read there. */
+  /** No other prompt is being read there, and few answers are being made. */
   readonly quiet: boolean;
+  /** The time to the first token of a model at pace 1 that has the engine to itself, ms. */
+  readonly referenceMs: number;
 }
 
 /** The best server, or undefined if every candidate was tried. Ejected ones only if nothing else is left. */
@@ -65,11 +73,13 @@
   const load = choice.load(server.id);
   const health = choice.health(server.id);
   const workMs = server.engine ? readingMs(choice, isHome) : 0;
-  const base = server.engine
-    ? load.pendingMs + workMs + engineBaseMs(load, choice.pace)
-    : plainMs(server, load);
-  const expectedMs = base * health.slowdown + health.failureShare * failureMs;
-  return { server, expectedMs, workMs, quiet: load.pendingMs === 0 };
+  const aheadMs = server.engine ? load.pendingMs + engineBaseMs(load, choice.pace) : plainMs(server, load);
+  const healthyMs = aheadMs + workMs;
+  const queueMs = aheadMs;
+  const expectedMs = healthyMs * health.slowdown + health.failureShare * failureMs;
+  const quiet = load.pendingMs === 0 && load.requests <= quietRequests;
+  const referenceMs = firstTokenMs + workMs / choice.pace;
+  return { server, expectedMs, healthyMs, queueMs, workMs, quiet, referenceMs };
 }
 
 function readingMs(choice: Choice, isHome: boolean): number {
@@ -89,7 +99,7 @@
 }
 
 /** All but the last part, which belongs to the request or its session alone. */
-function sharedTokens(prefix: readonly PromptPart[]): number {
+export function sharedTokens(prefix: readonly PromptPart[]): number {
   return prefix.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
 }
 
--- a/test/gateway/engineDesk.spec.ts
+++ b/test/gateway/engineDesk.spec.ts
@@ -159,4 +159,24 @@
     await desk.order({ action: "load", model: "n", adapter: "a1", reason: "waiting" });
     expect([...desk.occupying]).to.deep.equal([]);
   });
+
+  it("should give an order again whose answer is lost, under the same count of orders", async () => {
+    // An unload is left unanswered and would be carried out up to twelve seconds late. Meanwhile the engine was
+    // taken for busy and got no order, while callers waited for models that fitted it.
+    await desk.ask();
+    engines.outcomes.push(Promise.reject(new Error("no answer")));
+    const outcome = await desk.insist({ action: "unload", model: "m", reason: "demand" });
+    expect(outcome).to.equal("accepted");
+    expect(engines.orders.map((order) => order.expectedSequence)).to.deep.equal([0, 0]);
+  });
+
+  it("should not wait for an unload whose answer is lost", async () => {
+    desk.learn(engine(holding()));
+    await desk.ask();
+    engines.outcomes.push(Promise.reject(new Error("no answer")));
+    await desk.order({ action: "unload", model: "m", reason: "demand" });
+    expect(desk.busy).to.equal(false);
+    expect(desk.staying).to.deep.equal(["m"]);
+    expect([...desk.occupying]).to.deep.equal(["m"]);
+  });
 });
--- /dev/null
+++ b/test/serving/overload.spec.ts
@@ -0,0 +1,164 @@
+import { expect } from "chai";
+import { admit, type AdmissionView } from "../../src/serving/admission.ts";
+import { ModelPaces } from "../../src/serving/modelPace.ts";
+import { ModelWaits } from "../../src/serving/modelWait.ts";
+import { Outliers } from "../../src/serving/outliers.ts";
+import { RetryBudget } from "../../src/serving/retryBudget.ts";
+import { Refusals } from "../../src/serving/refusals.ts";
+import type { Model } from "../../src/serving/configuration.ts";
+
+const model = (name: string, sizeMb: number): Model => ({
+  name,
+  sizeMb,
+  adapters: 0,
+  adapterMb: 0,
+  loadS: 5,
+});
+
+describe("admission at an engine", () => {
+  const view: AdmissionView = {
+    queueMs: 100,
+    expectedMs: 200,
+    leftMs: 2_950,
+    patienceMs: 2_950,
+    targetMs: 800,
+    priority: 0,
+  };
+
+  it("should hold back what would only make every first token late, then refuse it without having run", () => {
+    // Demand is twice what the one engine of a model reads. All requests were sent to it at once; it read each a
+    // piece at a time, 3 of 32 got their first token before their callers left, and the others' work was lost.
+    expect(admit(view).kind).to.equal("send");
+    expect(admit({ ...view, queueMs: 1_200, expectedMs: 1_300 }).kind).to.equal("wait");
+    const held = admit({ ...view, queueMs: 1_200, expectedMs: 1_300, leftMs: 1_800 });
+    expect(held).to.deep.equal({ kind: "refuse", retryAfterMs: 1_200 });
+  });
+
+  it("should refuse at once what can't come before its caller leaves", () => {
+    expect(admit({ ...view, queueMs: 4_900, expectedMs: 5_000 })).to.deep.equal({
+      kind: "refuse",
+      retryAfterMs: 2_050,
+    });
+  });
+
+  it("should send the more urgent of two while the other still waits", () => {
+    const busy = { ...view, queueMs: 750, expectedMs: 850 };
+    expect(admit({ ...busy, priority: 0 }).kind).to.equal("send");
+    expect(admit({ ...busy, priority: 1 }).kind).to.equal("wait");
+  });
+});
+
+describe("servers that refuse", () => {
+  it("should be left alone for a moment, longer each time, for the model they refused only", () => {
+    // An engine that is told to drop a model refuses new requests for it until the running ones end. It had
+    // least in flight, so every node sent every request there: 113 refusals in 8 s, with a free engine beside it.
+    const refusals = new Refusals();
+    refusals.refused("e", "m", 0);
+    expect(refusals.open("e", "m", 100)).to.equal(false);
+    expect(refusals.open("e", "n", 100)).to.equal(true);
+    expect(refusals.open("e", "m", 200)).to.equal(true);
+    refusals.refused("e", "m", 200);
+    expect(refusals.open("e", "m", 500)).to.equal(false);
+    refusals.accepted("e", "m");
+    expect(refusals.open("e", "m", 500)).to.equal(true);
+  });
+
+  it("should count refusals of requests that were sent together as one", () => {
+    const refusals = new Refusals();
+    for (let i = 0; i < 10; i += 1) refusals.refused("e", "m", i);
+    expect(refusals.open("e", "m", 200)).to.equal(true);
+  });
+});
+
+describe("the pace of models", () => {
+  it("should take what the fastest answers show, as other work only makes an engine slower", () => {
+    // Answers of a loaded engine counted in full: a model looked four times slower than it is, all engines were
+    // given to it, and the other models' callers were refused for half a minute.
+    const paces = new ModelPaces();
+    for (let i = 0; i < 10; i += 1) {
+      paces.learn(model("m", 70), 40, 20);
+      paces.learn(model("m", 70), 400, 20);
+    }
+    expect(paces.pace(model("m", 70))).to.be.within(1.5, 2.5);
+  });
+
+  it("should be learned together for models of one size, and from what peers say", () => {
+    const paces = new ModelPaces();
+    paces.hear("10.0.0.2", { "70": [2, 20] });
+    expect(paces.pace(model("other", 70))).to.be.greaterThan(1.9);
+    expect(paces.pace(model("small", 30))).to.be.lessThan(1);
+  });
+});
+
+describe("servers out of reach", () => {
+  it("should be told from slow ones, and be forgiven by one answer", () => {
+    // A crashed engine's registration lives on for seconds. It was the only one with its model, so each request
+    // was sent there, refused by the host and answered with no word on when the model is back: 166 in 4 s.
+    const outliers = new Outliers();
+    outliers.unreachable("e", 0);
+    expect(outliers.health("e", 100).unreachable).to.equal(true);
+    outliers.failed("f", 0);
+    outliers.failed("f", 0);
+    expect(outliers.health("f", 100)).to.include({ ejected: true, unreachable: false });
+    outliers.succeeded("e", 10, 10);
+    expect(outliers.health("e", 100).unreachable).to.equal(false);
+  });
+
+  it("should look slower when their first tokens don't come at all", () => {
+    const outliers = new Outliers();
+    for (let i = 0; i < 5; i += 1) outliers.late("e", 2_000, 200);
+    expect(outliers.health("e", 0).slowdown).to.be.greaterThan(3);
+    outliers.late("f", 100, 200);
+    expect(outliers.health("f", 0).slowdown).to.equal(1);
+  });
+});
+
+describe("the wait for a model", () => {
+  const waited = model("m", 70);
+
+  it("should go by what the holder says of loads under way", () => {
+    const waits = new ModelWaits();
+    waits.announce({ "s m": 1_000 }, 0);
+    expect(waits.expect("s m", waited, [], 200)).to.equal(1_400);
+  });
+
+  it("should not be taken for nearly over when the load is overdue and nobody ordered it", () => {
+    // All engines were busy when demand moved to a model. Its requests were held as if it came in a moment, each
+    // to the end of its caller's patience: 104 on one day.
+    const waits = new ModelWaits();
+    waits.expect("s m", waited, [], 0);
+    waits.announce({}, 6_000);
+    expect(waits.expect("s m", waited, [], 6_100)).to.equal(6_200);
+  });
+});
+
+describe("the retry budget", () => {
+  const spent = (budget: RetryBudget): number => {
+    let count = 0;
+    while (budget.spend()) count += 1;
+    return count;
+  };
+
+  it("should follow the number of nodes, and begin low", () => {
+    // A node that starts has heard nobody, and took the whole burst for its own: with each restart of a node the
+    // bound on all of them grew by a burst.
+    let nodes = 1;
+    const budget = new RetryBudget({ ratio: 1, burst: 50, nodes: () => nodes, firstPart: 0.1 });
+    expect(spent(budget)).to.equal(4);
+    nodes = 10;
+    for (let i = 0; i < 100; i += 1) budget.earn();
+    expect(spent(budget)).to.equal(4);
+  });
+
+  it("should let all streams of a crashed engine be continued elsewhere", () => {
+    // Two engines crashed with 64 streams on nine nodes. Each node had 3.9 retries, so most streams were broken
+    // off though another engine had their model.
+    const budgets = Array.from(
+      { length: 9 },
+      () => new RetryBudget({ burst: 58, nodes: () => 9, firstPart: 0.1 }),
+    );
+    for (const budget of budgets) for (let i = 0; i < 30; i += 1) budget.earn();
+    const all = budgets.reduce((sum, budget) => sum + spent(budget), 0);
+    expect(all).to.be.within(45, 58);
+  });
+});
