--- /dev/null
+++ b/src/cli/explainCommand.ts
@@ -0,0 +1,36 @@
+/** `parsleynotch explain`: the story of one request, from the logs of the hosts. */
+import * as fs from "node:fs";
+import * as path from "node:path";
+import * as commander from "commander";
+import { Failure } from "../common/errors.ts";
+import { readLog, type LogLine } from "../explain/logLine.ts";
+import { tellStory } from "../explain/story.ts";
+
+const standardInput = 0;
+
+/** Makes the subcommand. */
+export function explainCommand(): commander.Command {
+  return new commander.Command("explain")
+    .description("Tell what happened to a request, from the log lines of all hosts")
+    .argument("<request-id>", "id of one attempt of a caller")
+    .argument("[logs...]", "log files, one a host; standard input without any")
+    .action((requestId: string, logs: string[]) => {
+      const read = logs.length === 0 ? [readLog("log", readText(standardInput))] : logs.map(readFile);
+      const lines: LogLine[] = read.flatMap((log) => log.lines);
+      for (const line of tellStory(lines, requestId)) process.stdout.write(`${line}\n`);
+      const skipped = read.reduce((sum, log) => sum + log.skipped, 0);
+      if (skipped > 0) process.stderr.write(`${skipped} lines are not of a parsleynotch log\n`);
+    });
+}
+
+function readFile(file: string): ReturnType<typeof readLog> {
+  return readLog(path.basename(file).replace(/\.log$/, ""), readText(file));
+}
+
+function readText(file: string | number): string {
+  try {
+    return fs.readFileSync(file, "utf8");
+  } catch (error) {
+    throw new Failure("bad-request", `can't read ${String(file)}: ${String(error)}`);
+  }
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -9,6 +9,9 @@
  */
 const commands: Readonly<Record<string, () => Promise<commander.Command>>> = {
   gateway: async () => (await import("./gatewayCommand.ts")).gatewayCommand(),
+  explain: async () => (await import("./explainCommand.ts")).explainCommand(),
+  "check-settings": async () => (await import("./checkCommands.ts")).checkSettingsCommand(),
+  "check-config": async () => (await import("./checkCommands.ts")).checkConfigCommand(),
   entry: async () => (await import("./roleCommands.ts")).entryCommand(),
   platform: async () => (await import("./roleCommands.ts")).platformCommand(),
   engine: async () => (await import("./roleCommands.ts")).engineCommand(),
--- a/src/common/hostLog.ts
+++ b/src/common/hostLog.ts
@@ -5,6 +5,7 @@
 // A CommonJS module: its default export is the one that both Node and the bundler see.
 import * as sonic from "sonic-boom";
 import * as tslog from "tslog";
+import { LineLimit } from "./lineLimit.ts";
 import { logLevel, type Log } from "./log.ts";
 
 /** Bytes kept while the reader is slow; lines beyond are dropped and counted. */
@@ -35,17 +36,12 @@
   out.on("error", () => {
     dropped += 1;
   });
-  const log = new tslog.Logger<unknown>({
-    type: "json",
-    name,
-    minLevel: logLevel(),
-    hideLogPositionForProduction: true,
-    overwrite: {
-      transportJSON: (record: unknown) => {
-        const lost = dropped;
-        dropped = 0;
-        out.write(`${JSON.stringify(line(record, lost))}\n`);
-      },
+  const log = createFlatLog(name, {
+    write: (text) => out.write(text),
+    dropped: () => {
+      const lost = dropped;
+      dropped = 0;
+      return lost;
     },
   });
   return {
@@ -60,13 +56,55 @@
   };
 }
 
-/** A flat line: time, level, the event's own fields, and how many lines were dropped before it. */
-function line(record: unknown, dropped: number): Record<string, unknown> {
-  const { _meta, ...fields } = record as { _meta?: { date: Date; logLevelName: string } };
+/** Where lines go. */
+export interface LineSink {
+  write(text: string): void;
+  /** Lines lost since the last one that was written. */
+  dropped(): number;
+}
+
+/** Makes a log of flat lines, each event's number of lines bounded. */
+export function createFlatLog(name: string, sink: LineSink, minLevel = logLevel()): Log {
+  const limit = new LineLimit();
+  return new tslog.Logger<unknown>({
+    type: "json",
+    name,
+    minLevel,
+    hideLogPositionForProduction: true,
+    overwrite: {
+      transportJSON: (record: unknown) => {
+        const suppressed = allow(limit, record as Partial<LogRecord>);
+        if (suppressed === undefined) return;
+        sink.write(`${JSON.stringify(line(record, { dropped: sink.dropped(), suppressed }))}\n`);
+      },
+    },
+  });
+}
+
+/** What the log library makes of a line. */
+interface LogRecord {
+  readonly _meta: { readonly date: Date; readonly logLevelName: string };
+  readonly event: string;
+}
+
+/** Lines of this event left out before this one; undefined if it is left out too. */
+function allow(limit: LineLimit, { _meta, event }: Partial<LogRecord>): number | undefined {
+  const level = _meta?.logLevelName;
+  if (event === undefined || level === "WARN" || level === "ERROR" || level === "FATAL") return 0;
+  return limit.pass(event, performance.now());
+}
+
+/** A flat line: time, level, the event's own fields, and how many lines are missing before it. */
+function line(
+  record: unknown,
+  missing: { readonly dropped: number; readonly suppressed: number },
+): Record<string, unknown> {
+  const { _meta, ...fields } = record as Partial<LogRecord>;
   return {
     time: _meta?.date.toISOString(),
     level: _meta?.logLevelName.toLowerCase(),
     ...fields,
-    ...(dropped > 0 ? { dropped } : {}),
+    ...(missing.dropped > 0 ? { dropped: missing.dropped } : {}),
+    ...(missing.suppressed > 0 ? { suppressed: missing.suppressed } : {}),
   };
 }
--- /dev/null
+++ b/test/explain.spec.ts
@@ -0,0 +1,129 @@
+import { expect } from "chai";
+import * as childProcess from "node:child_process";
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+import { createFlatLog } from "../src/common/hostLog.ts";
+import { LineLimit } from "../src/common/lineLimit.ts";
+import { readLog } from "../src/explain/logLine.ts";
+import { tellStory } from "../src/explain/story.ts";
+import { BackendStandIn, type Arrival } from "./fixtures/backends.ts";
+import { ask, configuration, GatewayWorld, route, until } from "./fixtures/gateways.ts";
+
+const infoLevel = 3;
+
+function line(second: number, event: string, more: Record<string, unknown> = {}): string {
+  const time = new Date(Date.UTC(2026, 0, 1) + second * 1000).toISOString();
+  return JSON.stringify({ time, level: "info", event, ...more });
+}
+
+describe("explain", () => {
+  const holder = [
+    line(5, "lease-taken", { token: 1 }),
+    line(9, "order", { action: "unload", model: "n", inFavourOf: "m", outcome: "accepted" }),
+    line(9.5, "order", { action: "load", model: "other", outcome: "accepted" }),
+  ].join("\n");
+  const entry = [
+    line(1, "configuration-applied", { version: 3 }),
+    line(6, "configuration-applied", { version: 4 }),
+    line(13, "configuration-applied", { version: 5 }),
+    line(12, "request", { requestId: "q1", model: "m", outcome: "no-replica", tookMs: 2_000 }),
+  ].join("\n");
+  const lines = [...readLog("holder", holder).lines, ...readLog("entry", entry).lines];
+
+  it("should tell a request's own lines with the beliefs that were in force on its host", () => {
+    const story = tellStory(lines, "q1");
+    expect(story.some((text) => text.includes("version=4"))).to.equal(true);
+    expect(story.some((text) => /version=[35]/.test(text))).to.equal(false);
+    expect(story.at(-1)).to.match(/^\+2\.000 s {2}entry {2}request {2}.*outcome=no-replica/);
+  });
+
+  it("should tell the orders that concerned its model, on whichever host, and no others", () => {
+    const orders = tellStory(lines, "q1").filter((text) => text.includes("  order  "));
+    expect(orders).to.have.length(1);
+    expect(orders[0]).to.match(/^-1\.000 s {2}holder {2}order .*inFavourOf=m/);
+  });
+
+  it("should say so when no log has the request", () => {
+    expect(() => tellStory(lines, "q9")).to.throw("no line of request q9");
+  });
+
+  it("should read lines behind a collector's own words, and count what is none", () => {
+    const read = readLog("x", `12.5 host-1 ${line(1, "started")}\nnoise\n{"broken`);
+    expect(read.lines.map((l) => l.event)).to.deep.equal(["started"]);
+    expect(read.skipped).to.equal(2);
+  });
+});
+
+describe("the commands for after a failure", () => {
+  let folder: string;
+
+  beforeEach(() => {
+    folder = fs.mkdtempSync(path.join(os.tmpdir(), "explain-"));
+  });
+
+  afterEach(() => {
+    fs.rmSync(folder, { recursive: true });
+  });
+
+  function run(...args: string[]): { status: number | null; stdout: string; stderr: string } {
+    return childProcess.spawnSync(process.execPath, ["bin/parsleynotch.js", ...args], { encoding: "utf8" });
+  }
+
+  it("should explain a request that failed in a run of two nodes", async () => {
+    // A call that must not run twice is sent to a server that breaks off. The caller sees a 502; the on-call engineer
+    // has the id and the logs of both hosts.
+    const world = new GatewayWorld();
+    const cut = ({ req }: Arrival): void => {
+      req.socket.resetAndDestroy();
+    };
+    const server = await BackendStandIn.start("i-0", cut);
+    try {
+      const files = ["host-1.log", "host-2.log"].map((name) => path.join(folder, name));
+      for (const file of files) {
+        const write = (text: string): void => {
+          fs.appendFileSync(file, text);
+        };
+        await world.startNode(createFlatLog("gateway", { write, dropped: () => 0 }, infoLevel));
+      }
+      world.register(server.registration("s"));
+      world.configure(configuration(1, [route({ kind: "non-idempotent" })]));
+      const ip = world.nodes[1]?.ip ?? "";
+      await until(async () => (await ask({ ip, port: "readiness", path: "/ready" })).status === 200);
+      await until(() => fs.readFileSync(files[1] ?? "", "utf8").includes("server-found"));
+      await ask({ ip, method: "POST", body: "x", headers: { "x-request-id": "lost-1" } });
+      const told = run("explain", "lost-1", ...files);
+      expect(told.status).to.equal(0);
+      expect(told.stdout).to.match(/host-2 {2}configuration-applied/);
+      expect(told.stdout).to.match(/host-2 {2}request {2}requestId=lost-1 .*outcome=upstream-failed/);
+      expect(run("explain", "other", ...files).status).to.equal(66);
+    } finally {
+      await world.dispose();
+      await server.stop();
+    }
+  });
+
+  it("should check settings and configurations before anything starts", () => {
+    const file = path.join(folder, "bad");
+    fs.writeFileSync(file, "nodeName = 5");
+    const settings = run("check-settings", file);
+    expect(settings.status).to.equal(78);
+    expect(settings.stderr).to.contain("bad-settings");
+    const config = run("check-config", file);
+    expect(config.status).to.equal(65);
+    expect(config.stderr).to.contain("bad-configuration");
+  });
+});
+
+describe("the limit on log lines", () => {
+  it("should hold the lines per second of one event, and say how many it left out", () => {
+    // Ten times the usual load fails at once, with a line each; writing them all would take the processor time that
+    // the requests need.
+    const limit = new LineLimit({ perS: 10, burst: 20 });
+    let passed = 0;
+    for (let ms = 0; ms < 10_000; ms += 1) if (limit.pass("request", ms) !== undefined) passed += 1;
+    expect(passed).to.be.within(100, 121);
+    expect(limit.pass("request", 10_200)).to.be.greaterThan(50);
+    expect(limit.pass("order", 10_200)).to.equal(0);
+  });
+});
