--- a/src/gateway/serverWait.ts
+++ b/src/gateway/serverWait.ts
@@ -1,5 +1,5 @@
 /** Finds a server for one request: at once where there is one, or once its model, adapter or turn has come. */
-import { admit, heldPart } from "../serving/admission.ts";
+import { admit } from "../serving/admission.ts";
 import { holds, type BackendServer } from "../serving/backendServer.ts";
 import type { Route, Service } from "../serving/configuration.ts";
 import type { AnswerFacts, RequestFacts } from "../serving/exchange.ts";
@@ -13,6 +13,8 @@
 const turnMs = 50;
 /** Retry-After while servers are full or missing, s: a little over one round of placement. */
 export const soonS = 0.5;
+/** A request waits for an adapter this part of its caller's patience: one that gets a place comes at once. */
+const adapterHeldPart = 0.7;
 /** Retry-After for an adapter that got no place, ms: model loads that keep engines closed take seconds. */
 const adapterRetryMs = 1_000;
 /** Longest Retry-After, s: placement may have changed by then. */
@@ -188,7 +190,7 @@
   /** Was the request held back for as long as it may be? Then it is refused while its caller can still return. */
   private heldLong(): boolean {
     const { patience, arrivedMs } = this.options;
-    return performance.now() - arrivedMs > heldPart * (patience.firstByteByMs - arrivedMs);
+    return performance.now() - arrivedMs > adapterHeldPart * (patience.firstByteByMs - arrivedMs);
   }
 
   /**
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -13,7 +13,7 @@
 /** How much earlier than the next rank a more urgent route's requests are sent. */
 const rankStep = 0.25;
 /** Longest time a request is held back here, as a part of its caller's patience: later it is refused. */
-export const heldPart = 0.35;
+const heldPart = 0.35;
 
 /** What decides. */
 export interface AdmissionView {
