--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/fleetTask.ts
@@ -144,7 +144,7 @@
     const now = performance.now();
     let changed = this.learnAll(registrations, now);
     const gone = complete ? serving.fleet.missing(registrations, set.version) : set.removed;
-    changed = this.removeAll(gone, now) || changed;
+    changed = this.removeAll(gone, set.version, now) || changed;
     if (!changed) return;
     this.revisionCount += 1;
     this.options.onChange();
@@ -154,7 +154,8 @@
     const now = performance.now();
     const changed = this.learnAll(snapshot.registrations, now);
     const gone = this.options.serving.fleet.missing(snapshot.registrations, snapshot.asOf);
-    if (this.removeAll(gone, now) || changed) this.options.serving.fleetChanged.fire(undefined);
+    if (this.removeAll(gone, snapshot.asOf, now) || changed)
+      this.options.serving.fleetChanged.fire(undefined);
     // The next read of the store goes on from here.
     if (this.version !== undefined) this.version = Math.max(this.version, snapshot.asOf);
   }
@@ -163,18 +164,20 @@
     const { fleet } = this.options.serving;
     let changed = false;
     for (const registration of registrations) {
-      this.logChange(registration.server);
-      if (fleet.learn(registration, now)) changed = true;
+      const wasLeaving = fleet.get(registration.server.id)?.leaving;
+      if (!fleet.learn(registration, now)) continue;
+      changed = true;
+      if (wasLeaving !== registration.server.leaving) this.logChange(registration.server);
     }
     if (changed) this.options.serving.fleetChanged.fire(undefined);
     return changed;
   }
 
-  private removeAll(ids: readonly string[], now: number): boolean {
+  private removeAll(ids: readonly string[], asOf: number, now: number): boolean {
     const { fleet, log } = this.options.serving;
     let changed = false;
     for (const id of ids) {
-      if (!fleet.remove(id, now)) continue;
+      if (!fleet.remove(id, asOf, now)) continue;
       log.info({ event: "server-removed", server: id });
       changed = true;
     }
@@ -192,8 +195,6 @@
   }
 
   private logChange(server: BackendServer): void {
-    const known = this.options.serving.fleet.get(server.id);
-    if (known?.leaving === server.leaving) return;
     this.options.serving.log.info({
       event: server.leaving ? "server-leaving" : "server-found",
       server: server.id,
--- a/src/serving/fleet.ts
+++ b/src/serving/fleet.ts
@@ -34,6 +34,9 @@
   readonly version: number;
 }
 
+/** Servers remembered as gone: ids aren't used again, and nodes that missed a removal learn of it in seconds. */
+const mostGone = 1_000;
+
 interface Entry {
   /** As registered, and with the changes since. */
   registered: BackendServer;
@@ -46,12 +49,18 @@
 /** The backend servers known to this node. */
 export class Fleet {
   private readonly entries = new Map<string, Entry>();
-  /** Removed while the store was away, and when they count as gone, ms. */
-  private readonly lapsed = new Map<string, number>();
+  /** Removed while the store was away, when they count as gone, ms, and the store's version that says so. */
+  private readonly lapsed = new Map<string, { untilMs: number; asOf: number }>();
+  /** Servers that are gone, and the store's version that says so. */
+  private readonly gone = new Map<string, number>();
   private graceUntil = 0;
 
   /** Takes a registration; true if it says anything new beside being newer. */
   learn({ server, version }: Registration, nowMs: number): boolean {
+    // Guards "a server that left is sent requests again": a node that the store turned away still has the
+    // registration and tells it to its peers. One that came back has a newer version than its removal.
+    if (version <= (this.gone.get(server.id) ?? 0)) return false;
+    this.gone.delete(server.id);
     this.lapsed.delete(server.id);
     const entry = this.entries.get(server.id);
     if (entry === undefined) {
@@ -81,14 +90,14 @@
     return [...this.entries.values()].map(({ registered, version }) => ({ server: registered, version }));
   }
 
-  /** A registration was removed; true if it is gone at once. */
-  remove(id: string, nowMs: number): boolean {
+  /** A registration was removed, as of the store's version `asOf`; true if it is gone at once. */
+  remove(id: string, asOf: number, nowMs: number): boolean {
     if (!this.entries.has(id)) return false;
     if (nowMs < this.graceUntil) {
-      this.lapsed.set(id, this.graceUntil);
+      this.lapsed.set(id, { untilMs: this.graceUntil, asOf });
       return false;
     }
-    return this.entries.delete(id);
+    return this.drop(id, asOf);
   }
 
   /** The store is back after it was out of reach: removals are not final for a while. */
@@ -99,14 +108,21 @@
   /** Drops lapsed registrations whose grace is over; true if there were any. */
   expire(nowMs: number): boolean {
     let dropped = false;
-    for (const [id, until] of this.lapsed) {
-      if (nowMs < until) continue;
+    for (const [id, { untilMs, asOf }] of this.lapsed) {
+      if (nowMs < untilMs) continue;
       this.lapsed.delete(id);
-      if (this.entries.delete(id)) dropped = true;
+      if (this.drop(id, asOf)) dropped = true;
     }
     return dropped;
   }
 
+  private drop(id: string, asOf: number): boolean {
+    this.gone.set(id, asOf);
+    const oldest = this.gone.keys().next().value;
+    if (this.gone.size > mostGone && oldest !== undefined) this.gone.delete(oldest);
+    return this.entries.delete(id);
+  }
+
   /** Takes the effect of an order. */
   apply(change: Residency, nowMs: number): void {
     const entry = this.entries.get(change.serverId);
