--- a/src/cli/checkCommands.ts
+++ b/src/cli/checkCommands.ts
@@ -1,8 +1,8 @@
 /** `parsleynotch check-settings` and `check-config`: say what is wrong with a file before anything starts. */
 import * as fs from "node:fs";
 import * as commander from "commander";
-import type * as purify from "purify-ts";
 import { decodeConfiguration, readSettingsFile } from "../../platform/index.ts";
+import { unwrap } from "../common/decode.ts";
 import { Failure } from "../common/errors.ts";
 
 /** Makes `check-settings`. */
@@ -11,7 +11,7 @@
     .description("Check a host's settings file")
     .argument("<file>", "the settings file")
     .action((file: string) => {
-      const settings = orThrow(readSettingsFile(file));
+      const settings = unwrap(readSettingsFile(file));
       process.stdout.write(`ok: host ${settings.host} in ${settings.zone}\n`);
     });
 }
@@ -22,7 +22,7 @@
     .description("Check a configuration as operators write it to the platform's store")
     .argument("<file>", "the configuration, as text")
     .action((file: string) => {
-      const { version, routes, services } = orThrow(decodeConfiguration(readText(file)));
+      const { version, routes, services } = unwrap(decodeConfiguration(readText(file)));
       process.stdout.write(`ok: version ${version}, ${routes.length} routes, ${services.length} services\n`);
     });
 }
@@ -34,12 +34,3 @@
     throw new Failure("bad-configuration", `can't read ${file}: ${String(error)}`);
   }
 }
-
-function orThrow<A>(checked: purify.Either<Failure, A>): A {
-  return checked.caseOf({
-    Left: (failure) => {
-      throw failure;
-    },
-    Right: (value) => value,
-  });
-}
--- a/src/cli/gatewayCommand.ts
+++ b/src/cli/gatewayCommand.ts
@@ -1,6 +1,7 @@
 /** `parsleynotch gateway`: the gateway node of one host on the users' platform. */
 import * as commander from "commander";
 import { connectPlatform, readSettingsFile, settingsVariable } from "../../platform/index.ts";
+import { unwrap } from "../common/decode.ts";
 import { createHostLog } from "../common/hostLog.ts";
 import { GatewayNode } from "../gateway/gatewayNode.ts";
 
@@ -14,12 +15,7 @@
         .makeOptionMandatory(),
     )
     .action(async ({ settings: path }: { settings: string }) => {
-      const settings = readSettingsFile(path).caseOf({
-        Left: (failure) => {
-          throw failure;
-        },
-        Right: (value) => value,
-      });
+      const settings = unwrap(readSettingsFile(path));
       const hostLog = createHostLog("gateway");
       const node = new GatewayNode({ settings, platform: connectPlatform(settings), log: hostLog.log });
       process.once("SIGTERM", () => {
--- a/src/common/decode.ts
+++ b/src/common/decode.ts
@@ -23,7 +23,12 @@
   input: unknown,
   kind: ErrorKind = "bad-request",
 ): A {
-  return decodeEither(schema, input, kind).caseOf({
+  return unwrap(decodeEither(schema, input, kind));
+}
+
+/** The value, or throws the failure: for callers that answer failures in one place of their own. */
+export function unwrap<A>(either: purify.Either<Failure, A>): A {
+  return either.caseOf({
     Left: (failure) => {
       throw failure;
     },
--- a/test/gateway/engineDesk.spec.ts
+++ b/test/gateway/engineDesk.spec.ts
@@ -183,7 +183,7 @@
   it("should count an adapter that made way for itself and was loaded again", async () => {
     // An adapter was told to make way, the order refused, and the adapter taken for gone all the same. The next request
     // for it chose it to make way for itself: dropped, loaded again and no longer counted, so that one more was
-    // loaded than the engine has places, and it fell over (mix --seed 174356841650 on the first site, at 23.5 s).
+    // loaded than the engine has places, and it fell over.
     desk.learn(engine(holding("a1")));
     desk.reserveAdapter("m/a1");
     engines.outcomes.push("already-holds");
@@ -206,7 +206,7 @@
   it("should not take an adapter for there that was dropped after the engine's report", async () => {
     // A new holder asks an engine and then drops an adapter. The next registration lacks it, but the report from
     // before still showed it: it was loaded again without a place, or made way a second time for nothing, and the
-    // engine fell over (scale-2 and trouble-3 of the first site without processor time, at 41.4 s and 38.6 s).
+    // engine fell over.
     engines.state = { ...engines.state, residents: holding("a1", "a2") };
     await desk.ask();
     desk.learn(engine(holding("a1", "a2")));
@@ -219,7 +219,7 @@
 
   it("should not believe a report that is made of older figures than the last drop", async () => {
     // The same by another way: an order is refused just after the drop and the engine asked, but what it reports is
-    // some hundred ms old (scale-2 --seed 13 of the second site without processor time, at 37.6 s).
+    // some hundred ms old.
     engines.state = { ...engines.state, residents: holding("a1", "a2") };
     desk.learn(engine(holding("a1", "a2")));
     await desk.ask();
--- a/test/serving/decisions.spec.ts
+++ b/test/serving/decisions.spec.ts
@@ -118,7 +118,7 @@
   it("should not take a server that left from a peer that missed its leaving", () => {
     // The store turned one node away. A server's registration was removed meanwhile; the node came back, kept what had
     // lapsed for two seconds and told it to its peers, who had removed it. They sent requests to the server for two
-    // seconds more (hunt-c7f6-7 on the second site, at 26.3 s).
+    // seconds more.
     const fleet = new Fleet();
     const old = { server: server("a"), version: 7 };
     fleet.learn(old, 0);
