--- a/src/gateway/engineDesk.ts
+++ b/src/gateway/engineDesk.ts
@@ -1,7 +1,7 @@
 /** Orders to one engine, one at a time, and what its memory holds for all that is known of them. */
 import { toFailure } from "../common/errors.ts";
 import type { Log } from "../common/log.ts";
-import type { BackendServer } from "../serving/backendServer.ts";
+import { startedAfter, type BackendServer } from "../serving/backendServer.ts";
 import type { Engines, OrderOutcome } from "../serving/orders.ts";
 import type { GatewayMetrics } from "./gatewayMetrics.ts";
 
@@ -68,6 +68,8 @@
   private room: { readonly model: string; readonly sinceMs: number } | undefined;
   /** Adapters ordered, and when. */
   private readonly comingAdapters = new Map<string, number>();
+  /** Those of them whose order was not answered: it may still be carried out. */
+  private readonly uncertainAdapters = new Set<string>();
   /** Adapters chosen to make way that are not known to be gone. */
   private readonly leavingAdapters = new Set<string>();
   /** Adapters unloaded that registrations may still show. */
@@ -214,7 +216,8 @@
 
   /** Takes what the engine's registration says; the models whose load it shows to be done. */
   learn(server: BackendServer): string[] {
-    if (server === this.registered) return [];
+    if (server === this.registered || startedAfter(this.registered, server)) return [];
+    if (startedAfter(server, this.registered)) this.restarted();
     this.registered = server;
     const held = new Set(server.residents.map((resident) => resident.model));
     const arrived = [...held].filter((model) => this.coming.delete(model));
@@ -235,15 +238,45 @@
     const now = performance.now();
     for (const [name, atMs] of this.comingAdapters) {
       const ageMs = now - atMs;
-      if (ageMs > lostOrderMs || (ageMs > registrationAgeMs && registered.has(name)))
+      if (ageMs > lostOrderMs || (ageMs > registrationAgeMs && registered.has(name))) {
         this.comingAdapters.delete(name);
+        this.uncertainAdapters.delete(name);
+      }
     }
   }
 
+  /**
+   * The engine started anew under its id: it holds nothing and has accepted no order. Guards "an engine that
+   * restarted takes no orders": its memory would look full, and each order would expect a count that it has
+   * forgotten. Orders of unknown outcome stay counted, as the new incarnation may still carry them out.
+   */
+  private restarted(): void {
+    for (const orders of [this.coming, this.dropping]) {
+      for (const [model, order] of [...orders]) if (!order.uncertain) orders.delete(model);
+    }
+    for (const name of this.comingAdapters.keys()) {
+      if (!this.uncertainAdapters.has(name)) this.comingAdapters.delete(name);
+    }
+    this.leavingAdapters.clear();
+    this.goneAdapters.clear();
+    this.movedMs.clear();
+    this.room = undefined;
+    this.reported = undefined;
+    this.sequence = 0;
+    this.askFirst = true;
+  }
+
   /** Asks the engine itself, where an order's outcome is not known from its answer. */
   async ask(): Promise<void> {
     const { id, address } = this.registered;
     const report = await this.options.engines.report({ serverId: id, address });
+    const { startedAtMs = 0 } = report;
+    // Made before a restart that is known by now: it says nothing of what the engine holds.
+    if (startedAfter(this.registered, report)) return;
+    if (startedAfter(report, this.registered)) {
+      this.restarted();
+      this.registered = { ...this.registered, startedAtMs, residents: [] };
+    }
     this.askFirst = false;
     const moved = report.sequence > this.sequence;
     const upToDate = performance.now() - this.lastOrderMs > reportLagMs;
@@ -306,6 +339,7 @@
     if (fencingToken === undefined) return "no-lease";
     const { action, model, adapter } = request;
     const expectedSequence = this.sequence;
+    const { startedAtMs } = this.registered;
     let outcome: DeskOutcome;
     try {
       outcome = await engines.order(target, {
@@ -320,7 +354,8 @@
       outcome = "unknown";
       log.warn({ event: "order-unanswered", server: target.serverId, detail: toFailure(error).message });
     }
-    this.conclude(request, outcome);
+    // What an earlier incarnation accepted was lost with it.
+    if (this.registered.startedAtMs === startedAtMs || outcome === "unknown") this.conclude(request, outcome);
     metrics.orders.inc({ action, outcome });
     log.info({
       event: "order",
@@ -353,7 +388,13 @@
     else if (unloadedAdapter) this.concludeUnload(`${model}/${adapter}`);
     // Whatever was reserved before: an unload of the same adapter may have ended the reservation.
     else if (action === "load" && (outcome === "accepted" || outcome === "unknown"))
-      this.reserveAdapter(`${model}/${adapter}`);
+      this.concludeLoad(`${model}/${adapter}`, outcome);
+  }
+
+  private concludeLoad(name: string, outcome: "accepted" | "unknown"): void {
+    this.reserveAdapter(name);
+    if (outcome === "unknown") this.uncertainAdapters.add(name);
+    else this.uncertainAdapters.delete(name);
   }
 
   private concludeUnload(name: string): void {
--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/fleetTask.ts
@@ -5,7 +5,7 @@
 import { toFailure, type Failure } from "../common/errors.ts";
 import type { Handler } from "../common/rpc.ts";
 import { LoopTask } from "../common/loopTask.ts";
-import { BackendServer } from "../serving/backendServer.ts";
+import { BackendServer, startedAfter } from "../serving/backendServer.ts";
 import type { Registration } from "../serving/fleet.ts";
 import type { Pulse } from "../serving/peerTable.ts";
 import type { RowSet, Store } from "../serving/store.ts";
@@ -20,6 +20,9 @@
 /** Pause between tries of a node that the store turns away while it serves others, ms. */
 const probeMs = 1_500;
 
+/** Rejected entries remembered, so that a table full of them takes no memory; past it each is logged anew. */
+const mostRejected = 1_000;
+
 /** The registrations as one node knows them, for a peer that doesn't read the store. */
 const FleetSnapshot = Schema.Struct({
   /** The store's version of the newest read. */
@@ -51,6 +54,8 @@
   /** The revision of each peer that was pulled last. */
   private readonly pulled = new Map<string, string>();
   private readonly pulling = new Set<string>();
+  /** Entries that name no server, by key, with what was wrong: each is logged once, not at each read. */
+  private readonly rejected = new Map<string, string>();
 
   constructor(private readonly options: FleetTaskOptions) {
     super("fleet");
@@ -137,7 +142,7 @@
     const registrations = set.rows.flatMap((row) => {
       const decoded = this.options.decode(row.key, row.value);
       decoded.ifLeft((failure) => {
-        serving.log.warn({ event: "registration-rejected", server: row.key, detail: failure.message });
+        this.reject(row.key, failure);
       });
       return decoded.map((server) => [{ server, version: row.version }]).orDefault([]);
     });
@@ -164,15 +169,34 @@
     const { fleet } = this.options.serving;
     let changed = false;
     for (const registration of registrations) {
-      const wasLeaving = fleet.get(registration.server.id)?.leaving;
+      const known = fleet.get(registration.server.id);
       if (!fleet.learn(registration, now)) continue;
       changed = true;
+      if (known !== undefined && startedAfter(registration.server, known))
+        this.forgetIncarnation(registration.server);
+      const wasLeaving = known?.leaving;
       if (wasLeaving !== registration.server.leaving) this.logChange(registration.server);
     }
     if (changed) this.options.serving.fleetChanged.fire(undefined);
     return changed;
   }
 
+  /** What was learned of a server before it restarted doesn't hold for it now. */
+  private forgetIncarnation({ id, startedAtMs }: BackendServer): void {
+    const { outliers, refusals, pool, log } = this.options.serving;
+    outliers.forget(id);
+    refusals.forget(id);
+    pool.forget(id);
+    log.info({ event: "server-restarted", server: id, startedAtMs });
+  }
+
+  private reject(key: string, failure: Failure): void {
+    if (this.rejected.get(key) === failure.message) return;
+    if (this.rejected.size >= mostRejected) this.rejected.clear();
+    this.rejected.set(key, failure.message);
+    this.options.serving.log.warn({ event: "registration-rejected", server: key, detail: failure.message });
+  }
+
   private removeAll(ids: readonly string[], asOf: number, now: number): boolean {
     const { fleet, log } = this.options.serving;
     let changed = false;
--- a/src/gateway/placementTask.ts
+++ b/src/gateway/placementTask.ts
@@ -41,6 +41,7 @@
 const EnsureParams = Schema.Struct({ service: Schema.String, model: Schema.String, adapter: Schema.String });
 const ResidencyParams = Schema.Struct({
   serverId: Schema.String,
+  startedAtMs: Schema.optionalKey(Schema.Number),
   model: Schema.String,
   adapter: Schema.optionalKey(Schema.String),
   present: Schema.Boolean,
@@ -57,6 +58,9 @@
   readonly ceilingOverage: number;
 }
 
+/** What an order changes at an engine. */
+type OrderEffect = Pick<Residency, "model" | "adapter" | "present">;
+
 /** Owns the desks of the engines, and asks the holder where this node is not it. */
 export class PlacementTask extends PeriodicTask implements Placer {
   private readonly desks = new Map<string, EngineDesk>();
@@ -119,11 +123,13 @@
   private learnDesks(): void {
     const known = new Set<string>();
     // What the engines say themselves: the fleet's own view already counts orders that are still under way.
-    for (const { server } of this.options.serving.fleet.registrations()) {
-      if (!server.engine) continue;
+    const { configuration, fleet } = this.options.serving;
+    for (const { server } of fleet.registrations()) {
+      // One of a service that isn't configured is none of ours to ask or to order.
+      if (!server.engine || configuration.current?.service(server.service) === undefined) continue;
       known.add(server.id);
       for (const model of this.desk(server).learn(server)) {
-        this.announce({ serverId: server.id, model, present: true });
+        this.announce(server, { model, present: true });
       }
     }
     for (const id of this.desks.keys()) if (!known.has(id)) this.desks.delete(id);
@@ -262,7 +268,7 @@
     const outcome = await desk.insist({ action, model, reason, inputs: { inFavourOf, demandMs, copies } });
     this.noteGone(server, outcome);
     if (move.action === "unload" && outcome === "accepted") {
-      this.announce({ serverId: server.id, model: move.model, present: false });
+      this.announce(server, { model: move.model, present: false });
     }
   }
 
@@ -343,7 +349,7 @@
     await this.ensureAdapter(service, model, adapter);
     const server = this.options.serving.fleet.available(service).find((s) => holds(s, model, adapter));
     if (server === undefined) return null;
-    return { serverId: server.id, model, adapter, present: true };
+    return residencyOf(server, { model, adapter, present: true });
   }
 
   private onResidency(params: unknown): boolean {
@@ -411,7 +417,7 @@
     this.noteGone(server, outcome);
     if (outcome === "accepted" || outcome === "already-holds") {
       await new Promise((resolve) => setTimeout(resolve, adapterReadyMs));
-      this.announce({ serverId: server.id, model, adapter, present: true });
+      this.announce(server, { model, adapter, present: true });
     }
     return outcome;
   }
@@ -419,12 +425,11 @@
   private async evictAdapter(server: BackendServer, name: string): Promise<boolean> {
     const [model, adapter] = name.split("/");
     if (model === undefined || adapter === undefined) return false;
-    const change = { serverId: server.id, model, adapter };
-    this.announce({ ...change, present: false });
+    this.announce(server, { model, adapter, present: false });
     const gone = await this.desk(server).evictAdapter(model, adapter);
     // An order that was refused leaves it there; one that waits for running requests takes no new ones.
     if (!gone && this.desk(server).evictableAdapters.includes(name))
-      this.announce({ ...change, present: true });
+      this.announce(server, { model, adapter, present: true });
     return gone;
   }
 
@@ -458,9 +463,14 @@
   }
 
   /** Takes a change of an engine's memory here and tells the peers. */
-  private announce(change: Residency): void {
+  private announce(server: BackendServer, effect: OrderEffect): void {
+    const change = residencyOf(server, effect);
     this.options.serving.fleet.apply(change, performance.now());
     this.options.serving.fleetChanged.fire(undefined);
     this.options.peers.notify("residency", change);
   }
 }
+
+function residencyOf({ id, startedAtMs }: BackendServer, effect: OrderEffect): Residency {
+  return { serverId: id, ...(startedAtMs === undefined ? {} : { startedAtMs }), ...effect };
+}
--- a/src/gateway/serverWait.ts
+++ b/src/gateway/serverWait.ts
@@ -92,7 +92,7 @@
     const now = performance.now();
     this.tried.delete(server.id);
     if (!answer.wrongServer) refusals.refused(server.id, this.scope, now);
-    else if (model !== undefined) fleet.forget(server.id, model, adapter, now);
+    else if (model !== undefined) fleet.forget(server, model, adapter, now);
     // Another incarnation has the address: it isn't this server any more.
     else this.tried.add(server.id);
   }
--- a/src/gateway/upstreamPool.ts
+++ b/src/gateway/upstreamPool.ts
@@ -84,11 +84,15 @@
 
   /** Closes idle connections of servers that are gone; those in use end with their request. */
   retain(serverIds: ReadonlySet<string>): void {
-    for (const [id, agent] of this.agents) {
-      if (serverIds.has(id)) continue;
-      this.agents.delete(id);
-      for (const sockets of Object.values(agent.freeSockets)) sockets?.forEach((s) => s.destroy());
-    }
+    for (const id of this.agents.keys()) if (!serverIds.has(id)) this.forget(id);
+  }
+
+  /** Closes idle connections to the server; the next request opens a new one. */
+  forget(serverId: string): void {
+    const agent = this.agents.get(serverId);
+    if (agent === undefined) return;
+    this.agents.delete(serverId);
+    for (const sockets of Object.values(agent.freeSockets)) sockets?.forEach((s) => s.destroy());
   }
 
   dispose(): void {
--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -10,9 +10,11 @@
 /** A decoded resident model. */
 export type Resident = typeof Resident.Type;
 
-/** One incarnation of a backend server; a restart makes a new `id`. */
+/** One incarnation of a backend server: a restart makes a new `id`, or keeps the `id` with a later start. */
 export const BackendServer = Schema.Struct({
   id: Schema.String,
+  /** When its process started, Unix ms; absent where servers don't say. */
+  startedAtMs: Schema.optionalKey(Schema.Number),
   service: Schema.String,
   /** IP:PORT. */
   address: Schema.String,
@@ -31,6 +33,14 @@
 /** A decoded backend server. */
 export type BackendServer = typeof BackendServer.Type;
 
+/** Is the first a later incarnation than the second, of servers with one id? */
+export function startedAfter(
+  later: Pick<BackendServer, "startedAtMs">,
+  earlier: Pick<BackendServer, "startedAtMs">,
+): boolean {
+  return (later.startedAtMs ?? 0) > (earlier.startedAtMs ?? 0);
+}
+
 /** Does the server hold the model, and the adapter if one is named? */
 export function holds(server: BackendServer, model: string, adapter: string | undefined): boolean {
   const resident = server.residents.find((r) => r.model === model);
--- a/src/serving/fleet.ts
+++ b/src/serving/fleet.ts
@@ -2,7 +2,7 @@
  * What a gateway node believes about the backend servers: their registrations, corrected by orders that
  * are newer than the registration, and by what was learned while the store was away.
  */
-import { holds, type BackendServer, type Resident } from "./backendServer.ts";
+import { holds, startedAfter, type BackendServer, type Resident } from "./backendServer.ts";
 
 /**
  * After the store was out of reach, registrations that lapsed meanwhile are back within two seconds if
@@ -22,6 +22,8 @@
 /** A change of one engine's memory by an order, known before its next registration. */
 export interface Residency {
   readonly serverId: string;
+  /** The incarnation that took the order. */
+  readonly startedAtMs?: number | undefined;
   readonly model: string;
   readonly adapter?: string | undefined;
   readonly present: boolean;
@@ -63,7 +65,10 @@
     this.gone.delete(server.id);
     this.lapsed.delete(server.id);
     const entry = this.entries.get(server.id);
-    if (entry === undefined) {
+    // Guards "requests go to an engine that restarted empty": its last word from before the restart may be written
+    // after the first from after it, so the start decides between them and not the order of arrival.
+    if (entry !== undefined && startedAfter(entry.registered, server)) return false;
+    if (entry === undefined || startedAfter(server, entry.registered)) {
       this.entries.set(server.id, { registered: server, server, version, changes: new Map() });
       return true;
     }
@@ -127,14 +132,17 @@
   apply(change: Residency, nowMs: number): void {
     const entry = this.entries.get(change.serverId);
     if (entry === undefined) return;
+    // What an engine was ordered before it restarted is lost with its memory.
+    if ((change.startedAtMs ?? 0) !== (entry.registered.startedAtMs ?? 0)) return;
     const key = `${change.model}/${change.adapter ?? ""}`;
     entry.changes.set(key, { change, untilMs: nowMs + changeHoldsMs });
     entry.server = withChanges(entry, nowMs);
   }
 
   /** A server answered that it doesn't hold the model or adapter: believe it until it says otherwise. */
-  forget(serverId: string, model: string, adapter: string | undefined, nowMs: number): void {
-    this.apply({ serverId, model, adapter, present: false }, nowMs);
+  forget(server: BackendServer, model: string, adapter: string | undefined, nowMs: number): void {
+    const { id: serverId, startedAtMs } = server;
+    this.apply({ serverId, startedAtMs, model, adapter, present: false }, nowMs);
   }
 
   /** Every server as it registered itself, without the changes since. */
--- a/src/serving/orders.ts
+++ b/src/serving/orders.ts
@@ -28,6 +28,8 @@
 
 /** What an engine says of itself when asked. */
 export interface EngineReport {
+  /** When the engine's process started, Unix ms; absent where engines don't say. */
+  readonly startedAtMs?: number;
   readonly residents: readonly Resident[];
   /** An order is being carried out. */
   readonly busy: boolean;
--- a/src/serving/outliers.ts
+++ b/src/serving/outliers.ts
@@ -86,6 +86,11 @@
     };
   }
 
+  /** Drops what is known of the server. */
+  forget(serverId: string): void {
+    this.records.delete(serverId);
+  }
+
   /** Drops what is known of servers that are gone. */
   retain(serverIds: ReadonlySet<string>): void {
     for (const id of this.records.keys()) if (!serverIds.has(id)) this.records.delete(id);
--- a/src/serving/refusals.ts
+++ b/src/serving/refusals.ts
@@ -37,10 +37,17 @@
     return nowMs >= (this.records.get(`${serverId} ${scope}`)?.untilMs ?? 0);
   }
 
+  /** Drops what is known of the server. */
+  forget(serverId: string): void {
+    this.drop((id) => id === serverId);
+  }
+
   /** Drops what is known of servers that are gone. */
   retain(serverIds: ReadonlySet<string>): void {
-    for (const key of this.records.keys()) {
-      if (!serverIds.has(key.split(" ")[0] ?? "")) this.records.delete(key);
-    }
+    this.drop((id) => !serverIds.has(id));
+  }
+
+  private drop(matches: (serverId: string) => boolean): void {
+    for (const key of this.records.keys()) if (matches(key.split(" ")[0] ?? "")) this.records.delete(key);
   }
 }
--- a/test/gateway/engineDesk.spec.ts
+++ b/test/gateway/engineDesk.spec.ts
@@ -236,4 +236,66 @@
     release();
     expect(desk.adapters).to.deep.equal(["m/a1"]);
   });
+
+  describe("of an engine that restarts under its id", () => {
+    const started = (startedAtMs: number, residents: Resident[] = []): BackendServer => ({
+      ...engine(residents),
+      startedAtMs,
+    });
+
+    beforeEach(async () => {
+      desk.learn(started(1_000, holding("a1")));
+      engines.state = { ...engines.state, startedAtMs: 1_000, sequence: 3, residents: holding("a1") };
+      await desk.ask();
+    });
+
+    it("should count its memory as empty and its orders from the start", async () => {
+      // An engine crashes with a load under way and starts again under its id. Its desk still counted the load,
+      // the models and the orders from before: it looked full and refused every order that expected the old count.
+      await desk.order({ action: "load", model: "n", reason: "demand" });
+      expect(desk.busy).to.equal(true);
+      desk.learn(started(9_000));
+      expect(desk.busy).to.equal(false);
+      expect([...desk.occupying]).to.deep.equal([]);
+      expect(desk.adapters).to.deep.equal([]);
+      engines.state = { ...engines.state, startedAtMs: 9_000, sequence: 0, residents: [] };
+      await desk.order({ action: "load", model: "n", reason: "demand" });
+      expect(engines.orders.at(-1)).to.include({ expectedSequence: 0 });
+    });
+
+    it("should learn of it from a report, before the registration tells", async () => {
+      engines.state = { ...engines.state, startedAtMs: 9_000, sequence: 0, residents: [] };
+      await desk.ask();
+      expect([...desk.occupying]).to.deep.equal([]);
+      expect(desk.learn(started(1_000, holding("a1")))).to.deep.equal([]);
+      expect([...desk.occupying]).to.deep.equal([]);
+    });
+
+    it("should not build on a report from before it", async () => {
+      desk.learn(started(9_000));
+      await desk.ask();
+      expect(desk.verified).to.equal(false);
+      expect([...desk.occupying]).to.deep.equal([]);
+    });
+
+    it("should keep counting an order of unknown outcome, which may still be carried out", async () => {
+      // The order has no answer and the engine restarts. It can arrive seconds later and name a count that the new
+      // incarnation has by then: ordering another model into its room would overfill the engine.
+      engines.outcomes.push(Promise.reject(new Error("no answer")));
+      await desk.order({ action: "load", model: "late", reason: "demand" });
+      desk.learn(started(9_000));
+      expect([...desk.occupying]).to.deep.equal(["late"]);
+    });
+
+    it("should not count an order that the incarnation before it accepted", async () => {
+      let answer: (outcome: OrderOutcome) => void = () => undefined;
+      engines.outcomes.push(new Promise((resolve) => (answer = resolve)));
+      const given = desk.order({ action: "load", model: "n", reason: "demand" });
+      await new Promise((resolve) => setTimeout(resolve, 5));
+      desk.learn(started(9_000));
+      answer("accepted");
+      await given;
+      expect([...desk.occupying]).to.deep.equal([]);
+    });
+  });
 });
--- a/test/gateway/nodes.spec.ts
+++ b/test/gateway/nodes.spec.ts
@@ -1,9 +1,13 @@
 import { expect } from "chai";
 import * as dgram from "node:dgram";
+import { createFlatLog } from "../../src/common/hostLog.ts";
 import { answerOk, BackendStandIn, beginStream, event } from "../fixtures/backends.ts";
 import { ask, configuration, GatewayWorld, route, until, type RunningNode } from "../fixtures/gateways.ts";
 import type { Service } from "../../src/serving/configuration.ts";
 
+/** The log's level for "info", whatever level the tests run with. */
+const infoLevel = 3;
+
 const engineService: Service = {
   name: "s",
   maxConnections: 100,
@@ -55,6 +59,23 @@
     expect(await status(b, "/old/")).to.equal(404);
   });
 
+  it("should log an entry that names no server once, and serve from the others", async () => {
+    // Another program's entries lie among the servers' own. They were logged at each read, twice a second.
+    const lines: string[] = [];
+    const log = createFlatLog("gateway", { write: (line) => lines.push(line), dropped: () => 0 }, infoLevel);
+    world.store.put("servers", "foreign", "\ufffd{");
+    world.register(server.registration("s"));
+    world.configure(configuration(1, [route()]));
+    const node = await world.startNode(log);
+    await until(async () => (await status(node)) === 200);
+    world.store.put("servers", "foreign", "\ufffd{");
+    await new Promise((resolve) => setTimeout(resolve, 700));
+    world.store.put("servers", "foreign", "\ufffd{");
+    await new Promise((resolve) => setTimeout(resolve, 700));
+    expect(lines.filter((line) => line.includes("registration-rejected"))).to.have.length(1);
+    expect(await status(node)).to.equal(200);
+  });
+
   it("should send nothing to a leaving server from a node that the store turns away", async () => {
     world.register(server.registration("s"));
     world.configure(configuration(1, [route()]));
--- a/test/serving/decisions.spec.ts
+++ b/test/serving/decisions.spec.ts
@@ -147,6 +147,32 @@
     expect(fleet.reachable("s", "m", undefined)).to.equal(false);
   });
 
+  it("should hold nothing of an engine that restarted under its id, whatever is heard late", () => {
+    // An engine crashes and starts again under its id, empty. Its last word from before, an order's effect and a
+    // peer's older view arrive after its first word from after: callers were sent to a model that was gone.
+    const fleet = new Fleet();
+    const holding = server("a", {
+      residents: [{ model: "m", version: 1, adapters: [] }],
+      startedAtMs: 1_000,
+    });
+    const restarted = server("a", { startedAtMs: 9_000 });
+    fleet.learn({ server: holding, version: 1 }, 0);
+    fleet.apply({ serverId: "a", startedAtMs: 1_000, model: "n", present: true }, 0);
+    expect(fleet.learn({ server: restarted, version: 4 }, 10)).to.equal(true);
+    expect(fleet.learn({ server: holding, version: 5 }, 20)).to.equal(false);
+    fleet.apply({ serverId: "a", startedAtMs: 1_000, model: "m", present: true }, 30);
+    expect(fleet.get("a")?.residents).to.deep.equal([]);
+    expect(fleet.learn({ server: { ...restarted, slots: 7 }, version: 6 }, 40)).to.equal(true);
+  });
+
+  it("should hear of a restart from a message that is older by the store's count", () => {
+    // The store takes the old incarnation's late word after the new one's; a peer tells of the new one afterwards.
+    const fleet = new Fleet();
+    fleet.learn({ server: server("a", { leaving: true, startedAtMs: 1_000 }), version: 8 }, 0);
+    expect(fleet.learn({ server: server("a", { startedAtMs: 9_000 }), version: 7 }, 10)).to.equal(true);
+    expect(known(fleet)).to.deep.equal(["a"]);
+  });
+
   it("should show an adapter as soon as its order was accepted", () => {
     const fleet = new Fleet();
     fleet.learn(
