--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -2,6 +2,7 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 import type { BackendServer } from "../serving/backendServer.ts";
+import type { StreamTiming } from "../serving/engineSpeed.ts";
 import { EventSplitter } from "../serving/eventSplitter.ts";
 import type { AnswerFacts, HeaderCodec } from "../serving/exchange.ts";
 import { parseEndpoint } from "../serving/hostSettings.ts";
@@ -55,7 +56,7 @@
  */
 export type AttemptOutcome =
   | { readonly kind: "answered"; readonly answer: WholeAnswer; readonly firstByteMs: number }
-  | { readonly kind: "streamed"; readonly firstByteMs: number }
+  | { readonly kind: "streamed"; readonly firstByteMs: number; readonly timing: StreamTiming }
   | { readonly kind: "not-run"; readonly facts: AnswerFacts }
   | { readonly kind: "unreachable"; readonly reason: string }
   | { readonly kind: "broken"; readonly reason: string; readonly lastEvent: number | undefined }
@@ -89,6 +90,8 @@
   private failed = false;
   private firstByteMs: number | undefined;
   private lastEvent: number | undefined;
+  private events = 0;
+  private lastEventMs = 0;
   private silence: NodeJS.Timeout | undefined;
   private readonly overall: NodeJS.Timeout;
   private readonly startedMs = performance.now();
@@ -226,6 +229,8 @@
         sink.open(res.rawHeaders);
       }
       this.lastEvent = events.at(-1)?.id ?? this.lastEvent;
+      this.events += events.length;
+      this.lastEventMs = performance.now() - this.startedMs;
       this.watchSilence(this.options.pauseMs, "pause between events");
       const bytes = events.length === 1 ? events[0]?.bytes : Buffer.concat(events.map((e) => e.bytes));
       if (bytes === undefined || sink.write(bytes)) return;
@@ -244,10 +249,15 @@
         return;
       }
       if (this.firstByteMs === undefined) sink.open(res.rawHeaders);
-      this.conclude({ kind: "streamed", firstByteMs: this.firstByteMs ?? 0 });
+      this.conclude({ kind: "streamed", firstByteMs: this.firstByteMs ?? 0, timing: this.timing() });
     });
   }
 
+  private timing(): StreamTiming {
+    const eventsMs = this.lastEventMs - (this.firstByteMs ?? 0);
+    return { wholeMs: this.lastEventMs, eventsMs, events: this.events };
+  }
+
   /** Events already delivered by another server are passed over. */
   private isNew(id: number | undefined): boolean {
     return id === undefined || this.options.afterEvent === undefined || id > this.options.afterEvent;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,7 +1,7 @@
 /** One caller's request from arrival to answer: route, wait, choose, send, send again, answer. */
 import { Failure, toFailure, type ErrorKind } from "../common/errors.ts";
 import { repeatable, type Model, type Route, type Service } from "../serving/configuration.ts";
-import { engineWorkMs } from "../serving/demandMeter.ts";
+import { engineWorkMs } from "../serving/engineSpeed.ts";
 import type { RequestFacts } from "../serving/exchange.ts";
 import type { InFlight } from "../serving/loadBoard.ts";
 import { patienceOf, type Patience } from "../serving/patience.ts";
@@ -17,8 +17,6 @@
 const refusedSends = 3;
 /** Time kept to write the final answer before the caller's time is over, ms. */
 const answerMarginMs = 40;
-/** Shorter prompts say little of a model's pace, ms at pace 1. */
-const leastPaceMs = 15;
 /** Prompts with a larger shared part say little of it either. */
 const mostSharedPart = 0.4;
 /** Answers of these classes by the server itself may be repeated elsewhere. */
@@ -126,10 +124,13 @@
 
   private countDemand(): void {
     const { model, adapter, promptTokens, outputHint, outputTokens, prefix } = this.facts;
-    if (model === undefined || this.service.engine === undefined) return;
+    const { engine } = this.service;
+    if (model === undefined || engine === undefined) return;
     const own = prefix.at(-1)?.tokens ?? promptTokens;
     const output = Math.min(outputTokens, outputHint ?? outputTokens);
-    const work = engineWorkMs(own, output, this.serving.paces.pace(this.model));
+    const { paces, speed } = this.serving;
+    const size = { ownTokens: own, outputTokens: output, pace: paces.pace(this.model) };
+    const work = engineWorkMs(size, speed.stepMs, engine.slots);
     this.serving.demand.add(demandKey(this.service.name, model), work, this.arrivedMs);
     if (adapter === undefined) return;
     this.serving.adapterDemand.add(this.adapterKey(adapter), work, this.arrivedMs);
@@ -245,6 +246,8 @@
     } else if (outcome.kind === "answered" || outcome.kind === "streamed") {
       serving.outliers.succeeded(server.id, outcome.firstByteMs, chosen.healthyMs);
       this.learnPace(chosen, outcome.firstByteMs);
+      if (outcome.kind === "streamed" && this.service.engine !== undefined)
+        serving.speed.learn(outcome.timing, this.service.engine.tokensPerEvent);
     } else if (outcome.kind === "unreachable") {
       serving.outliers.unreachable(server.id, now);
     } else if (outcome.kind === "broken" || outcome.kind === "silent") {
@@ -272,7 +275,7 @@
 
   private learnPace(chosen: Chosen, firstByteMs: number): void {
     const { model } = this;
-    if (model === undefined || !chosen.quiet || chosen.referenceMs < leastPaceMs) return;
+    if (model === undefined || !chosen.quiet) return;
     // Where much of the prompt is shared it isn't known how much of it was read.
     if (sharedTokens(this.facts.prefix) > mostSharedPart * this.facts.promptTokens) return;
     this.serving.paces.learn(model, firstByteMs, chosen.referenceMs);
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -1,6 +1,7 @@
 /** The gateway node of one host: a supervisor over its tasks. */
 import type * as purify from "purify-ts";
 import type { Failure } from "../common/errors.ts";
+import { decodeEither } from "../common/decode.ts";
 import { Emitter } from "../common/emitter.ts";
 import { sendJson } from "../common/http.ts";
 import type { Log } from "../common/log.ts";
@@ -8,10 +9,11 @@
 import type { BackendServer } from "../serving/backendServer.ts";
 import type { Configuration } from "../serving/configuration.ts";
 import { DemandMeter, negligible } from "../serving/demandMeter.ts";
+import { EngineSpeed } from "../serving/engineSpeed.ts";
 import type { HeaderCodec } from "../serving/exchange.ts";
 import { Fleet } from "../serving/fleet.ts";
 import { formatEndpoint, type HostSettings } from "../serving/hostSettings.ts";
-import { LoadBoard } from "../serving/loadBoard.ts";
+import { LoadBoard, LoadsMessage } from "../serving/loadBoard.ts";
 import { ModelPaces } from "../serving/modelPace.ts";
 import { ModelWaits } from "../serving/modelWait.ts";
 import type { Engines } from "../serving/orders.ts";
@@ -82,8 +84,8 @@
 
   constructor(private readonly options: GatewayNodeOptions) {
     const { settings, platform, log } = options;
-    this.serving = makeServing(options);
     this.table = new PeerTable(settings);
+    this.serving = makeServing(options, () => this.liveNodes);
     for (const seed of settings.seeds) this.table.list(seed, performance.now());
     const link = new StoreLink(log, this.serving.metrics);
     const { store } = platform;
@@ -92,6 +94,7 @@
       log,
       table: this.table,
       pulse: () => this.pulse(),
+      loads: () => this.serving.loads.mine(),
       asked: () => this.asked(),
     });
     this.lease = new LeaseTask({
@@ -108,6 +111,7 @@
         this.peers.tell();
       },
     });
+    this.peers.handle("loads", (params) => this.hearLoads(params));
     this.peers.handle("lease.yield", (params) => this.lease.onYield(params));
     this.placement = new PlacementTask({
       serving: this.serving,
@@ -125,7 +129,7 @@
       placer: this.placement,
       retryRatio: settings.retryRatio,
       retryBurst: settings.retryBurst,
-      nodes: () => this.table.alive(performance.now()).length + 1,
+      nodes: () => this.liveNodes,
     });
     const reads = (): boolean => this.shouldRead();
     const ask = (peer: Pulse, method: string): Promise<unknown> => this.calls.call(peer, method, {});
@@ -153,6 +157,7 @@
     });
     this.calls = new PeerCalls(settings.peers, { ...configuration.handlers, ...this.fleet.handlers });
     this.peers.heard.on((pulse) => {
+      this.serving.loads.learn(pulse.ip, pulse.loads, performance.now());
       if (pulse.paces !== undefined) this.serving.paces.hear(pulse.ip, pulse.paces);
       if (pulse.coming !== undefined) this.serving.modelWaits.announce(pulse.coming, performance.now());
       void configuration.hear(pulse);
@@ -222,6 +227,11 @@
     this.serving.pool.dispose();
   }
 
+  /** This node and the peers heard from lately. */
+  private get liveNodes(): number {
+    return this.table.alive(performance.now()).length + 1;
+  }
+
   private get ready(): boolean {
     return !this.stopping && this.serving.configuration.current !== undefined;
   }
@@ -309,6 +319,18 @@
     });
   }
 
+  private hearLoads(params: unknown): boolean {
+    return decodeEither(LoadsMessage, params)
+      .ifLeft((failure) => {
+        this.options.log.warn({ event: "peer-message-rejected", detail: failure.message });
+      })
+      .map(({ ip, loads }) => {
+        this.serving.loads.learn(ip, loads, performance.now());
+        return true;
+      })
+      .orDefault(false);
+  }
+
   private asked(): Asked {
     const now = performance.now();
     const running = Object.fromEntries(
@@ -316,6 +338,7 @@
     );
     return {
       demand: this.serving.demand.levels(now),
+      rates: this.serving.demand.rates(now),
       waiting: this.serving.waiting.all(),
       adapters: { ...running, ...this.serving.adapterDemand.levels(now) },
       running: this.serving.modelsRunning.all(),
@@ -323,7 +346,7 @@
   }
 }
 
-function makeServing(options: GatewayNodeOptions): Serving {
+function makeServing(options: GatewayNodeOptions, nodes: () => number): Serving {
   return {
     host: options.settings.host,
     zone: options.settings.zone,
@@ -334,14 +357,15 @@
     fleetChanged: new Emitter(),
     loads: new LoadBoard(),
     outliers: new Outliers(),
-    demand: new DemandMeter(),
-    adapterDemand: new DemandMeter(),
+    demand: new DemandMeter({ nodes }),
+    adapterDemand: new DemandMeter({ nodes }),
     waiting: new RequestCounts(),
     adaptersRunning: new RequestCounts(),
     modelsRunning: new RequestCounts(),
     refusals: new Refusals(),
     modelWaits: new ModelWaits(),
     paces: new ModelPaces(),
+    speed: new EngineSpeed(),
     pool: new UpstreamPool(),
     metrics: new GatewayMetrics(),
   };
--- a/src/gateway/peerTask.ts
+++ b/src/gateway/peerTask.ts
@@ -9,10 +9,16 @@
 import type { Log } from "../common/log.ts";
 import type { Task } from "../common/supervisor.ts";
 import type { Endpoint } from "../serving/hostSettings.ts";
+import type { PeerLoads } from "../serving/loadBoard.ts";
 import { Pulse, type Asked, type PeerAddress, type PeerTable } from "../serving/peerTable.ts";
 
-/** Period of pulses, ms: peers' loads are at most this old. */
+/** Period of pulses, ms. */
 const pulseMs = 300;
+/**
+ * Period of messages about loads alone, ms: a prompt is read in some ten ms, so loads of a third of a second ago send
+ * several nodes to the same engine at once.
+ */
+const loadsMs = 100;
 /** Every so many pulses one goes to silent and listed nodes too. */
 const everyoneEvery = 4;
 /** A lost datagram is sent again after this time, ms: some ten round trips between zones. */
@@ -27,6 +33,8 @@
   readonly table: PeerTable;
   /** What to tell peers now. */
   readonly pulse: () => Pulse;
+  /** Work in flight of this node, to tell peers between pulses. */
+  readonly loads: () => PeerLoads;
   /** What to tell the holder of the placement lease besides. */
   readonly asked: () => Asked;
 }
@@ -41,6 +49,7 @@
   private readonly server = new rpc.JSONRPCServer({ errorListener: () => undefined });
   private readonly pending = new Map<string, (response: rpc.JSONRPCResponse) => void>();
   private timer: NodeJS.Timeout | undefined;
+  private loadsTimer: NodeJS.Timeout | undefined;
   private rounds = 0;
   private calls = 0;
 
@@ -70,6 +79,9 @@
     this.timer = setInterval(() => {
       this.tell();
     }, pulseMs);
+    this.loadsTimer = setInterval(() => {
+      this.tellLoads();
+    }, loadsMs);
     this.tell();
   }
 
@@ -87,6 +99,12 @@
     }
   }
 
+  /** Says what is in flight here, where anything is. */
+  private tellLoads(): void {
+    const loads = this.options.loads();
+    if (Object.keys(loads).length > 0) this.notify("loads", { ip: this.options.endpoint.ip, loads });
+  }
+
   /** Tells every live peer; nothing comes back. */
   notify(method: string, params: unknown): void {
     const bytes = notification(method, params);
@@ -123,6 +141,7 @@
 
   dispose(): Promise<void> {
     clearInterval(this.timer);
+    clearInterval(this.loadsTimer);
     return new Promise((resolve) => {
       this.socket.close(() => {
         resolve();
--- a/src/gateway/placementTask.ts
+++ b/src/gateway/placementTask.ts
@@ -200,6 +200,7 @@
       roomFor: desk.roomFor,
       unsettled: new Set(limits.models.map((model) => model.name).filter((name) => desk.movedLately(name))),
       coming: new Set(desk.coming.keys()),
+      slots: server.slots,
       freeMb: limits.memoryMb - usedMb,
       busy: desk.busy || this.closed(desk),
       atHand: new Set(server.atHand),
@@ -234,17 +235,21 @@
 
   private demandOf(service: string, limits: EngineLimits, now: number): Map<string, ModelDemand> {
     const { serving } = this.options;
-    const all = [{ demand: serving.demand.levels(now), waiting: serving.waiting.all() }];
+    const { demand: own, waiting: ownWaiting } = serving;
+    const all: Omit<Asked, "adapters" | "running">[] = [
+      { demand: own.levels(now), rates: own.rates(now), waiting: ownWaiting.all() },
+    ];
     for (const { asked, atMs } of this.asked.values()) if (now - atMs < askedMs) all.push(asked);
     const demand = new Map<string, ModelDemand>();
     for (const model of limits.models) {
       const key = demandKey(service, model.name);
       const engineMs = all.reduce((sum, a) => sum + (a.demand[key] ?? 0), 0);
       const waiting = all.reduce((sum, a) => sum + (a.waiting[key] ?? 0), 0);
+      const perS = all.reduce((sum, a) => sum + (a.rates[key] ?? 0), 0);
       if (engineMs >= negligible || waiting > 0) this.lastDemandMs.set(key, now);
       const idleMs = now - (this.lastDemandMs.get(key) ?? this.startedMs);
       const adapters = model.adapters === 0 ? 0 : this.adaptersAsked(`${key}/`, now);
-      demand.set(model.name, { engineMs, waiting, idleMs, adapters });
+      demand.set(model.name, { engineMs, perS, waiting, idleMs, adapters });
     }
     return demand;
   }
--- a/src/gateway/serverWait.ts
+++ b/src/gateway/serverWait.ts
@@ -118,6 +118,8 @@
       tried: this.tried,
       promptTokens: facts.promptTokens,
       pace: serving.paces.pace(service.engine?.models.find((m) => m.name === facts.model)),
+      overheadMs: serving.paces.overheadMs,
+      slotWaitMs: (requests, slots) => serving.speed.slotWaitMs(requests, slots),
       prefix: facts.prefix,
       cacheScope: `${facts.model ?? ""}/${facts.adapter ?? ""}`,
       load: (id) => serving.loads.at(id, now),
@@ -157,7 +159,9 @@
     if (sends > 0 || service.engine === undefined) return "send";
     const admission = admit({
       queueMs: chosen.queueMs,
-      expectedMs: chosen.healthyMs,
+      expectedMs: chosen.queueMs + chosen.workMs,
+      requests: chosen.requests,
+      slots: chosen.server.slots,
       leftMs: this.leftMs,
       patienceMs: patience.firstByteByMs - arrivedMs,
       targetMs: route.targetMs,
--- a/src/gateway/serving.ts
+++ b/src/gateway/serving.ts
@@ -3,6 +3,7 @@
 import { Emitter } from "../common/emitter.ts";
 import type { DemandMeter } from "../serving/demandMeter.ts";
 import type { HeaderCodec } from "../serving/exchange.ts";
+import type { EngineSpeed } from "../serving/engineSpeed.ts";
 import type { Fleet } from "../serving/fleet.ts";
 import type { LoadBoard } from "../serving/loadBoard.ts";
 import type { ModelWaits } from "../serving/modelWait.ts";
@@ -93,6 +94,7 @@
   readonly refusals: Refusals;
   readonly modelWaits: ModelWaits;
   readonly paces: ModelPaces;
+  readonly speed: EngineSpeed;
   readonly pool: UpstreamPool;
   readonly metrics: GatewayMetrics;
 }
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -12,6 +12,18 @@
 const leftPart = 0.3;
 /** How much earlier than the next rank a more urgent route's requests are sent. */
 const rankStep = 0.25;
+/**
+ * Part of an engine's slots that each rank below the most urgent leaves free. Guards "a stream pauses midway": where
+ * every slot is taken a more urgent request takes that of a less urgent one, whose prompt is then read anew.
+ */
+const slotsLeftPerRank = 0.06;
+/** Requests beyond an engine's slots that the most urgent may have sent, as a part of them: some end at any moment. */
+const overbookedPart = 0.05;
+/**
+ * Part of its slots that requests past their target leave free: where not all can come in time those that still can
+ * go first.
+ */
+const slotsLeftByLate = 0.08;
 /** Longest time a request is held back here, as a part of its caller's patience: later it is refused. */
 const heldPart = 0.35;
 
@@ -27,6 +39,9 @@
   readonly targetMs: number;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** Requests in flight at the engine, and its slots. */
+  readonly requests: number;
+  readonly slots: number;
 }
 
 /** `refuse` names when the engines should have caught up. */
@@ -41,7 +56,13 @@
   if (isHopeless(expectedMs, leftMs)) return { kind: "refuse", retryAfterMs: expectedMs - leftMs };
   const limitMs =
     Math.max(targetPart * view.targetMs, leftPart * leftMs) / (1 + rankStep * Math.max(0, view.priority));
-  if (queueMs <= limitMs) return { kind: "send" };
+  if (queueMs <= limitMs && hasSlot(view)) return { kind: "send" };
   if (view.patienceMs - leftMs < heldPart * view.patienceMs) return { kind: "wait" };
   return { kind: "refuse", retryAfterMs: queueMs };
 }
+
+/** Is there a slot for the request, beside those kept for others? */
+function hasSlot({ priority, requests, slots, patienceMs, leftMs, targetMs }: AdmissionView): boolean {
+  const late = patienceMs - leftMs > targetMs ? slotsLeftByLate : 0;
+  return requests < slots * (1 + overbookedPart - slotsLeftPerRank * Math.max(0, priority) - late);
+}
--- a/src/serving/configuration.ts
+++ b/src/serving/configuration.ts
@@ -64,6 +64,8 @@
   loadsPerS: Schema.Number,
   /** Requests an engine runs at once. */
   slots: Schema.Number,
+  /** Tokens that one event of a stream holds. */
+  tokensPerEvent: Schema.Number,
 });
 /** Decoded engine limits. */
 export type EngineLimits = typeof EngineLimits.Type;
--- a/src/serving/loadBoard.ts
+++ b/src/serving/loadBoard.ts
@@ -3,6 +3,8 @@
  * Answers the pattern in which many nodes, each seeing a small part of the load, pick the same server.
  */
 
+import * as Schema from "effect/Schema";
+
 /** Work in flight at one server. */
 export interface Load {
   /** Engine time of reading the prompts of requests whose first event is still to come, ms. */
@@ -11,8 +13,13 @@
   readonly requests: number;
 }
 
-/** What one peer has in flight, by server id: pending ms, requests. */
-export type PeerLoads = Readonly<Record<string, readonly [number, number]>>;
+/** What one node has in flight, by server id: pending ms, requests. */
+export const PeerLoads = Schema.Record(Schema.String, Schema.Tuple([Schema.Number, Schema.Number]));
+/** Decoded loads of a node. */
+export type PeerLoads = typeof PeerLoads.Type;
+
+/** A node says what it has in flight. */
+export const LoadsMessage = Schema.Struct({ ip: Schema.String, loads: PeerLoads });
 
 /** A request in flight; `started` when its first event comes, `done` at its end. */
 export interface InFlight {
@@ -61,7 +68,7 @@
   /** This node's own load, to tell peers. */
   mine(): PeerLoads {
     return Object.fromEntries(
-      [...this.own].map(([id, load]) => [id, [load.pendingMs, load.requests] as const]),
+      [...this.own].map(([id, load]) => [id, [Math.round(load.pendingMs), load.requests] as const]),
     );
   }
 
--- a/src/serving/peerTable.ts
+++ b/src/serving/peerTable.ts
@@ -3,11 +3,14 @@
  * told only addresses of nodes heard from lately that didn't say goodbye.
  */
 import * as Schema from "effect/Schema";
+import { PeerLoads } from "./loadBoard.ts";
 
 /** What callers ask of a node. */
 export const Asked = Schema.Struct({
   /** Engine ms asked for per second, by demand key. */
   demand: Schema.Record(Schema.String, Schema.Number),
+  /** Requests per second, by demand key. */
+  rates: Schema.Record(Schema.String, Schema.Number),
   /** Requests that wait for a model, by demand key. */
   waiting: Schema.Record(Schema.String, Schema.Number),
   /** Engine ms asked for per second, by adapter key. */
@@ -40,7 +43,7 @@
   /** Told by the holder: models on their way by demand key, and the time until they should be there, ms. */
   coming: Schema.optionalKey(Schema.Record(Schema.String, Schema.Number)),
   /** Work in flight by server id: pending ms, requests. */
-  loads: Schema.Record(Schema.String, Schema.Tuple([Schema.Number, Schema.Number])),
+  loads: PeerLoads,
   /** What it has learned of models' paces: pace and observations by kind. */
   paces: Schema.optionalKey(Schema.Record(Schema.String, Schema.Tuple([Schema.Number, Schema.Number]))),
   /** Only told to the holder of the placement lease, as nobody else uses it. */
--- a/src/serving/serverChoice.ts
+++ b/src/serving/serverChoice.ts
@@ -4,22 +4,22 @@
  */
 import type { BackendServer } from "./backendServer.ts";
 import type { PromptPart } from "./exchange.ts";
+import { prefillTokensPerMs } from "./engineSpeed.ts";
 import type { Load } from "./loadBoard.ts";
 import type { Health } from "./outliers.ts";
 import { hashFraction } from "./routeTable.ts";
 
-/** Prompt tokens an engine reads per ms; slower engines show in their slowdown. */
-export const prefillTokensPerMs = 38.7;
-/** What each request in flight adds to the first token of the next, ms: a share of one decoding step. */
+/**
+ * What a request in flight at an engine counts for beside the first token of the next, ms: each one makes the pauses
+ * of all others longer, so of two engines the emptier one is worth a later first token.
+ */
 const engineRequestMs = 4;
-/** The first decoding step, ms. */
-const firstTokenMs = 6;
 /** Work of one plain call, ms, before anything was measured. */
 export const plainCallMs = 40;
 /** Part of the shared prompt taken as cached on the server that its hash prefers. */
 const cachedShare = 0.9;
-/** Up to so many requests in flight an engine counts as quiet. */
-const quietRequests = 4;
+/** Up to this part of its slots in use an engine counts as quiet: its steps are hardly longer. */
+const quietPart = 0.5;
 /** What one failure costs in expectation, ms: sending again and waiting for it. */
 const failureMs = 400;
 
@@ -31,6 +31,10 @@
   readonly promptTokens: number;
   /** Pace of the model asked for. */
   readonly pace: number;
+  /** Least time to a first token beside the reading of the prompt, ms. */
+  readonly overheadMs: number;
+  /** Until a request gets a slot of a server with so many requests and slots, ms. */
+  readonly slotWaitMs: (requests: number, slots: number) => number;
   readonly prefix: readonly PromptPart[];
   /** Model and adapter: caches are kept for each on its own. */
   readonly cacheScope: string;
@@ -44,13 +48,15 @@
   readonly expectedMs: number;
   /** The same of a server in full health, which its answers are measured by, ms. */
   readonly healthyMs: number;
-  /** The part of the expected time that is due to what is ahead of the request there, ms. */
+  /** Until the first token of a request that needs no reading, by what is ahead of it at the server, ms. */
   readonly queueMs: number;
+  /** Requests in flight there, as far as is known. */
+  readonly requests: number;
   /** Engine time of reading what isn't expected in its cache, ms; 0 at plain servers. */
   readonly workMs: number;
-  /** No other prompt is being read there, and few answers are being made. */
+  /** No other prompt is being read there, and there are slots to spare. */
   readonly quiet: boolean;
-  /** The time to the first token of a model at pace 1 that has the engine to itself, ms. */
+  /** Reading what isn't expected in its cache at pace 1, ms. */
   readonly referenceMs: number;
 }
 
@@ -73,13 +79,14 @@
   const load = choice.load(server.id);
   const health = choice.health(server.id);
   const workMs = server.engine ? readingMs(choice, isHome) : 0;
-  const aheadMs = server.engine ? load.pendingMs + engineBaseMs(load, choice.pace) : plainMs(server, load);
-  const healthyMs = aheadMs + workMs;
-  const queueMs = aheadMs;
+  const queueMs = server.engine ? engineQueueMs(choice, server, load) : plainMs(server, load);
+  const crowdMs = server.engine ? load.requests * engineRequestMs : 0;
+  const healthyMs = queueMs + crowdMs + workMs;
   const expectedMs = healthyMs * health.slowdown + health.failureShare * failureMs;
-  const quiet = load.pendingMs === 0 && load.requests <= quietRequests;
-  const referenceMs = firstTokenMs + workMs / choice.pace;
-  return { server, expectedMs, healthyMs, queueMs, workMs, quiet, referenceMs };
+  const quiet = load.pendingMs === 0 && load.requests <= quietPart * server.slots;
+  const referenceMs = workMs / choice.pace;
+  const { requests } = load;
+  return { server, expectedMs, healthyMs, queueMs, requests, workMs, quiet, referenceMs };
 }
 
 function readingMs(choice: Choice, isHome: boolean): number {
@@ -87,8 +94,8 @@
   return (Math.max(0, choice.promptTokens - cached) / prefillTokensPerMs) * choice.pace;
 }
 
-function engineBaseMs(load: Load, pace: number): number {
-  return (firstTokenMs + load.requests * engineRequestMs) * pace;
+function engineQueueMs({ overheadMs, slotWaitMs }: Choice, server: BackendServer, load: Load): number {
+  return overheadMs + load.pendingMs + slotWaitMs(load.requests, server.slots);
 }
 
 /** Up to its slots a plain server works on requests at once; what is beyond them waits in line. */
--- a/test/gateway/nodes.spec.ts
+++ b/test/gateway/nodes.spec.ts
@@ -2,7 +2,15 @@
 import * as dgram from "node:dgram";
 import { createFlatLog } from "../../src/common/hostLog.ts";
 import { answerOk, BackendStandIn, beginStream, event } from "../fixtures/backends.ts";
-import { ask, configuration, GatewayWorld, route, until, type RunningNode } from "../fixtures/gateways.ts";
+import {
+  ask,
+  askAndLeave,
+  configuration,
+  GatewayWorld,
+  route,
+  until,
+  type RunningNode,
+} from "../fixtures/gateways.ts";
 import type { Service } from "../../src/serving/configuration.ts";
 
 /** The log's level for "info", whatever level the tests run with. */
@@ -17,6 +25,7 @@
     adapterSlots: 2,
     loadsPerS: 5,
     slots: 8,
+    tokensPerEvent: 1,
   },
 };
 
@@ -76,6 +85,29 @@
     expect(await status(node)).to.equal(200);
   });
 
+  it("should send where its peers have less in flight, not only itself", async () => {
+    // Every node counted its own requests alone. Each saw a sixth of the load, all chose the same engine, and one had
+    // 150 requests in 64 slots beside one with three.
+    const held = await BackendStandIn.start("i-1", () => undefined);
+    world.register(held.registration("s"));
+    world.configure(configuration(1, [route({ kind: "non-idempotent" })]));
+    const [a, b] = [await world.startNode(), await world.startNode()];
+    const leave: (() => void)[] = [];
+    await until(() => {
+      if (held.arrivals.length < 3) leave.push(askAndLeave({ ip: a.ip, method: "POST" }));
+      return held.arrivals.length >= 3;
+    });
+    world.register(server.registration("s"));
+    await new Promise((resolve) => setTimeout(resolve, 700));
+    const before = held.arrivals.length;
+    const answers = [await status(b), await status(b), await status(b)];
+    const after = held.arrivals.length;
+    for (const end of leave) end();
+    await held.stop();
+    expect(answers).to.deep.equal([200, 200, 200]);
+    expect(after).to.equal(before);
+  });
+
   it("should send nothing to a leaving server from a node that the store turns away", async () => {
     world.register(server.registration("s"));
     world.configure(configuration(1, [route()]));
--- a/test/serving/decisions.spec.ts
+++ b/test/serving/decisions.spec.ts
@@ -40,6 +40,8 @@
     tried: new Set<string>(),
     promptTokens: 4_000,
     pace: 1,
+    overheadMs: 8,
+    slotWaitMs: () => 0,
     prefix: [
       { id: "p1", tokens: 3_000 },
       { id: "own", tokens: 1_000 },
@@ -273,6 +275,17 @@
     expect(meter.level("m", 1_000)).to.be.greaterThan(150);
     expect(meter.levels(120_000)).to.deep.equal({});
   });
+
+  it("should believe a lull where many requests are expected, and doubt it where few are", () => {
+    // Demand moves from one model to the next. Ten seconds after its last caller the first still held an engine by
+    // the demand of the slow average, and the second's callers waited beside it.
+    const [busy, rare] = [new DemandMeter(), new DemandMeter()];
+    for (let ms = 0; ms < 20_000; ms += 40) busy.add("m", 40, ms);
+    for (let ms = 0; ms < 20_000; ms += 2_000) rare.add("m", 2_000, ms);
+    expect(busy.level("m", 20_000)).to.be.closeTo(1_000, 100);
+    expect(busy.level("m", 25_000)).to.be.lessThan(150);
+    expect(rare.level("m", 25_000)).to.be.greaterThan(200);
+  });
 });
 
 describe("what nodes know of one another", () => {
--- a/test/serving/overload.spec.ts
+++ b/test/serving/overload.spec.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { admit, type AdmissionView } from "../../src/serving/admission.ts";
+import { EngineSpeed, engineWorkMs } from "../../src/serving/engineSpeed.ts";
 import { ModelPaces } from "../../src/serving/modelPace.ts";
 import { ModelWaits } from "../../src/serving/modelWait.ts";
 import { Outliers } from "../../src/serving/outliers.ts";
@@ -23,6 +24,8 @@
     patienceMs: 2_950,
     targetMs: 800,
     priority: 0,
+    requests: 10,
+    slots: 64,
   };
 
   it("should hold back what would only make every first token late, then refuse it without having run", () => {
@@ -48,6 +51,61 @@
   });
 });
 
+describe("slots of an engine", () => {
+  const view: AdmissionView = {
+    queueMs: 20,
+    expectedMs: 35,
+    leftMs: 1_750,
+    patienceMs: 1_750,
+    targetMs: 300,
+    priority: 0,
+    requests: 0,
+    slots: 64,
+  };
+
+  it("should be left free by the less urgent for the more urgent", () => {
+    // Two of six engines are lost at a burst. All requests were sent to the others, 150 to one of 64 slots; each more
+    // urgent one took the slot of a stream midway, whose prompt was read anew: 500 streams paused on one day.
+    expect(admit({ ...view, requests: 66, priority: 0 }).kind).to.equal("send");
+    expect(admit({ ...view, requests: 66, priority: 1 }).kind).to.equal("wait");
+    expect(admit({ ...view, requests: 61, priority: 1 }).kind).to.equal("send");
+    expect(admit({ ...view, requests: 61, priority: 2 }).kind).to.equal("wait");
+    expect(admit({ ...view, requests: 68, priority: 0 }).kind).to.equal("wait");
+  });
+
+  it("should go first to those that can still come in time", () => {
+    const busy = { ...view, requests: 64, priority: 0 };
+    expect(admit(busy).kind).to.equal("send");
+    expect(admit({ ...busy, leftMs: 1_400 }).kind).to.equal("wait");
+  });
+});
+
+describe("the speed of engines", () => {
+  it("should show the step of an engine that does nothing else, though most streams are slower", () => {
+    // Prompts are read between the steps of running streams. Taken from the mean of all streams, a step looked twice
+    // as long as it is, every model twice as busy, and copies were loaded that nobody needed.
+    const speed = new EngineSpeed();
+    for (let i = 0; i < 60; i += 1) {
+      const gapMs = i % 4 === 0 ? 60 : 120;
+      speed.learn({ wholeMs: 2_000, eventsMs: 20 * gapMs, events: 21 }, 6);
+    }
+    expect(speed.stepMs).to.be.within(9, 13);
+  });
+
+  it("should tell how long a request waits for a slot, by how long others keep theirs", () => {
+    const speed = new EngineSpeed();
+    for (let i = 0; i < 200; i += 1) speed.learn({ wholeMs: 3_200, eventsMs: 0, events: 1 }, 6);
+    expect(speed.slotWaitMs(63, 64)).to.equal(0);
+    expect(speed.slotWaitMs(73, 64)).to.be.within(480, 520);
+  });
+
+  it("should count a long answer as work, and more of it where an engine has few slots", () => {
+    const size = { ownTokens: 387, outputTokens: 640, pace: 1 };
+    expect(engineWorkMs(size, 5, 64)).to.be.closeTo(60, 0.5);
+    expect(engineWorkMs(size, 5, 16)).to.be.closeTo(210, 0.5);
+  });
+});
+
 describe("servers that refuse", () => {
   it("should be left alone for a moment, longer each time, for the model they refused only", () => {
     // An engine that is told to drop a model refuses new requests for it until the running ones end. It had
@@ -82,6 +140,17 @@
     expect(paces.pace(model("m", 70))).to.be.within(1.5, 2.5);
   });
 
+  it("should not take the way to an engine for the reading of a prompt", () => {
+    // Short prompts are answered after ten ms whatever the model. Counted as reading, small models looked slow, and
+    // engines that hold them busy.
+    const paces = new ModelPaces();
+    for (let i = 0; i < 40; i += 1) {
+      paces.learn(model("m", 70), 14, 2);
+      paces.learn(model("m", 70), 13 + 20 * 0.5, 20);
+    }
+    expect(paces.pace(model("m", 70))).to.be.within(0.4, 0.65);
+  });
+
   it("should be learned together for models of one size, and from what peers say", () => {
     const paces = new ModelPaces();
     paces.hear("10.0.0.2", { "70": [2, 20] });
