--- a/src/gateway/placementTask.ts
+++ b/src/gateway/placementTask.ts
@@ -6,18 +6,18 @@
 import { planAdapter, type AdapterEngine, type AdapterMove } from "../serving/adapterPlan.ts";
 import { holds, type BackendServer } from "../serving/backendServer.ts";
 import type { EngineLimits } from "../serving/configuration.ts";
-import { negligible } from "../serving/demandMeter.ts";
 import type { Residency } from "../serving/fleet.ts";
 import { LoadCeiling } from "../serving/loadCeiling.ts";
 import { loadMs } from "../serving/modelWait.ts";
 import type { Engines } from "../serving/orders.ts";
-import type { Asked, PeerTable, Pulse } from "../serving/peerTable.ts";
+import type { PeerTable } from "../serving/peerTable.ts";
 import { planMoves } from "../serving/placementPlan.ts";
-import type { EngineView, ModelDemand, Move } from "../serving/placementView.ts";
+import type { EngineView, Move } from "../serving/placementView.ts";
+import { DemandBook } from "./demandBook.ts";
 import { EngineDesk, type DeskOutcome } from "./engineDesk.ts";
 import type { LeaseTask } from "./leaseTask.ts";
 import type { PeerTask } from "./peerTask.ts";
-import { adapterKey, demandKey, residencyKey, type Placer, type Serving } from "./serving.ts";
+import { adapterKey, demandKey, type Placer, type Serving } from "./serving.ts";
 
 /** Period of placement rounds, ms. */
 const roundMs = 250;
@@ -26,10 +26,6 @@
 const leastOverdueMs = 2_500;
 /** An adapter may be used this long after its order was accepted, ms: it takes 5 to 10 ms to come. */
 const adapterReadyMs = 12;
-/** A peer's demand counts for this long, ms. */
-const askedMs = 1_500;
-/** A new holder waits this long at most to hear the demand of its peers, ms: three of their periods. */
-const hearingMs = 1_000;
 /**
  * A process that has just started orders loads into free memory only, ms. Guards "the busiest model is dropped
  * after all nodes were killed": no node has measured any demand yet, so every model looks idle.
@@ -64,28 +60,26 @@
 /** Owns the desks of the engines, and asks the holder where this node is not it. */
 export class PlacementTask extends PeriodicTask implements Placer {
   private readonly desks = new Map<string, EngineDesk>();
-  private readonly asked = new Map<string, { asked: Asked; atMs: number }>();
-  private readonly lastDemandMs = new Map<string, number>();
+  private readonly demand: DemandBook;
   private readonly ensuring = new Map<string, Promise<void>>();
   private readonly ceiling: LoadCeiling;
   private readonly startedMs = performance.now();
-  /** When the lease was last taken or lost here. */
-  private changedMs = performance.now();
   private readonly log: Log;
 
   constructor(private readonly options: PlacementTaskOptions) {
     super("placement", roundMs, options.serving.log);
     this.log = options.serving.log;
     this.ceiling = new LoadCeiling({ windowMs: options.ceilingWindowMs, overage: options.ceilingOverage });
+    this.demand = new DemandBook(options.serving, options.table);
     options.peers.heard.on((pulse) => {
-      this.hear(pulse);
+      this.demand.hear(pulse);
     });
     options.peers.handle("adapter.ensure", (params) => this.onEnsure(params));
     options.peers.handle("residency", (params) => this.onResidency(params));
     // A new holder starts from what the engines say now; a former one forgets what it ordered.
     options.lease.changed.on(() => {
       this.desks.clear();
-      this.changedMs = performance.now();
+      this.demand.startAnew();
     });
   }
 
@@ -109,17 +103,13 @@
     this.learnDesks();
     this.options.serving.modelWaits.announce(this.expected(), performance.now());
     await this.verifyDesks();
-    if (!this.demandKnown()) return;
+    if (!this.demand.known) return;
     for (const service of table.configuration.services) {
       if (service.engine !== undefined) this.place(service.name, service.engine);
     }
     await this.lookIntoOverdue(table.configuration.services.flatMap((s) => s.engine?.models ?? []));
   }
 
-  private hear(pulse: Pulse): void {
-    if (pulse.asked !== undefined) this.asked.set(pulse.ip, { asked: pulse.asked, atMs: performance.now() });
-  }
-
   private learnDesks(): void {
     const known = new Set<string>();
     // What the engines say themselves: the fleet's own view already counts orders that are still under way.
@@ -175,7 +165,7 @@
     const moves = planMoves({
       models: limits.models,
       engines: servers.map((server) => this.view(server, limits)),
-      demand: this.demandOf(service, limits, now),
+      demand: this.demand.of(service, limits, now),
       adapterSlots: limits.adapterSlots,
       mayEvict: now - this.startedMs > settleMs,
       loadsLeft: this.ceiling.left(limits.loadsPerS, now),
@@ -196,7 +186,7 @@
     return {
       id: server.id,
       models: new Set(desk.staying),
-      running: this.runningAt(server.id, limits),
+      running: this.demand.runningAt(server.id, limits, performance.now()),
       roomFor: desk.roomFor,
       unsettled: new Set(limits.models.map((model) => model.name).filter((name) => desk.movedLately(name))),
       coming: new Set(desk.coming.keys()),
@@ -207,62 +197,6 @@
     };
   }
 
-  /**
-   * Has every peer told this holder what is asked of it? Guards "a new holder drops the busiest model": before
-   * it has heard its peers it takes every model for idle.
-   */
-  private demandKnown(): boolean {
-    const now = performance.now();
-    if (now - this.changedMs > hearingMs) return true;
-    const peers = this.options.table.alive(now).map((peer) => peer.pulse.ip);
-    return peers.every((ip) => (this.asked.get(ip)?.atMs ?? Number.NEGATIVE_INFINITY) > this.changedMs);
-  }
-
-  /** Requests in flight at the engine by model, over all nodes. */
-  private runningAt(serverId: string, limits: EngineLimits): Map<string, number> {
-    const now = performance.now();
-    const running = new Map<string, number>();
-    for (const { name } of limits.models) {
-      const key = residencyKey(serverId, name);
-      let count = this.options.serving.modelsRunning.get(key);
-      for (const { asked, atMs } of this.asked.values()) {
-        if (now - atMs < askedMs) count += asked.running[key] ?? 0;
-      }
-      if (count > 0) running.set(name, count);
-    }
-    return running;
-  }
-
-  private demandOf(service: string, limits: EngineLimits, now: number): Map<string, ModelDemand> {
-    const { serving } = this.options;
-    const { demand: own, waiting: ownWaiting } = serving;
-    const all: Omit<Asked, "adapters" | "running">[] = [
-      { demand: own.levels(now), rates: own.rates(now), waiting: ownWaiting.all() },
-    ];
-    for (const { asked, atMs } of this.asked.values()) if (now - atMs < askedMs) all.push(asked);
-    const demand = new Map<string, ModelDemand>();
-    for (const model of limits.models) {
-      const key = demandKey(service, model.name);
-      const engineMs = all.reduce((sum, a) => sum + (a.demand[key] ?? 0), 0);
-      const waiting = all.reduce((sum, a) => sum + (a.waiting[key] ?? 0), 0);
-      const perS = all.reduce((sum, a) => sum + (a.rates[key] ?? 0), 0);
-      if (engineMs >= negligible || waiting > 0) this.lastDemandMs.set(key, now);
-      const idleMs = now - (this.lastDemandMs.get(key) ?? this.startedMs);
-      const adapters = model.adapters === 0 ? 0 : this.adaptersAsked(`${key}/`, now);
-      demand.set(model.name, { engineMs, perS, waiting, idleMs, adapters });
-    }
-    return demand;
-  }
-
-  /** Different adapters of a model asked for lately, over all nodes. */
-  private adaptersAsked(prefix: string, now: number): number {
-    const asked = new Set(Object.keys(this.options.serving.adapterDemand.levels(now)));
-    for (const peer of this.asked.values()) {
-      if (now - peer.atMs < askedMs) for (const key of Object.keys(peer.asked.adapters)) asked.add(key);
-    }
-    return [...asked].filter((key) => key.startsWith(prefix)).length;
-  }
-
   private async give(server: BackendServer, move: Move): Promise<void> {
     const fromStore = move.action === "load" && !server.atHand.includes(move.model);
     // Counted before it is sent: an order without an answer may still begin a load.
@@ -412,7 +346,7 @@
         .map((server) => this.adapterEngine(server, now))
         .filter((engine) => !engine.busy),
       slots: limits.adapterSlots,
-      lastUsedMs: (other) => this.adapterUsedMs(service, other, now),
+      lastUsedMs: (other) => this.demand.adapterUsedMs(`${service} ${other}`, now),
       nowMs: now,
     });
   }
@@ -452,21 +386,6 @@
     };
   }
 
-  /**
-   * When the adapter was last asked for anywhere, as far as is known. Guards "an engine takes no orders for
-   * seconds": an adapter that is told to make way while requests run with it closes the engine until they end.
-   * A new holder has not heard yet what its peers run, so it takes any adapter for used until then.
-   */
-  private adapterUsedMs(service: string, name: string, now: number): number {
-    const key = `${service} ${name}`;
-    const { adapterDemand, adaptersRunning } = this.options.serving;
-    if (adaptersRunning.has(key) || adapterDemand.level(key, now) >= negligible) return now;
-    for (const { asked, atMs } of this.asked.values()) {
-      if (now - atMs < askedMs && asked.adapters[key] !== undefined) return now;
-    }
-    return this.changedMs;
-  }
-
   /** Takes a change of an engine's memory here and tells the peers. */
   private announce(server: BackendServer, effect: OrderEffect): void {
     const change = residencyOf(server, effect);
