--- a/src/gateway/engineDesk.ts
+++ b/src/gateway/engineDesk.ts
@@ -270,12 +270,14 @@
   async ask(): Promise<void> {
     const { id, address } = this.registered;
     const report = await this.options.engines.report({ serverId: id, address });
-    const { startedAtMs = 0 } = report;
-    // Made before a restart that is known by now: it says nothing of what the engine holds.
-    if (startedAfter(this.registered, report)) return;
-    if (startedAfter(report, this.registered)) {
-      this.restarted();
-      this.registered = { ...this.registered, startedAtMs, residents: [] };
+    const { startedAtMs } = report;
+    if (startedAtMs !== undefined) {
+      // Made before a restart that is known by now: it says nothing of what the engine holds.
+      if (startedAfter(this.registered, { startedAtMs })) return;
+      if (startedAfter({ startedAtMs }, this.registered)) {
+        this.restarted();
+        this.registered = { ...this.registered, startedAtMs, residents: [] };
+      }
     }
     this.askFirst = false;
     const moved = report.sequence > this.sequence;
