--- a/src/serving/placementCost.ts
+++ b/src/serving/placementCost.ts
@@ -12,19 +12,12 @@
 const easyLoad = 0.4;
 /** Cost of an engine's load squared, and of what lies beyond the easy part: waiting grows faster than load. */
 const loadCost = 0.3;
-const crowdCost = 14;
-/** Every slot is in use. What is asked beyond it is lost, as it is where no engine has the model. */
-const fullLoad = 1;
-const overloadCost = 15;
-/** A model in no engine, per engine second asked of it. */
+const crowdCost = 10;
+const fullLoad = 0.75;
+const overloadCost = 7.5;
+/** A model in no engine: per engine second asked of it, and per request that waits for it up to a few. */
 const missingCost = 15;
-/**
- * Time over which costs are weighed, s: a request that waits is lost once, not every second, so it counts for as much
- * as its work spread over this time. Counted for more, a few callers of a rare model take an engine from hundreds.
- */
-export const horizonS = 8;
-/** Work of one request before any of its model was measured, ms of engine time, and how many that wait count. */
-const usualRequestMs = 60;
+const waitingCost = 0.25;
 const mostWaiting = 8;
 /**
  * A model in no engine that nobody asks for: its next caller waits for a load, and if demand moves to it, many
@@ -111,9 +104,7 @@
   if (demand === undefined) return unreachableCost;
   const lately = lateUseCost * Math.exp(-demand.idleMs / lateUseFadeMs);
   const asked = (missingCost * demand.engineMs) / 1000;
-  const requestMs = demand.perS > 0 ? demand.engineMs / demand.perS : usualRequestMs;
-  const waiting = (missingCost * requestMs * Math.min(mostWaiting, demand.waiting)) / 1000 / horizonS;
-  return unreachableCost + lately + asked + waiting;
+  return unreachableCost + lately + asked + waitingCost * Math.min(mostWaiting, demand.waiting);
 }
 
 function isAtHand(view: PlacementView, model: string): boolean {
--- a/src/serving/placementPlan.ts
+++ b/src/serving/placementPlan.ts
@@ -4,21 +4,21 @@
  * unknown. Pure: the same view gives the same moves.
  */
 import type { Model } from "./configuration.ts";
-import { negligible } from "./demandMeter.ts";
-import { engineLoads, horizonS, placementCost, type Placement } from "./placementCost.ts";
+import { engineLoads, placementCost, type Placement } from "./placementCost.ts";
 import { heldBy, type EngineView, type Move, type PlacementView } from "./placementView.ts";
 
 /** What a load costs, in the units of `placementCost`: from the weight store, and from the engine's own copies. */
 const storeLoadCost = 0.03;
 const atHandLoadCost = 0.01;
+/** What each model that makes way costs besides. */
+const evictionCost = 0.02;
 /**
- * What each model that makes way costs besides: little where nobody uses it; where it is in use, so much more, and the
- * part of an engine's time that its callers ask of each copy. Guards "engines are reloaded at every turn of demand":
- * a copy in use made way for a model that one caller waited for, was missed at once, and took the place of another.
+ * An unload waits for the requests that run, and until then the engine takes no other order and refuses new
+ * requests for the model: seconds, ten and more under load. So a copy in use goes only if much is gained.
  */
-const evictionCost = 0.02;
-const usedEvictionCost = 0.5;
-const usedCopyCost = 1;
+const drainCost = 0.15;
+const drainRequestCost = 0.04;
+const mostDraining = 10;
 /**
  * While a model is on its way in or out an engine takes no adapter, so each request that waits for one there adds
  * to what a move costs.
@@ -34,15 +34,14 @@
 /** Models weighed in a round besides those that no engine holds: the most loaded ones. */
 const mostCrowded = 6;
 
-/** Time of a load from an engine's own copies, s. */
-const atHandLoadS = 0.8;
 /**
- * An unload waits for the requests that run: this long for one, and this much more for each e-fold of them, s. Fifty
- * streams of two seconds in the mean took five, and longer in proportion where an engine has more than it can run.
- * Meanwhile the engine takes no other order, and callers have neither the copy that makes way nor the one that comes.
+ * A gain that comes later is worth less: halved after this time, s. A busy model's callers wait two to three
+ * seconds, so a load of one second from an engine's own copies serves those that one of six seconds loses.
  */
-const drainFirstS = 1.5;
-const drainFoldS = 0.9;
+const halfWorthS = 2;
+/** Time of a load from an engine's own copies, and of an unload while requests run, s. */
+const atHandLoadS = 0.8;
+const drainS = 3;
 
 /** A model for an engine, and those that make way for it. */
 interface Option {
@@ -147,13 +146,12 @@
   return evictionsFor(view, engine, model).map((evicted) => {
     const held = new Set(placement.get(engine.id));
     for (const name of evicted) held.delete(name);
-    const meanwhile = new Map(placement).set(engine.id, held);
-    const after = new Map(placement).set(engine.id, new Set([...held, model.name]));
-    const delayS = Math.min(horizonS, loadS + Math.max(0, ...evicted.map((name) => drainS(engine, name))));
-    const costMeanwhile = evicted.length === 0 ? before : placementCost(view, meanwhile);
-    const cost = costMeanwhile * delayS + placementCost(view, after) * (horizonS - delayS);
-    const gain = before - cost / horizonS;
-    const worth = gain - loadCost - evictionCosts(view, evicted) - adapterWaits(view, engine);
+    held.add(model.name);
+    const after = new Map(placement).set(engine.id, held);
+    const drains = evicted.reduce((sum, name) => sum + evictionCost + draining(engine, name), 0);
+    const gain = before - placementCost(view, after);
+    const delayS = loadS + (evicted.some((name) => engine.running.has(name)) ? drainS : 0);
+    const worth = gain / (1 + delayS / halfWorthS) - loadCost - drains - adapterWaits(view, engine);
     return { engine, model, evicted, worth };
   });
 }
@@ -165,21 +163,9 @@
   return adapterWaitCost * Math.min(mostAdapterWaits, waiting);
 }
 
-function evictionCosts(view: PlacementView, evicted: readonly string[]): number {
-  return evicted.reduce((sum, name) => {
-    const engineMs = view.demand.get(name)?.engineMs ?? 0;
-    if (engineMs < negligible) return sum + evictionCost;
-    const perCopy = engineMs / 1000 / Math.max(1, copiesOf(view, name));
-    return sum + evictionCost + usedEvictionCost + usedCopyCost * perCopy;
-  }, 0);
-}
-
-/** Until the requests that run with the model have ended, s. */
-function drainS(engine: EngineView, name: string): number {
+function draining(engine: EngineView, name: string): number {
   const running = engine.running.get(name) ?? 0;
-  if (running === 0) return 0;
-  const all = [...engine.running.values()].reduce((sum, count) => sum + count, 0);
-  return (drainFirstS + drainFoldS * Math.log(running)) * Math.max(1, all / Math.max(1, engine.slots));
+  return running === 0 ? 0 : drainCost + drainRequestCost * Math.min(mostDraining, running);
 }
 
 /**
@@ -213,7 +199,7 @@
   const asked = view.demand.get(model.name)?.engineMs ?? 0;
   const missing = [...placement.values()].every((models) => !models.has(model.name));
   const reason = missing && waiting > 0 ? "waiting" : missing && asked === 0 ? "reachable" : "demand";
-  const [first] = [...evicted].sort((a, b) => drainS(engine, a) - drainS(engine, b));
+  const [first] = [...evicted].sort((a, b) => draining(engine, a) - draining(engine, b));
   if (first === undefined)
     return { engineId: engine.id, action: "load", reason, ...standing(view, model.name) };
   return {
