--- a/src/gateway/demandBook.ts
+++ b/src/gateway/demandBook.ts
@@ -61,7 +61,7 @@
   /** Demand for each model of the service. */
   of(service: string, { models }: EngineLimits, nowMs: number): Map<string, ModelDemand> {
     const { demand, waiting } = this.serving;
-    const own = { demand: demand.levels(nowMs), rates: demand.rates(nowMs), waiting: waiting.all() };
+    const own = { demand: demand.levels(nowMs), waiting: waiting.all() };
     const all = [own, ...this.lately(nowMs)];
     const total = (part: keyof typeof own, key: string): number =>
       all.reduce((sum, asked) => sum + (asked[part][key] ?? 0), 0);
@@ -74,7 +74,6 @@
         name,
         {
           engineMs,
-          perS: total("rates", key),
           waiting: waitingNow,
           idleMs: nowMs - (this.lastDemandMs.get(key) ?? this.startedMs),
           adapters: adapters === 0 ? 0 : this.adaptersAsked(`${key}/`, nowMs),
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -338,7 +338,6 @@
     );
     return {
       demand: this.serving.demand.levels(now),
-      rates: this.serving.demand.rates(now),
       waiting: this.serving.waiting.all(),
       adapters: { ...running, ...this.serving.adapterDemand.levels(now) },
       running: this.serving.modelsRunning.all(),
--- a/src/gateway/placementTask.ts
+++ b/src/gateway/placementTask.ts
@@ -190,7 +190,6 @@
       roomFor: desk.roomFor,
       unsettled: new Set(limits.models.map((model) => model.name).filter((name) => desk.movedLately(name))),
       coming: new Set(desk.coming.keys()),
-      slots: server.slots,
       freeMb: limits.memoryMb - usedMb,
       busy: desk.busy || this.closed(desk),
       atHand: new Set(server.atHand),
--- a/src/serving/demandMeter.ts
+++ b/src/serving/demandMeter.ts
@@ -1,14 +1,13 @@
 /**
- * Demand for models: engine time asked for per second, as moving averages of three lengths. How short an average may
- * be believed depends on how many requests it holds: where a model is asked for thirty times a second its demand is
- * known within one, and a load that begins two seconds sooner serves those that would have waited; where it is asked
- * for every other second only the longer averages say anything, and copies aren't moved at every lull.
+ * Demand for models: engine time asked for per second, as a fast and a slow moving average. The fast one answers
+ * demand that jumps to another model within seconds; the slow one keeps copies from being moved at every lull, as far
+ * as so few requests are expected that a lull says little.
  */
 
 /** Time constants of the averages, ms. */
 const fastMs = 2_500;
 const slowMs = 8_000;
-/** Requests within an average at which it is believed as far as not. */
+/** Requests expected within the fast average at which a lull is believed as far as not. */
 const tellingRequests = 8;
 /**
  * How far a change is taken to go on, as a part of the distance between an average and the next longer one: demand
@@ -72,13 +71,6 @@
     return levels;
   }
 
-  /** Requests per second of all keys asked for lately. */
-  rates(nowMs: number): Record<string, number> {
-    const rates: Record<string, number> = {};
-    for (const key of this.averages.keys()) rates[key] = Number(this.decayed(key, nowMs).requests.toFixed(2));
-    return rates;
-  }
-
   private decayed(key: string, nowMs: number): Average {
     const known = this.averages.get(key) ?? { fast: 0, slow: 0, requests: 0, atMs: nowMs };
     const passed = Math.max(0, nowMs - known.atMs);
--- a/src/serving/peerTable.ts
+++ b/src/serving/peerTable.ts
@@ -9,8 +9,6 @@
 export const Asked = Schema.Struct({
   /** Engine ms asked for per second, by demand key. */
   demand: Schema.Record(Schema.String, Schema.Number),
-  /** Requests per second, by demand key. */
-  rates: Schema.Record(Schema.String, Schema.Number),
   /** Requests that wait for a model, by demand key. */
   waiting: Schema.Record(Schema.String, Schema.Number),
   /** Engine ms asked for per second, by adapter key. */
--- a/src/serving/placementView.ts
+++ b/src/serving/placementView.ts
@@ -14,8 +14,6 @@
   readonly running: ReadonlyMap<string, number>;
   /** Models that came or went so lately that the engine's registration may not show it. */
   readonly unsettled: ReadonlySet<string>;
-  /** Requests it runs at once. */
-  readonly slots: number;
   /** Memory left if every load under way succeeds and no unload has, MB. */
   readonly freeMb: number;
   /** An order is under way, so that no other is taken. */
@@ -28,8 +26,6 @@
 export interface ModelDemand {
   /** Engine time asked for per second, ms. */
   readonly engineMs: number;
-  /** Requests per second. */
-  readonly perS: number;
   /** Requests that wait for the model with no engine to go to. */
   readonly waiting: number;
   /** Since the model was last asked for, ms. */
