--- a/src/common/supervisor.ts
+++ b/src/common/supervisor.ts
@@ -48,6 +48,7 @@
 export class Loop {
   private timer: NodeJS.Timeout | undefined;
   private running = false;
+  private scheduled = false;
 
   constructor(
     private readonly name: string,
@@ -58,7 +59,11 @@
 
   /** Runs the first step now and schedules the rest. */
   async start(): Promise<void> {
+    this.scheduled = true;
     await this.tick();
+    clearInterval(this.timer);
+    // The first step may have been the last.
+    if (!this.scheduled) return;
     this.timer = setInterval(() => void this.tick(), this.everyMs);
     this.timer.unref();
   }
@@ -78,6 +83,7 @@
 
   /** Stops scheduling steps. */
   dispose(): void {
+    this.scheduled = false;
     clearInterval(this.timer);
   }
 }
@@ -108,6 +114,16 @@
     return Promise.resolve();
   }
 
+  /** Schedules no steps until `resume`: a task without work would only wake the process. */
+  pause(): void {
+    this.loop.dispose();
+  }
+
+  /** Goes on after `pause`. */
+  async resume(): Promise<void> {
+    await this.loop.start();
+  }
+
   /** Runs one step now (unless one is running). */
   async refresh(): Promise<void> {
     await this.loop.tick();
--- a/src/gateway/activationTask.ts
+++ b/src/gateway/activationTask.ts
@@ -48,6 +48,8 @@
 
 /** Owns the node's state. */
 export class ActivationTask extends PeriodicTask {
+  /** The node became active, or stands by from now on. */
+  readonly changed = new Emitter<boolean>();
   /** What an active node told this one, which stands by. */
   readonly heard = new Emitter<Roster>();
   private activeNow = false;
@@ -125,6 +127,7 @@
     this.dueSinceMs = undefined;
     this.options.log.info({ event: active ? "activated" : "retired", others: others.length });
     this.options.peers.tellEveryone();
+    this.changed.fire(active);
   }
 
   private askAnchor(): void {
--- a/src/gateway/configurationTask.ts
+++ b/src/gateway/configurationTask.ts
@@ -21,6 +21,9 @@
 /** Pause after a failed call, or while others read, ms. */
 const retryMs = 250;
 
+/** The pause of a node that stands by, ms: hundreds that wake for nothing take their hosts' processor time. */
+const standbyMs = 1_000;
+
 /** The configuration as it was stored. */
 const StoredConfiguration = Schema.Struct({ text: Schema.String });
 
@@ -35,6 +38,8 @@
   readonly decode: (text: string) => purify.Either<Failure, Configuration>;
   /** Is it on this node to read? */
   readonly reads: () => boolean;
+  /** Does this node take callers, rather than stand by? */
+  readonly active: () => boolean;
   /** Calls a peer. */
   readonly ask: (peer: PeerNews, method: string, params: unknown) => Promise<unknown>;
 }
@@ -75,7 +80,7 @@
       if (this.options.configuration.current !== undefined && !this.options.reads()) {
         // What changed meanwhile is read whole when it is on this node again.
         version = undefined;
-        await pause(retryMs);
+        await pause(this.options.active() ? retryMs : standbyMs);
         continue;
       }
       try {
--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/fleetTask.ts
@@ -17,6 +17,8 @@
  * every heartbeat, so a wait for changes would return at once each time; a read in time costs one call.
  */
 const periodMs = 500;
+/** Pause of a node that stands by and doesn't read, ms: it only drops what has lapsed. */
+const standbyMs = 1_000;
 /** Pause between tries of a node that the store turns away while it serves others, ms. */
 const probeMs = 1_500;
 
@@ -45,6 +47,8 @@
   readonly decode: (id: string, text: string) => purify.Either<Failure, BackendServer>;
   /** Is it on this node to read? */
   readonly reads: () => boolean;
+  /** Does this node take callers, rather than stand by? */
+  readonly active: () => boolean;
   /** Calls a peer. */
   readonly ask: (peer: PeerNews, method: string, params: unknown) => Promise<unknown>;
   /** What was read differs from what peers were told. */
@@ -129,11 +133,15 @@
       const startedMs = performance.now();
       if (this.options.reads() || this.shouldProbe(startedMs)) await this.readOnce();
       this.tidy();
-      const pause = Math.max(50, periodMs - (performance.now() - startedMs));
+      const pause = Math.max(50, this.periodMs - (performance.now() - startedMs));
       await new Promise((resolve) => setTimeout(resolve, pause));
     }
   }
 
+  private get periodMs(): number {
+    return this.options.active() || this.options.reads() ? periodMs : standbyMs;
+  }
+
   /** While the store doesn't answer this node and others read, it tries at times whether it does again. */
   private shouldProbe(now: number): boolean {
     return !this.options.link.reachable && now - this.lastTryMs >= probeMs;
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -170,6 +170,7 @@
       row: platform.configurationRow,
       decode: platform.decodeConfiguration,
       reads,
+      active: () => this.activation.active,
       ask,
     });
     this.fleet = new FleetTask({
@@ -179,6 +180,7 @@
       table: platform.serversTable,
       decode: platform.decodeServer,
       reads,
+      active: () => this.activation.active,
       ask,
       onChange: () => {
         this.peers.tell();
@@ -217,6 +219,9 @@
     this.lease.changed.on(() => {
       this.peers.tell();
     });
+    this.activation.changed.on(() => {
+      this.followActivation();
+    });
     this.serving.configuration.changed.on((table) => {
       this.serving.metrics.configVersion.set(table.version);
       this.peers.tell();
@@ -226,6 +231,7 @@
   async start(): Promise<void> {
     const { settings, log } = this.options;
     await this.supervisor.start();
+    this.followActivation();
     log.info({ event: "started", host: settings.host, zone: settings.zone, boot: this.boot });
   }
 
@@ -264,6 +270,14 @@
     this.serving.pool.dispose();
   }
 
+  /** Only an active node takes part in the lease; one that stands by shouldn't wake for it. */
+  private followActivation(): void {
+    for (const task of [this.lease, this.placement]) {
+      if (this.activation.active) void task.resume();
+      else task.pause();
+    }
+  }
+
   /** Active nodes: this one and the peers heard from lately. */
   private get liveNodes(): number {
     return this.table.alive(performance.now()).length + 1;
--- a/src/gateway/memberTask.ts
+++ b/src/gateway/memberTask.ts
@@ -60,7 +60,6 @@
 
   protected override async step(): Promise<void> {
     const { store, self, log, peers } = this.options;
-    if (this.listed) return;
     if (!this.entered) {
       const { ip, port, zone, strength } = self;
       await store.commit([{ table, key: ip, value: JSON.stringify({ ip, port, zone, strength }) }]);
@@ -68,6 +67,7 @@
     }
     const { rows } = await store.list(table);
     this.listed = true;
+    this.pause();
     const members = rows.flatMap((row) =>
       decodeEither(Member, JSON.parse(row.value))
         .ifLeft((failure) => log.warn({ event: "member-rejected", row: row.key, detail: failure.message }))
--- a/src/gateway/peerTask.ts
+++ b/src/gateway/peerTask.ts
@@ -15,10 +15,17 @@
 /** Period of pulses, ms. */
 const pulseMs = 300;
 /**
- * Period of messages about loads alone, ms: a prompt is read in some ten ms, so loads of a third of a second ago send
+ * Period of messages about loads, ms: a prompt is read in some ten ms, so loads of a third of a second ago send
  * several nodes to the same engine at once.
  */
 const loadsMs = 100;
+/**
+ * The same for each node told, ms, where this is longer: what a node hears in a second then doesn't grow with the number
+ * of nodes, some 70 messages.
+ */
+const loadsPerPeerMs = 14;
+/** A node that stands by looks this often whether its callers ask anything of the holder, ms. */
+const standbyMs = 500;
 /** Every so many pulses one goes to silent and listed nodes too. */
 const everyoneEvery = 4;
 /** A lost datagram is sent again after this time, ms: some ten round trips between zones. */
@@ -53,8 +60,8 @@
   private readonly server = new rpc.JSONRPCServer({ errorListener: () => undefined });
   private readonly pending = new Map<string, (response: rpc.JSONRPCResponse) => void>();
   private timer: NodeJS.Timeout | undefined;
-  private loadsTimer: NodeJS.Timeout | undefined;
   private rounds = 0;
+  private toldMs = Number.NEGATIVE_INFINITY;
   private calls = 0;
 
   constructor(private readonly options: PeerTaskOptions) {
@@ -80,13 +87,8 @@
     await new Promise<void>((resolve) => {
       this.socket.bind(port, ip, resolve);
     });
-    this.timer = setInterval(() => {
-      this.tell();
-    }, pulseMs);
-    this.loadsTimer = setInterval(() => {
-      this.tellLoads();
-    }, loadsMs);
     this.tell();
+    this.schedule();
   }
 
   /**
@@ -115,8 +117,24 @@
     for (const peer of this.options.table.audience(performance.now(), false)) this.send(bytes, peer);
   }
 
+  /** Pulses at their period, and loads between them. */
+  private schedule(): void {
+    const peers = this.options.table.alive(performance.now()).length;
+    const periodMs = Math.min(pulseMs, Math.max(loadsMs, peers * loadsPerPeerMs));
+    this.timer = setTimeout(
+      () => {
+        const pulseIsDue = performance.now() - this.toldMs >= pulseMs - periodMs / 2;
+        if (pulseIsDue) this.tell();
+        else this.tellLoads();
+        this.schedule();
+      },
+      this.options.active() ? periodMs : standbyMs,
+    );
+  }
+
   private tellPeers(everyone: boolean): void {
     const now = performance.now();
+    this.toldMs = now;
     const { table, pulse, asked } = this.options;
     const told = pulse();
     const bytes = notification("pulse", told);
@@ -135,7 +153,6 @@
 
   /** Says what is in flight here, where anything is. */
   private tellLoads(): void {
-    if (!this.options.active()) return;
     const loads = this.options.loads();
     if (Object.keys(loads).length > 0) this.notify("loads", { ip: this.options.endpoint.ip, loads });
   }
@@ -169,8 +186,7 @@
   }
 
   dispose(): Promise<void> {
-    clearInterval(this.timer);
-    clearInterval(this.loadsTimer);
+    clearTimeout(this.timer);
     return new Promise((resolve) => {
       this.socket.close(() => {
         resolve();
