--- a/src/gateway/configurationTask.ts
+++ b/src/gateway/configurationTask.ts
@@ -77,10 +77,10 @@
     const { store, link, row } = this.options;
     let version: number | undefined;
     while (!this.stopped) {
-      if (this.options.configuration.current !== undefined && !this.options.reads()) {
+      if (!this.options.reads() && !this.lacksConfiguration) {
         // What changed meanwhile is read whole when it is on this node again.
         version = undefined;
-        await pause(this.options.active() ? retryMs : standbyMs);
+        await this.pause(this.options.active() ? retryMs : standbyMs);
         continue;
       }
       try {
@@ -95,11 +95,16 @@
         const failure = toFailure(error);
         version = undefined;
         if (failure.kind !== "history-lost") link.failed(failure);
-        await pause(failure.kind === "history-lost" ? 10 : retryMs);
+        await this.pause(failure.kind === "history-lost" ? 10 : retryMs);
       }
     }
   }
 
+  /** An active node without a configuration refuses its callers: it doesn't wait for a peer's word. */
+  private get lacksConfiguration(): boolean {
+    return this.options.active() && this.options.configuration.current === undefined;
+  }
+
   private apply(text: string, from: string): void {
     if (text === this.text) return;
     const { log, configuration } = this.options;
@@ -125,7 +130,3 @@
     });
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/fleetTask.ts
@@ -134,7 +134,7 @@
       if (this.options.reads() || this.shouldProbe(startedMs)) await this.readOnce();
       this.tidy();
       const pause = Math.max(50, this.periodMs - (performance.now() - startedMs));
-      await new Promise((resolve) => setTimeout(resolve, pause));
+      await this.pause(pause);
     }
   }
 
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -87,6 +87,7 @@
   private readonly table: PeerTable;
   private readonly peers: PeerTask;
   private readonly calls: PeerCalls;
+  private readonly configuration: ConfigurationTask;
   private readonly fleet: FleetTask;
   private readonly lease: LeaseTask;
   private readonly member: MemberTask;
@@ -96,6 +97,7 @@
   private readonly callers: CallerServer;
   private readonly supervisor: Supervisor;
   private readonly boot = Date.now();
+  private readonly startedMs = performance.now();
   private stopping = false;
 
   constructor(private readonly options: GatewayNodeOptions) {
@@ -162,7 +164,7 @@
     const reads = (): boolean => this.shouldRead();
     const ask = (peer: PeerNews, method: string, params: unknown): Promise<unknown> =>
       this.calls.call(peer, method, params);
-    const configuration = new ConfigurationTask({
+    this.configuration = new ConfigurationTask({
       store,
       link,
       log,
@@ -186,18 +188,18 @@
         this.peers.tell();
       },
     });
-    this.calls = new PeerCalls(settings.peers, { ...configuration.handlers, ...this.fleet.handlers });
+    this.calls = new PeerCalls(settings.peers, { ...this.configuration.handlers, ...this.fleet.handlers });
     this.peers.heard.on((pulse) => {
       this.serving.loads.learn(pulse.ip, pulse.loads, performance.now());
       if (pulse.paces !== undefined) this.serving.paces.hear(pulse.ip, pulse.paces);
       if (pulse.coming !== undefined) this.serving.modelWaits.announce(pulse.coming, performance.now());
-      void configuration.hear(pulse);
+      void this.configuration.hear(pulse);
       // Only those that read the store know of changes first.
       if (pulse.readAgeMs !== undefined)
         void this.fleet.hear(pulse, this.activation.active ? "all" : "routing");
     });
     this.activation.heard.on((roster) => {
-      void configuration.hear(roster);
+      void this.configuration.hear(roster);
       void this.fleet.hear(roster, "routing");
     });
     this.supervisor = new Supervisor(
@@ -205,7 +207,7 @@
       [
         ...this.controlServers(),
         this.calls,
-        configuration,
+        this.configuration,
         this.fleet,
         this.peers,
         this.callers,
@@ -276,6 +278,9 @@
       if (this.activation.active) void task.resume();
       else task.pause();
     }
+    // Whether it is on this node to read the store may have changed.
+    this.configuration.wake();
+    this.fleet.wake();
   }
 
   /** Active nodes: this one and the peers heard from lately. */
@@ -368,8 +373,7 @@
   }
 
   private shouldRead(): boolean {
-    // A node that stands by reads only while no active one is known to.
-    if (!this.activation.active && this.activation.heardReadAgeMs < standbyReadMs) return false;
+    if (!this.activation.active && this.leavesReading) return false;
     const self = {
       ip: this.options.settings.ip,
       holder: this.lease.holding,
@@ -378,6 +382,15 @@
     return shouldRead(self, this.readers());
   }
 
+  /**
+   * A node that stands by reads only while no active one is known to; one that has just started waits for their word.
+   * Guards "a start costs calls for each host": 195 hosts read servers and configuration twice before they heard any.
+   */
+  private get leavesReading(): boolean {
+    if (performance.now() - this.startedMs < standbyReadMs) return true;
+    return this.activation.heardReadAgeMs < standbyReadMs;
+  }
+
   /** Live peers, with how long ago each read the store. */
   private readers(): Reader[] {
     const now = performance.now();
--- a/src/gateway/serverWait.ts
+++ b/src/gateway/serverWait.ts
@@ -115,6 +115,8 @@
     const now = performance.now();
     return chooseServer({
       candidates: this.candidates(),
+      zone: serving.zone,
+      draw: Math.random(),
       tried: this.tried,
       promptTokens: facts.promptTokens,
       pace: serving.paces.pace(service.engine?.models.find((m) => m.name === facts.model)),
--- a/src/serving/serverChoice.ts
+++ b/src/serving/serverChoice.ts
@@ -20,12 +20,21 @@
 const cachedShare = 0.9;
 /** Up to this part of its slots in use an engine counts as quiet: its steps are hardly longer. */
 const quietPart = 0.5;
+/**
+ * What a server in another availability zone counts for more, ms: the way there and back, and bytes that are paid for.
+ * Less than one request in flight, so that no zone's servers are crowded beside idle ones.
+ */
+const otherZoneMs = 2;
 /** What one failure costs in expectation, ms: sending again and waiting for it. */
 const failureMs = 400;
 
 /** What decides between servers. */
 export interface Choice {
   readonly candidates: readonly BackendServer[];
+  /** The availability zone of this node. */
+  readonly zone: string;
+  /** Drawn anew for each choice, from 0 to 1: decides between equal servers. */
+  readonly draw: number;
   /** Servers that already had this request and are not asked again. */
   readonly tried: ReadonlySet<string>;
   readonly promptTokens: number;
@@ -67,12 +76,29 @@
   const servers = sound.length > 0 ? sound : fresh;
   if (servers.length === 0) return undefined;
   const home = cacheHome(choice, servers);
-  let best: Chosen | undefined;
-  for (const server of servers) {
-    const option = expectation(choice, server, server.id === home);
-    if (best === undefined || option.expectedMs < best.expectedMs) best = option;
-  }
-  return best;
+  return soonest(
+    rotated(servers, choice.draw).map((server) => expectation(choice, server, server.id === home)),
+    choice.zone,
+  );
+}
+
+/** The option whose first byte comes soonest, ways between zones included; of equal ones the first. */
+function soonest(options: readonly Chosen[], zone: string): Chosen | undefined {
+  const costMs = ({ server, expectedMs }: Chosen): number =>
+    expectedMs + (server.zone === zone ? 0 : otherZoneMs);
+  return options.reduce<Chosen | undefined>(
+    (best, option) => (best === undefined || costMs(option) < costMs(best) ? option : best),
+    undefined,
+  );
+}
+
+/**
+ * From a drawn one on. Guards "all nodes choose the same of several idle servers": hundreds of nodes that each had a
+ * request or two, and heard nothing of each other, sent four times its share to the first one.
+ */
+function rotated(servers: readonly BackendServer[], draw: number): readonly BackendServer[] {
+  const start = Math.floor(draw * servers.length);
+  return [...servers.slice(start), ...servers.slice(0, start)];
 }
 
 function expectation(choice: Choice, server: BackendServer, isHome: boolean): Chosen {
--- a/test/serving/decisions.spec.ts
+++ b/test/serving/decisions.spec.ts
@@ -37,6 +37,8 @@
 describe("choosing a server", () => {
   const choice = {
     candidates: [server("a", { engine: true }), server("b", { engine: true })],
+    zone: "a",
+    draw: 0,
     tried: new Set<string>(),
     promptTokens: 4_000,
     pace: 1,
@@ -74,6 +76,22 @@
     expect(chooseServer({ ...choice, prefix: [], health, tried: new Set(["b"]) })?.server.id).to.equal("a");
     expect(chooseServer({ ...choice, tried: new Set(["a", "b"]) })).to.equal(undefined);
   });
+
+  it("should spread requests over idle servers, whatever node they come to", () => {
+    // Hundreds of nodes with a request each now and then all chose the first of six idle servers, and callers of
+    // that one waited in line.
+    const plain = { ...choice, prefix: [], candidates: ["a", "b", "c", "d"].map((id) => server(id)) };
+    const chosen = [0, 0.3, 0.6, 0.9].map((draw) => chooseServer({ ...plain, draw })?.server.id);
+    expect(new Set(chosen).size).to.equal(4);
+  });
+
+  it("should stay in its availability zone, as long as others have no less to do", () => {
+    const near = server("near", { zone: "b" });
+    const plain = { ...choice, prefix: [], zone: "b", candidates: [server("far"), near] };
+    expect(chooseServer({ ...plain, draw: 0 })?.server.id).to.equal("near");
+    const load = (id: string): typeof unloaded => (id === "near" ? { ...unloaded, requests: 3 } : unloaded);
+    expect(chooseServer({ ...plain, load })?.server.id).to.equal("far");
+  });
 });
 
 describe("outliers", () => {
