--- a/src/gateway/activationTask.ts
+++ b/src/gateway/activationTask.ts
@@ -8,7 +8,7 @@
 import type { Log } from "../common/log.ts";
 import { PeriodicTask } from "../common/supervisor.ts";
 import { isFew, mayRetire, turnToActivate, type ActiveNode } from "../serving/membership/activeSet.ts";
-import { Roster, type PeerAddress, type PeerTable, type Standing } from "../serving/membership/peerTable.ts";
+import { Member, Roster, type PeerTable, type Standing } from "../serving/membership/peerTable.ts";
 import type { PeerTask } from "./peerTask.ts";
 
 /**
@@ -29,7 +29,7 @@
 /** A surplus node retires when it is one for this long, ms: after a start all hear of each other within a second. */
 const surplusMs = 1_500;
 
-const AskParams = Schema.Struct({ ip: Schema.String, port: Schema.Number, digest: Schema.String });
+const AskParams = Schema.Struct({ node: Member, digest: Schema.String });
 
 /** Options of an `ActivationTask`. */
 export interface ActivationTaskOptions {
@@ -132,14 +132,15 @@
 
   private askAnchor(): void {
     const { table, peers } = this.options;
-    const { ip, port } = this.options.standing();
+    const { ip, port, zone, strength } = this.options.standing();
+    const node = { ip, port, zone, strength };
     const anchors = table.anchors(performance.now()).slice(0, anchorCount);
     this.rounds += 1;
     const anchor = anchors[this.rounds % Math.max(1, anchors.length)];
     // Nobody is known to be active: all that may be are asked.
     const asked = anchor === undefined ? table.audience(performance.now(), true) : [anchor];
     for (const peer of asked)
-      peers.tellOne("roster.ask", { ip, port, digest: this.digests.get(peer.ip) ?? "" }, peer);
+      peers.tellOne("roster.ask", { node, digest: this.digests.get(peer.ip) ?? "" }, peer);
   }
 
   private onAsk(params: unknown): void {
@@ -147,8 +148,10 @@
       .ifLeft((failure) => {
         this.options.log.warn({ event: "peer-message-rejected", detail: failure.message });
       })
-      .ifRight(({ ip, port, digest }) => {
-        this.options.peers.tellOne("roster", this.roster(digest), { ip, port } satisfies PeerAddress);
+      .ifRight(({ node, digest }) => {
+        // One that started later than this node is missing from the list that it read.
+        this.options.table.meet(node);
+        this.options.peers.tellOne("roster", this.roster(digest), node);
       });
   }
 
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -18,11 +18,10 @@
 import { ModelWaits } from "../serving/modelWait.ts";
 import type { Engines } from "../serving/orders.ts";
 import { Outliers } from "../serving/outliers.ts";
-import type { Candidate } from "../serving/membership/activeSet.ts";
 import {
   PeerTable,
   type Asked,
-  type PeerAddress,
+  type Member,
   type Pulse,
   type Standing,
 } from "../serving/membership/peerTable.ts";
@@ -79,6 +78,8 @@
   readonly settings: HostSettings;
   readonly platform: GatewayPlatform;
   readonly log: Log;
+  /** Part of its processor time that the node uses, from 0 to 1; that of the whole process by default. */
+  readonly busy?: () => number;
 }
 
 /** Starts, serves and stops. */
@@ -92,7 +93,7 @@
   private readonly lease: LeaseTask;
   private readonly member: MemberTask;
   private readonly activation: ActivationTask;
-  private readonly utilization = new Utilization();
+  private readonly busy: () => number;
   private readonly placement: PlacementTask;
   private readonly callers: CallerServer;
   private readonly supervisor: Supervisor;
@@ -103,6 +104,8 @@
   constructor(private readonly options: GatewayNodeOptions) {
     const { settings, platform, log } = options;
     this.table = new PeerTable(settings);
+    const utilization = new Utilization();
+    this.busy = options.busy ?? ((): number => utilization.value);
     this.serving = makeServing(options, () => this.liveNodes);
     for (const seed of settings.seeds) this.table.seek(seed, performance.now());
     const link = new StoreLink(log, this.serving.metrics);
@@ -348,7 +351,7 @@
       boot: this.boot,
       callers: formatEndpoint(settings.callers),
       ready: this.ready,
-      busy: this.utilization.value,
+      busy: this.busy(),
       version: this.serving.configuration.current?.version ?? 0,
       ...(Number.isFinite(readAgeMs) ? { readAgeMs: Math.round(readAgeMs) } : {}),
       fleetRevision: this.serving.fleet.revision,
@@ -426,7 +429,7 @@
   }
 }
 
-function memberOf({ peers, zone, strength }: HostSettings): Candidate & PeerAddress {
+function memberOf({ peers, zone, strength }: HostSettings): Member {
   return { ...peers, zone, strength };
 }
 
--- a/src/gateway/memberTask.ts
+++ b/src/gateway/memberTask.ts
@@ -1,22 +1,12 @@
 /** Enters this node in the store's list of gateway nodes, and learns the others from it. */
-import * as Schema from "effect/Schema";
 import { decodeEither } from "../common/decode.ts";
 import { toFailure } from "../common/errors.ts";
 import type { Log } from "../common/log.ts";
 import { PeriodicTask } from "../common/supervisor.ts";
-import type { Candidate } from "../serving/membership/activeSet.ts";
-import type { PeerAddress, PeerTable } from "../serving/membership/peerTable.ts";
+import { Member, type PeerTable } from "../serving/membership/peerTable.ts";
 import type { Store } from "../serving/store.ts";
 
 const table = "parsleynotch_nodes";
-
-/** A node as listed. */
-const Member = Schema.Struct({
-  ip: Schema.String,
-  port: Schema.Number,
-  zone: Schema.String,
-  strength: Schema.Number,
-});
 /** Pause between tries until the node is entered, ms. */
 const periodMs = 500;
 
@@ -28,7 +18,7 @@
   readonly store: Store;
   readonly log: Log;
   readonly peers: PeerTable;
-  readonly self: Candidate & PeerAddress;
+  readonly self: Member;
 }
 
 /**
--- a/src/serving/membership/peerTable.ts
+++ b/src/serving/membership/peerTable.ts
@@ -102,8 +102,15 @@
   readonly port: number;
 }
 
-/** A node named in the store's list. */
-export interface ListedNode extends Candidate, PeerAddress {}
+/** A node as the store's list names it. */
+export const Member = Schema.Struct({
+  ip: Schema.String,
+  port: Schema.Number,
+  zone: Schema.String,
+  strength: Schema.Number,
+});
+/** A decoded member. */
+export type Member = typeof Member.Type;
 
 /** The peers known to this node. */
 export class PeerTable {
@@ -111,7 +118,7 @@
   /** Whom each node that told of active ones named last. */
   private readonly rosters = new Map<string, ReadonlySet<string>>();
   /** Listed in the store, dead or alive. */
-  private readonly nodes = new Map<string, ListedNode>();
+  private readonly nodes = new Map<string, Member>();
   /** Spoken to though they may never have been heard: seeds, and listed nodes that are likely active. */
   private readonly sought = new Map<string, { address: PeerAddress; sinceMs: number }>();
 
@@ -154,12 +161,17 @@
   }
 
   /** Learns all nodes that the store lists. */
-  list(nodes: readonly ListedNode[], nowMs: number): void {
+  list(nodes: readonly Member[], nowMs: number): void {
     for (const node of nodes) this.nodes.set(node.ip, node);
     const likely = new Set(likelyActive(this.self, this.listed).map((node) => node.ip));
     for (const node of nodes) if (likely.has(node.ip)) this.seek(node, nowMs);
   }
 
+  /** Learns of a node that lives. */
+  meet(node: Member): void {
+    this.nodes.set(node.ip, node);
+  }
+
   /** Nodes that may exist: listed ones, those heard of, and this one. */
   get listed(): readonly Candidate[] {
     const heard = [...this.peers.values()].map(({ pulse }): [string, Candidate] => [pulse.ip, pulse]);
