--- a/src/gateway/controlServers.ts
+++ b/src/gateway/controlServers.ts
@@ -2,7 +2,8 @@
 import * as http from "node:http";
 import { bind, close, sendJson } from "../common/http.ts";
 import type { Task } from "../common/supervisor.ts";
-import type { Endpoint } from "../serving/hostSettings.ts";
+import type { Registry } from "prom-client";
+import type { Endpoint, HostSettings } from "../serving/hostSettings.ts";
 
 /** What one of them listens on and answers. */
 export interface ControlServerOptions {
@@ -37,3 +38,52 @@
     await close(this.server);
   }
 }
+
+/** What the control servers of a node answer from. */
+export interface ControlOptions {
+  readonly settings: Pick<HostSettings, "readiness" | "directory" | "metrics">;
+  /** Paths of the readiness check and of the directory. */
+  readonly paths: { readonly readiness: string; readonly directory: string };
+  readonly ready: () => boolean;
+  /** The directory's answer. */
+  readonly directory: () => unknown;
+  /** The metrics as of now. */
+  readonly metrics: () => Registry;
+}
+
+/** The readiness check, the directory and the metrics of one node. */
+export function createControlServers({
+  settings,
+  paths,
+  ready,
+  directory,
+  metrics,
+}: ControlOptions): ControlServer[] {
+  return [
+    new ControlServer({
+      name: "readiness",
+      endpoint: settings.readiness,
+      handle: (url, res) => {
+        const known = url.pathname === paths.readiness;
+        sendJson(res, !known ? 404 : ready() ? 200 : 503, { ready: ready() });
+      },
+    }),
+    new ControlServer({
+      name: "directory",
+      endpoint: settings.directory,
+      handle: (url, res) => {
+        if (url.pathname !== paths.directory) sendJson(res, 404, { error: "not found" });
+        else sendJson(res, 200, directory());
+      },
+    }),
+    new ControlServer({
+      name: "metrics",
+      endpoint: settings.metrics,
+      handle: async (_url, res) => {
+        const registry = metrics();
+        res.writeHead(200, { "content-type": registry.contentType });
+        res.end(await registry.metrics());
+      },
+    }),
+  ];
+}
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -2,22 +2,15 @@
 import type * as purify from "purify-ts";
 import type { Failure } from "../common/errors.ts";
 import { decodeEither } from "../common/decode.ts";
-import { Emitter } from "../common/emitter.ts";
-import { sendJson } from "../common/http.ts";
 import type { Log } from "../common/log.ts";
 import { Supervisor, type Task } from "../common/supervisor.ts";
 import type { BackendServer } from "../serving/backendServer.ts";
 import type { Configuration } from "../serving/configuration.ts";
-import { DemandMeter, negligible } from "../serving/demandMeter.ts";
-import { EngineSpeed } from "../serving/engineSpeed.ts";
+import { negligible } from "../serving/demandMeter.ts";
 import type { HeaderCodec } from "../serving/exchange.ts";
-import { Fleet } from "../serving/fleet.ts";
 import { formatEndpoint, type HostSettings } from "../serving/hostSettings.ts";
-import { LoadBoard, LoadsMessage } from "../serving/loadBoard.ts";
-import { ModelPaces } from "../serving/modelPace.ts";
-import { ModelWaits } from "../serving/modelWait.ts";
+import { LoadsMessage } from "../serving/loadBoard.ts";
 import type { Engines } from "../serving/orders.ts";
-import { Outliers } from "../serving/outliers.ts";
 import {
   PeerTable,
   type Asked,
@@ -25,23 +18,20 @@
   type Pulse,
   type Standing,
 } from "../serving/membership/peerTable.ts";
-import { Refusals } from "../serving/refusals.ts";
 import { freshMs, shouldRead, type Reader } from "../serving/membership/readers.ts";
 import type { Store } from "../serving/store.ts";
 import { ActivationTask } from "./activationTask.ts";
 import { CallerServer } from "./callerServer.ts";
 import { ConfigurationTask } from "./configurationTask.ts";
-import { ControlServer } from "./controlServers.ts";
+import { createControlServers } from "./controlServers.ts";
 import { FleetTask } from "./fleetTask.ts";
-import { GatewayMetrics } from "./gatewayMetrics.ts";
 import { LeaseTask } from "./leaseTask.ts";
 import { MemberTask } from "./memberTask.ts";
 import { PeerCalls, type PeerNews } from "./peerCalls.ts";
 import { PeerTask } from "./peerTask.ts";
 import { PlacementTask } from "./placementTask.ts";
-import { ConfigurationInForce, RequestCounts, type Serving } from "./serving.ts";
+import { createServing, type Serving } from "./serving.ts";
 import { StoreLink } from "./storeLink.ts";
-import { UpstreamPool } from "./upstreamPool.ts";
 import { Utilization } from "./utilization.ts";
 
 /** Callers keep an answer of the directory for this long, s: short, so that a stopping node is soon left alone. */
@@ -106,7 +96,13 @@
     this.table = new PeerTable(settings);
     const utilization = new Utilization();
     this.busy = options.busy ?? ((): number => utilization.value);
-    this.serving = makeServing(options, () => this.liveNodes);
+    this.serving = createServing({
+      host: settings.host,
+      zone: settings.zone,
+      log,
+      codec: platform.codec,
+      nodes: () => this.liveNodes,
+    });
     for (const seed of settings.seeds) this.table.seek(seed, performance.now());
     const link = new StoreLink(log, this.serving.metrics);
     const { store } = platform;
@@ -295,37 +291,19 @@
     return !this.stopping && this.serving.configuration.current !== undefined;
   }
 
+  /** What other systems ask of this node beside callers' requests. */
   private controlServers(): Task[] {
     const { settings, platform } = this.options;
-    const { paths } = platform;
-    return [
-      new ControlServer({
-        name: "readiness",
-        endpoint: settings.readiness,
-        handle: (url, res) => {
-          const known = url.pathname === paths.readiness;
-          sendJson(res, !known ? 404 : this.ready ? 200 : 503, { ready: this.ready });
-        },
-      }),
-      new ControlServer({
-        name: "directory",
-        endpoint: settings.directory,
-        handle: (url, res) => {
-          if (url.pathname !== paths.directory) sendJson(res, 404, { error: "not found" });
-          else sendJson(res, 200, platform.encodeDirectory(this.addresses(), this.ttlS));
-        },
-      }),
-      new ControlServer({
-        name: "metrics",
-        endpoint: settings.metrics,
-        handle: async (_url, res) => {
-          this.serving.metrics.peers.set(this.table.alive(performance.now()).length);
-          const { registry } = this.serving.metrics;
-          res.writeHead(200, { "content-type": registry.contentType });
-          res.end(await registry.metrics());
-        },
-      }),
-    ];
+    return createControlServers({
+      settings,
+      paths: platform.paths,
+      ready: () => this.ready,
+      directory: () => platform.encodeDirectory(this.addresses(), this.ttlS),
+      metrics: () => {
+        this.serving.metrics.peers.set(this.table.alive(performance.now()).length);
+        return this.serving.metrics.registry;
+      },
+    });
   }
 
   private get ttlS(): number {
@@ -432,28 +410,3 @@
 function memberOf({ peers, zone, strength }: HostSettings): Member {
   return { ...peers, zone, strength };
 }
-
-function makeServing(options: GatewayNodeOptions, nodes: () => number): Serving {
-  return {
-    host: options.settings.host,
-    zone: options.settings.zone,
-    log: options.log,
-    codec: options.platform.codec,
-    configuration: new ConfigurationInForce(),
-    fleet: new Fleet(),
-    fleetChanged: new Emitter(),
-    loads: new LoadBoard(),
-    outliers: new Outliers(),
-    demand: new DemandMeter({ nodes }),
-    adapterDemand: new DemandMeter({ nodes }),
-    waiting: new RequestCounts(),
-    adaptersRunning: new RequestCounts(),
-    modelsRunning: new RequestCounts(),
-    refusals: new Refusals(),
-    modelWaits: new ModelWaits(),
-    paces: new ModelPaces(),
-    speed: new EngineSpeed(),
-    pool: new UpstreamPool(),
-    metrics: new GatewayMetrics(),
-  };
-}
--- a/src/gateway/serving.ts
+++ b/src/gateway/serving.ts
@@ -1,18 +1,18 @@
 /** What the parts of a gateway node share: the beliefs that decide about requests, and who to tell of changes. */
 import type { Log } from "../common/log.ts";
 import { Emitter } from "../common/emitter.ts";
-import type { DemandMeter } from "../serving/demandMeter.ts";
+import { DemandMeter } from "../serving/demandMeter.ts";
 import type { HeaderCodec } from "../serving/exchange.ts";
-import type { EngineSpeed } from "../serving/engineSpeed.ts";
-import type { Fleet } from "../serving/fleet.ts";
-import type { LoadBoard } from "../serving/loadBoard.ts";
-import type { ModelWaits } from "../serving/modelWait.ts";
-import type { ModelPaces } from "../serving/modelPace.ts";
-import type { Outliers } from "../serving/outliers.ts";
-import type { Refusals } from "../serving/refusals.ts";
+import { EngineSpeed } from "../serving/engineSpeed.ts";
+import { Fleet } from "../serving/fleet.ts";
+import { LoadBoard } from "../serving/loadBoard.ts";
+import { ModelWaits } from "../serving/modelWait.ts";
+import { ModelPaces } from "../serving/modelPace.ts";
+import { Outliers } from "../serving/outliers.ts";
+import { Refusals } from "../serving/refusals.ts";
 import type { RouteTable } from "../serving/routeTable.ts";
-import type { GatewayMetrics } from "./gatewayMetrics.ts";
-import type { UpstreamPool } from "./upstreamPool.ts";
+import { GatewayMetrics } from "./gatewayMetrics.ts";
+import { UpstreamPool } from "./upstreamPool.ts";
 
 /** The configuration in force on this node. */
 export class ConfigurationInForce {
@@ -99,6 +99,35 @@
   readonly metrics: GatewayMetrics;
 }
 
+/** What differs between nodes. */
+export interface ServingOptions extends Pick<Serving, "host" | "zone" | "log" | "codec"> {
+  /** Nodes that callers' requests are spread over now, this one included. */
+  readonly nodes: () => number;
+}
+
+/** The parts as they are before anything was learned. */
+export function createServing({ nodes, ...options }: ServingOptions): Serving {
+  return {
+    ...options,
+    configuration: new ConfigurationInForce(),
+    fleet: new Fleet(),
+    fleetChanged: new Emitter(),
+    loads: new LoadBoard(),
+    outliers: new Outliers(),
+    demand: new DemandMeter({ nodes }),
+    adapterDemand: new DemandMeter({ nodes }),
+    waiting: new RequestCounts(),
+    adaptersRunning: new RequestCounts(),
+    modelsRunning: new RequestCounts(),
+    refusals: new Refusals(),
+    modelWaits: new ModelWaits(),
+    paces: new ModelPaces(),
+    speed: new EngineSpeed(),
+    pool: new UpstreamPool(),
+    metrics: new GatewayMetrics(),
+  };
+}
+
 /** The key under which demand for a model is counted. */
 export function demandKey(service: string, model: string): string {
   return `${service} ${model}`;
