--- a/src/gateway/activationTask.ts
+++ b/src/gateway/activationTask.ts
@@ -12,12 +12,21 @@
 import type { PeerTask } from "./peerTask.ts";
 
 /**
- * Period of looks, and of questions of a node that stands by, ms: callers that ask it which addresses to use hear of a
- * lost node this much later than those that ask an active one.
+ * Period of looks, ms. Active nodes tell those that stand by of changes this much later at most, so callers that ask one
+ * of these which addresses to use hear of a lost node that much later.
  */
-const periodMs = 400;
-/** Active nodes that one standing by asks in turn: with one lost, the other still answers within two periods. */
+const periodMs = 600;
+/**
+ * Pause between questions of a node that stands by, ms. Nearly all that it does is to ask and be asked, and hundreds do
+ * so; changes are told without a question.
+ */
+const askMs = 1_200;
+/** Active nodes that one standing by asks in turn: with one lost, the other still tells it of changes. */
 const anchorCount = 2;
+/** Questions in a row that an active node may leave unanswered, as datagrams are lost; then it counts as dead. */
+const mostUnanswered = 2;
+/** A node that didn't ask for this long, ms, isn't told of changes any more: three questions to each anchor. */
+const listenerMs = 6 * askMs;
 /**
  * A node takes over when one is missing for this long, ms, and as much longer for each other node whose turn comes
  * before: it may be dead, and word of one that took over takes a period or two.
@@ -31,6 +40,14 @@
 
 const AskParams = Schema.Struct({ node: Member, digest: Schema.String });
 
+/** A node that stands by and asked lately. */
+interface Listener {
+  readonly node: Member;
+  readonly askedMs: number;
+  /** Of the roster that it knows. */
+  digest: string;
+}
+
 /** Options of an `ActivationTask`. */
 export interface ActivationTaskOptions {
   readonly log: Log;
@@ -38,6 +55,8 @@
   readonly peers: PeerTask;
   /** This node as its peers see it. */
   readonly standing: () => Standing;
+  /** Revision of the newest change of which servers there are. */
+  readonly presenceRevision: () => number;
   /** Time since any active node read the store, as far as is known, ms; infinite if none did. */
   readonly readAgeMs: () => number;
   /** The node is not to retire now: it holds the placement lease. */
@@ -57,6 +76,13 @@
   /** Since when a place for this node is empty, or it is one too many, ms. */
   private dueSinceMs: number | undefined;
   private rounds = 0;
+  private askedMs = Number.NEGATIVE_INFINITY;
+  /** The active node that was asked last and has not answered. */
+  private unanswered: string | undefined;
+  private readonly unansweredCounts = new Map<string, number>();
+  private readonly listeners = new Map<string, Listener>();
+  /** What listeners were told last. */
+  private toldKey = "";
   /** Digest of the roster that each active node told last. */
   private readonly digests = new Map<string, string>();
   /** Who told of the store lately: how old its read was, and when it told, ms. */
@@ -89,7 +115,8 @@
   }
 
   protected override step(): Promise<void> {
-    if (!this.activeNow) this.askAnchor();
+    if (this.activeNow) this.tellListeners();
+    else this.askAnchor();
     if (!this.stopping && this.options.listKnown()) this.decide();
     return Promise.resolve();
   }
@@ -125,24 +152,62 @@
   private become(active: boolean, others: readonly ActiveNode[]): void {
     this.activeNow = active;
     this.dueSinceMs = undefined;
+    this.options.table.forgetRosters();
+    this.digests.clear();
+    this.listeners.clear();
     this.options.log.info({ event: active ? "activated" : "retired", others: others.length });
     this.options.peers.tellEveryone();
     this.changed.fire(active);
   }
 
   private askAnchor(): void {
+    const now = performance.now();
     const { table, peers } = this.options;
+    const late = this.unanswered;
+    if (late === undefined && now - this.askedMs < askMs - periodMs / 2) return;
+    if (late !== undefined) this.noteUnanswered(late);
     const { ip, port, zone, strength } = this.options.standing();
     const node = { ip, port, zone, strength };
-    const anchors = table.anchors(performance.now()).slice(0, anchorCount);
+    const anchors = table.anchors(now).slice(0, anchorCount);
     this.rounds += 1;
+    this.askedMs = now;
     const anchor = anchors[this.rounds % Math.max(1, anchors.length)];
+    this.unanswered = anchor?.ip;
     // Nobody is known to be active: all that may be are asked.
-    const asked = anchor === undefined ? table.audience(performance.now(), true) : [anchor];
+    const asked = anchor === undefined ? table.audience(now, true) : [anchor];
     for (const peer of asked)
       peers.tellOne("roster.ask", { node, digest: this.digests.get(peer.ip) ?? "" }, peer);
   }
 
+  private noteUnanswered(ip: string): void {
+    const count = (this.unansweredCounts.get(ip) ?? 0) + 1;
+    this.unansweredCounts.set(ip, count);
+    if (count < mostUnanswered) return;
+    this.unansweredCounts.delete(ip);
+    this.options.table.drop(ip);
+    this.digests.delete(ip);
+  }
+
+  /** Tells those that stand by what changed since they were told. */
+  private tellListeners(): void {
+    const now = performance.now();
+    const roster = this.roster();
+    const key = `${roster.digest} ${roster.version} ${roster.fleetRevision}`;
+    if (key === this.toldKey) return;
+    this.toldKey = key;
+    for (const [ip, listener] of this.listeners) {
+      if (now - listener.askedMs >= listenerMs) this.listeners.delete(ip);
+      else this.tellListener(listener, roster);
+    }
+  }
+
+  private tellListener(listener: Listener, roster: Roster): void {
+    const { entries, ...brief } = roster;
+    const known = listener.digest === roster.digest || entries === undefined;
+    this.options.peers.tellOne("roster", known ? brief : roster, listener.node);
+    listener.digest = roster.digest;
+  }
+
   private onAsk(params: unknown): void {
     decodeEither(AskParams, params)
       .ifLeft((failure) => {
@@ -151,20 +216,22 @@
       .ifRight(({ node, digest }) => {
         // One that started later than this node is missing from the list that it read.
         this.options.table.meet(node);
-        this.options.peers.tellOne("roster", this.roster(digest), node);
+        const listener = { node, askedMs: performance.now(), digest };
+        this.listeners.set(node.ip, listener);
+        this.tellListener(listener, this.roster());
       });
   }
 
-  private roster(known: string): Roster {
+  private roster(): Roster {
     const now = performance.now();
     const { table, readAgeMs } = this.options;
     const self = this.options.standing();
-    const { host, boot, ip, port, version, fleetRevision } = self;
+    const { host, boot, ip, port, version } = self;
+    const fleetRevision = this.options.presenceRevision();
     const digest = `${table.digest(now)} ${String(this.activeNow)} ${String(self.ready)}`;
     const age = readAgeMs();
     const read = Number.isFinite(age) ? { readAgeMs: Math.round(age) } : {};
     const head = { host, boot, ip, port, version, fleetRevision, digest, ...read };
-    if (digest === known) return head;
     const entries = table.alive(now).map(({ pulse, heardMs }) => ({
       standing: standingOf(pulse),
       ageMs: Math.round(now - heardMs),
@@ -188,6 +255,8 @@
   private take(roster: Roster): void {
     const now = performance.now();
     const { table } = this.options;
+    this.unansweredCounts.delete(roster.ip);
+    if (this.unanswered === roster.ip) this.unanswered = undefined;
     if (roster.readAgeMs !== undefined) this.readHeard = { ageMs: roster.readAgeMs, atMs: now };
     if (roster.entries === undefined) {
       // Nothing changed, so all that it named are still heard by it.
--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/fleetTask.ts
@@ -26,7 +26,7 @@
 const mostRejected = 1_000;
 
 /** A peer asks for what changed after the revision that it pulled last. */
-const ChangesParams = Schema.Struct({ after: Schema.Number, scope: Schema.Literals(["all", "routing"]) });
+const ChangesParams = Schema.Struct({ after: Schema.Number, scope: Schema.Literals(["all", "presence"]) });
 
 /** What changed at the servers, for a peer that doesn't read the store. */
 const ChangesResult = Schema.Struct({
@@ -102,9 +102,9 @@
     if (this.pulling.has(peer.ip)) return;
     const last = this.pulled.get(peer.ip);
     // What was left out while this node stood by is pulled when it becomes active.
-    const goesOn = last?.boot === peer.boot && (last.scope === "all" || scope === "routing");
+    const goesOn = last?.boot === peer.boot && (last.scope === "all" || scope === "presence");
     const after = goesOn ? last.revision : 0;
-    if (goesOn && after === peer.fleetRevision) return;
+    if (goesOn && after >= peer.fleetRevision) return;
     if (this.options.reads() && this.readAgeMs < periodMs * 2) return;
     this.pulling.add(peer.ip);
     try {
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -42,9 +42,9 @@
 const lastAnswersMs = 300;
 /**
  * A node that stands by reads the store itself when no active one read it for this long, ms: two missed periods of
- * reading, and the time in which it hears of it.
+ * reading, and the two of its questions in which it hears of it.
  */
-const standbyReadMs = 2_200;
+const standbyReadMs = 3_000;
 /** Kept of the grace period for the exit itself, ms. */
 const exitMarginMs = 700;
 
@@ -121,6 +121,7 @@
       table: this.table,
       peers: this.peers,
       standing: () => this.standing(),
+      presenceRevision: () => this.serving.fleet.presenceRevision,
       readAgeMs: () => this.freshestReadMs,
       needed: () => this.lease.holding,
       listKnown: () => this.member.listKnown,
@@ -195,11 +196,11 @@
       void this.configuration.hear(pulse);
       // Only those that read the store know of changes first.
       if (pulse.readAgeMs !== undefined)
-        void this.fleet.hear(pulse, this.activation.active ? "all" : "routing");
+        void this.fleet.hear(pulse, this.activation.active ? "all" : "presence");
     });
     this.activation.heard.on((roster) => {
       void this.configuration.hear(roster);
-      void this.fleet.hear(roster, "routing");
+      void this.fleet.hear(roster, "presence");
     });
     this.supervisor = new Supervisor(
       "gateway",
--- a/src/gateway/peerCalls.ts
+++ b/src/gateway/peerCalls.ts
@@ -18,7 +18,7 @@
   readonly boot: number;
   /** Of its configuration. */
   readonly version: number;
-  /** Of what it knows of servers. */
+  /** Of the newest change of servers that it tells of. */
   readonly fleetRevision: number;
 }
 
--- a/src/serving/fleet.ts
+++ b/src/serving/fleet.ts
@@ -40,10 +40,10 @@
 const mostGone = 1_000;
 
 /**
- * Which changes a peer wants to hear. `routing` leaves out those of adapters: a node that stands by gets hardly any
- * requests, and most changes are of adapters.
+ * Which changes a peer wants to hear. `presence` leaves out those of models and adapters, which are most: a node that
+ * stands by gets hardly any requests, and engines tell of models that they don't hold.
  */
-export type ChangeScope = "all" | "routing";
+export type ChangeScope = "all" | "presence";
 
 /** What changed at the servers after a revision. */
 export interface FleetChanges {
@@ -78,12 +78,18 @@
   private forgottenRevision = 0;
   private graceUntil = 0;
   private revisionCount = 0;
+  private presenceCount = 0;
 
   /** Grows with each change that peers want to hear. */
   get revision(): number {
     return this.revisionCount;
   }
 
+  /** The revision of the newest change of which servers there are. */
+  get presenceRevision(): number {
+    return this.presenceCount;
+  }
+
   /** Takes a registration; true if it says anything new beside being newer. */
   learn({ server, version }: Registration, nowMs: number): boolean {
     // Guards "a server that left is sent requests again": a node that the store turned away still has the
@@ -96,8 +102,8 @@
     // after the first from after it, so the start decides between them and not the order of arrival.
     if (entry !== undefined && startedAfter(entry.registered, server)) return false;
     if (entry === undefined || startedAfter(server, entry.registered)) {
-      this.revisionCount += 1;
-      const changedAt = { all: this.revisionCount, routing: this.revisionCount };
+      const revision = this.nextRevision("presence");
+      const changedAt = { all: revision, presence: revision };
       this.entries.set(server.id, { registered: server, server, version, changedAt, changes: new Map() });
       return true;
     }
@@ -170,8 +176,7 @@
   }
 
   private drop(id: string, asOf: number): boolean {
-    this.revisionCount += 1;
-    this.gone.set(id, { asOf, revision: this.revisionCount });
+    this.gone.set(id, { asOf, revision: this.nextRevision("presence") });
     this.forgetOldestGone();
     return this.entries.delete(id);
   }
@@ -186,9 +191,15 @@
   private noteChange({ registered, changedAt }: Entry, next: BackendServer): void {
     // What lies at hand matters to the lease holder alone, which reads the store itself.
     if (told(registered, "all") === told(next, "all")) return;
+    const scope = told(registered, "presence") === told(next, "presence") ? "all" : "presence";
+    changedAt.all = this.nextRevision(scope);
+    if (scope === "presence") changedAt.presence = changedAt.all;
+  }
+
+  private nextRevision(scope: ChangeScope): number {
     this.revisionCount += 1;
-    changedAt.all = this.revisionCount;
-    if (told(registered, "routing") !== told(next, "routing")) changedAt.routing = this.revisionCount;
+    if (scope === "presence") this.presenceCount = this.revisionCount;
+    return this.revisionCount;
   }
 
   /** Takes the effect of an order. */
@@ -240,8 +251,7 @@
 /** What a change of is worth telling within the scope. */
 function told(server: BackendServer, scope: ChangeScope): string {
   const { residents, ...rest } = server;
-  const models = residents.map((r) => (scope === "all" ? r : r.model));
-  return JSON.stringify({ ...rest, atHand: [], models });
+  return JSON.stringify({ ...rest, atHand: [], residents: scope === "all" ? residents : [] });
 }
 
 /**
--- a/src/serving/membership/peerTable.ts
+++ b/src/serving/membership/peerTable.ts
@@ -74,6 +74,7 @@
   ip: Schema.String,
   port: Schema.Number,
   version: Schema.Number,
+  /** Of the newest change of which servers there are. */
   fleetRevision: Schema.Number,
   /** Time since any active node read the store, as far as is known, ms. */
   readAgeMs: Schema.optionalKey(Schema.Number),
@@ -87,6 +88,11 @@
 
 /** Not heard from for this long a node counts as dead, ms: five periods, as datagrams may be lost. */
 const silentMs = 1_600;
+/**
+ * The same for nodes that another one tells of, ms: it is asked less often than it hears them, and tells by itself when
+ * one falls silent.
+ */
+const untoldMs = 4_500;
 /** Dead nodes are still spoken to for this long, ms, so that a cut that heals is noticed on both sides. */
 const forgetMs = 60_000;
 
@@ -180,7 +186,21 @@
 
   /** Active nodes heard from lately. */
   alive(nowMs: number): Peer[] {
-    return [...this.peers.values()].filter((peer) => nowMs - peer.heardMs < silentMs);
+    const told = new Set([...this.rosters.values()].flatMap((named) => [...named]));
+    return [...this.peers.values()].filter(
+      ({ pulse, heardMs }) => nowMs - heardMs < (told.has(pulse.ip) ? untoldMs : silentMs),
+    );
+  }
+
+  /** A node didn't answer: it counts as dead until it is heard of again. */
+  drop(ip: string): void {
+    this.peers.delete(ip);
+    this.rosters.delete(ip);
+  }
+
+  /** This node is active and hears the others itself from now on. */
+  forgetRosters(): void {
+    this.rosters.clear();
   }
 
   /** The same, as membership decides by them. */
