--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -111,7 +111,7 @@
       log,
       table: this.table,
       pulse: () => this.pulse(),
-      loads: () => this.serving.loads.mine(),
+      loads: () => this.serving.loads.news(performance.now()),
       asked: () => this.asked(),
       active: () => this.activation.active,
       inUse: () => this.callers.busy > 0,
@@ -190,7 +190,6 @@
     });
     this.calls = new PeerCalls(settings.peers, { ...this.configuration.handlers, ...this.fleet.handlers });
     this.peers.heard.on((pulse) => {
-      this.serving.loads.learn(pulse.ip, pulse.loads, performance.now());
       if (pulse.paces !== undefined) this.serving.paces.hear(pulse.ip, pulse.paces);
       if (pulse.coming !== undefined) this.serving.modelWaits.announce(pulse.coming, performance.now());
       void this.configuration.hear(pulse);
@@ -343,7 +342,6 @@
       ...this.standing(),
       active: this.activation.active,
       ...(this.lease.heldToken === undefined ? {} : { coming: this.placement.expected() }),
-      loads: this.serving.loads.mine(),
       paces: this.serving.paces.mine(),
     };
   }
@@ -387,8 +385,8 @@
       .ifLeft((failure) => {
         this.options.log.warn({ event: "peer-message-rejected", detail: failure.message });
       })
-      .map(({ ip, loads }) => {
-        this.serving.loads.learn(ip, loads, performance.now());
+      .map((message) => {
+        this.serving.loads.learn(message, performance.now());
         return true;
       })
       .orDefault(false);
--- a/src/gateway/peerTask.ts
+++ b/src/gateway/peerTask.ts
@@ -9,7 +9,7 @@
 import type { Log } from "../common/log.ts";
 import type { Task } from "../common/supervisor.ts";
 import type { Endpoint } from "../serving/hostSettings.ts";
-import type { PeerLoads } from "../serving/loadBoard.ts";
+import type { LoadsMessage } from "../serving/loadBoard.ts";
 import { Pulse, type Asked, type PeerAddress, type PeerTable } from "../serving/membership/peerTable.ts";
 
 /** Period of pulses, ms. */
@@ -40,8 +40,8 @@
   readonly table: PeerTable;
   /** What to tell peers now. */
   readonly pulse: () => Pulse;
-  /** Work in flight of this node, to tell peers between pulses. */
-  readonly loads: () => PeerLoads;
+  /** Work in flight of this node that peers don't know. */
+  readonly loads: () => Pick<LoadsMessage, "loads" | "whole"> | undefined;
   /** What to tell the holder of the placement lease besides. */
   readonly asked: () => Asked;
   /** Does this node take callers, rather than stand by? */
@@ -125,7 +125,7 @@
       () => {
         const pulseIsDue = performance.now() - this.toldMs >= pulseMs - periodMs / 2;
         if (pulseIsDue) this.tell();
-        else this.tellLoads();
+        this.tellLoads();
         this.schedule();
       },
       this.options.active() ? periodMs : standbyMs,
@@ -151,10 +151,10 @@
       this.tellOne("pulse", { ...this.options.pulse(), asked: this.options.asked() }, holder);
   }
 
-  /** Says what is in flight here, where anything is. */
+  /** Says what is in flight here, where it changed. */
   private tellLoads(): void {
-    const loads = this.options.loads();
-    if (Object.keys(loads).length > 0) this.notify("loads", { ip: this.options.endpoint.ip, loads });
+    const news = this.options.active() ? this.options.loads() : undefined;
+    if (news !== undefined) this.notify("loads", { ip: this.options.endpoint.ip, ...news });
   }
 
   /** Calls a peer; sends again when the datagram seems lost, so the method must be idempotent. */
--- a/src/serving/loadBoard.ts
+++ b/src/serving/loadBoard.ts
@@ -18,8 +18,10 @@
 /** Decoded loads of a node. */
 export type PeerLoads = typeof PeerLoads.Type;
 
-/** A node says what it has in flight. */
-export const LoadsMessage = Schema.Struct({ ip: Schema.String, loads: PeerLoads });
+/** A node says what it has in flight: at all servers, or at those where it changed since it last said so. */
+export const LoadsMessage = Schema.Struct({ ip: Schema.String, loads: PeerLoads, whole: Schema.Boolean });
+/** A decoded message. */
+export type LoadsMessage = typeof LoadsMessage.Type;
 
 /** A request in flight; `started` when its first event comes, `done` at its end. */
 export interface InFlight {
@@ -27,15 +29,23 @@
   done(): void;
 }
 
-/** A peer's word on its load is not used after this time, ms: three periods of its messages. */
+/** A peer's word on its load is not used after this time, ms: it says all of it twice as often. */
 const peerLoadMs = 1_000;
+/**
+ * A node says at least this often what it has in flight at all servers, ms: a change that was lost on its way is made
+ * good by it. Between, changes are enough: all of it ten times a second was two thirds of what nodes told each other.
+ */
+const wholeMs = 500;
 
 const none: Load = { pendingMs: 0, requests: 0 };
 
 /** Sums of work in flight per server. */
 export class LoadBoard {
   private readonly own = new Map<string, { pendingMs: number; requests: number }>();
-  private readonly peers = new Map<string, { loads: PeerLoads; atMs: number }>();
+  private readonly peers = new Map<string, { loads: Map<string, readonly [number, number]>; atMs: number }>();
+  /** What peers were told last, and when they were told all of it, ms. */
+  private told: PeerLoads = {};
+  private toldWholeMs = Number.NEGATIVE_INFINITY;
 
   /** Counts a request as in flight at the server until its handle is done. */
   begin(serverId: string, pendingMs: number): InFlight {
@@ -61,26 +71,54 @@
   }
 
   /** Takes what a peer has in flight. */
-  learn(peer: string, loads: PeerLoads, nowMs: number): void {
-    this.peers.set(peer, { loads, atMs: nowMs });
+  learn({ ip, loads, whole }: LoadsMessage, nowMs: number): void {
+    const known = whole ? undefined : this.peers.get(ip)?.loads;
+    const merged = known ?? new Map<string, readonly [number, number]>();
+    for (const [id, load] of Object.entries(loads)) {
+      if (load[1] > 0) merged.set(id, load);
+      else merged.delete(id);
+    }
+    this.peers.set(ip, { loads: merged, atMs: nowMs });
   }
 
-  /** This node's own load, to tell peers. */
-  mine(): PeerLoads {
-    return Object.fromEntries(
-      [...this.own].map(([id, load]) => [id, [Math.round(load.pendingMs), load.requests] as const]),
-    );
+  /** This node's own load to tell peers now; undefined if they know it. */
+  news(nowMs: number): Pick<LoadsMessage, "loads" | "whole"> | undefined {
+    const now = this.mine();
+    const changed = changesBetween(this.told, now);
+    const whole = nowMs - this.toldWholeMs >= wholeMs;
+    const idle = Object.keys(now).length === 0;
+    if (Object.keys(changed).length === 0 && (!whole || idle)) return undefined;
+    this.told = now;
+    if (!whole) return { loads: changed, whole };
+    this.toldWholeMs = nowMs;
+    return { loads: now, whole };
   }
 
   /** All work known to be in flight at the server. */
   at(serverId: string, nowMs: number): Load {
     let { pendingMs, requests } = this.own.get(serverId) ?? none;
     for (const { loads, atMs } of this.peers.values()) {
-      const load = nowMs - atMs > peerLoadMs ? undefined : loads[serverId];
+      const load = nowMs - atMs > peerLoadMs ? undefined : loads.get(serverId);
       if (load === undefined) continue;
       pendingMs += load[0];
       requests += load[1];
     }
     return { pendingMs, requests };
   }
+
+  private mine(): PeerLoads {
+    return Object.fromEntries(
+      [...this.own].map(([id, load]) => [id, [Math.round(load.pendingMs), load.requests] as const]),
+    );
+  }
+}
+
+/** Entries that differ; those that are gone as nothing in flight. */
+function changesBetween(before: PeerLoads, after: PeerLoads): PeerLoads {
+  const changed = Object.entries(after).filter(([id, [pendingMs, requests]]) => {
+    const known = before[id];
+    return known?.[0] !== pendingMs || known[1] !== requests;
+  });
+  const ended = Object.keys(before).filter((id) => after[id] === undefined);
+  return Object.fromEntries([...changed, ...ended.map((id) => [id, [0, 0]] as const)]);
 }
--- a/src/serving/membership/peerTable.ts
+++ b/src/serving/membership/peerTable.ts
@@ -4,7 +4,6 @@
  */
 import * as crypto from "node:crypto";
 import * as Schema from "effect/Schema";
-import { PeerLoads } from "../loadBoard.ts";
 import { isCrowded, likelyActive, type ActiveNode, type Candidate } from "./activeSet.ts";
 
 /** What callers ask of a node. */
@@ -56,8 +55,6 @@
   active: Schema.Boolean,
   /** Told by the holder: models on their way by demand key, and the time until they should be there, ms. */
   coming: Schema.optionalKey(Schema.Record(Schema.String, Schema.Number)),
-  /** Work in flight by server id: pending ms, requests. */
-  loads: PeerLoads,
   /** What it has learned of models' paces: pace and observations by kind. */
   paces: Schema.optionalKey(Schema.Record(Schema.String, Schema.Tuple([Schema.Number, Schema.Number]))),
   /** Only told to the holder of the placement lease, as nobody else uses it. */
