--- a/src/serving/membership/peerTable.ts
+++ b/src/serving/membership/peerTable.ts
@@ -129,8 +129,7 @@
 
   /** Takes a pulse; false if it is older than what is known. */
   hear(pulse: Pulse, nowMs: number): boolean {
-    const known = this.peers.get(pulse.ip);
-    if (known !== undefined && known.pulse.boot > pulse.boot) return false;
+    if (this.isFromBefore(pulse, nowMs)) return false;
     if (pulse.active) this.peers.set(pulse.ip, { pulse, heardMs: nowMs });
     else this.peers.delete(pulse.ip);
     return true;
@@ -144,7 +143,7 @@
     this.rosters.set(teller, named);
     for (const entry of entries) {
       const known = this.peers.get(entry.pulse.ip);
-      if (entry.pulse.ip === this.self.ip || (known?.pulse.boot ?? 0) > entry.pulse.boot) continue;
+      if (entry.pulse.ip === this.self.ip || this.isFromBefore(entry.pulse, entry.heardMs)) continue;
       if ((known?.heardMs ?? Number.NEGATIVE_INFINITY) < entry.heardMs) this.peers.set(entry.pulse.ip, entry);
     }
   }
@@ -247,6 +246,15 @@
     }
     return found;
   }
+
+  /**
+   * Is the word older than a restart of its node that is known? Guards "a restarted node is taken for dead": its time of
+   * day may have been set back, so a later start looks like an earlier one. Its earlier life is silent by then.
+   */
+  private isFromBefore({ ip, boot }: Standing, nowMs: number): boolean {
+    const known = this.peers.get(ip);
+    return known !== undefined && known.pulse.boot > boot && nowMs - known.heardMs < silentMs;
+  }
 }
 
 function digestOf(texts: readonly string[]): string {
--- a/test/serving/decisions.spec.ts
+++ b/test/serving/decisions.spec.ts
@@ -332,6 +332,15 @@
     expect(peers.alive(2_000).map((peer) => peer.pulse.ip)).to.deep.equal(["10.0.0.2"]);
   });
 
+  it("should hear a node that restarted after its time of day was set back", () => {
+    // The host's clock was set back by seconds and its process restarted: its start looked earlier than the one
+    // before, and no other node told callers of it any more.
+    const peers = new PeerTable({ ip: "10.0.0.1", zone: "a", strength: 1 });
+    peers.hear(pulse("10.0.0.2", { boot: 9_000 }), 0);
+    expect(peers.hear(pulse("10.0.0.2", { boot: 4_000 }), 2_000)).to.equal(true);
+    expect(peers.alive(2_100)).to.have.length(1);
+  });
+
   it("should ignore a pulse from before a peer's restart", () => {
     const peers = new PeerTable({ ip: "10.0.0.1", zone: "a", strength: 1 });
     peers.hear(pulse("10.0.0.2", { boot: 2, ready: false }), 0);
