--- a/src/serving/membership/peerTable.ts
+++ b/src/serving/membership/peerTable.ts
@@ -65,11 +65,12 @@
 
 /** The active nodes as one node knows them, for a node that stands by. */
 export const Roster = Schema.Struct({
-  /** Who tells, and whether it is active itself. */
+  /** The node that tells. */
   host: Schema.String,
   boot: Schema.Number,
   ip: Schema.String,
   port: Schema.Number,
+  /** Of its configuration. */
   version: Schema.Number,
   /** Of the newest change of which servers there are. */
   fleetRevision: Schema.Number,
@@ -188,6 +189,11 @@
     );
   }
 
+  /** The same, as membership decides by them. */
+  active(nowMs: number): ActiveNode[] {
+    return this.alive(nowMs).map(({ pulse }) => pulse);
+  }
+
   /** A node didn't answer: it counts as dead until it is heard of again. */
   drop(ip: string): void {
     this.peers.delete(ip);
@@ -199,11 +205,6 @@
     this.rosters.clear();
   }
 
-  /** The same, as membership decides by them. */
-  active(nowMs: number): ActiveNode[] {
-    return this.alive(nowMs).map(({ pulse }) => pulse);
-  }
-
   /** Addresses to tell of this node: alive ones, and at times those that may come back. */
   audience(nowMs: number, everyone: boolean): PeerAddress[] {
     const addresses = new Map<string, PeerAddress>();
@@ -215,6 +216,8 @@
     for (const { address, sinceMs } of this.sought.values()) {
       if (nowMs - sinceMs < forgetMs) addresses.set(address.ip, address);
     }
+    // Guards "a node that was cut off for long never finds the others again": it has forgotten them all.
+    if (addresses.size === 0) return [...this.sought.values()].map(({ address }) => address);
     return [...addresses.values()];
   }
 
--- a/test/serving/membership.spec.ts
+++ b/test/serving/membership.spec.ts
@@ -133,6 +133,16 @@
     expect(table.alive(1_300)[0]?.pulse).to.include({ boot: 2, ready: false });
   });
 
+  it("should be sought from the nodes it began with, once all others are forgotten", () => {
+    // A host was cut off for minutes. It had taken every node for dead and forgotten them, asked nobody any more, and
+    // stayed alone after the cut had healed.
+    const table = new PeerTable({ ip: "10.0.0.9", zone: "a", strength: 1 });
+    table.seek({ ip: "10.0.0.3", port: 1 }, 0);
+    table.hearRoster("10.0.0.1", [entry("10.0.0.1", 0)]);
+    table.drop("10.0.0.1");
+    expect(table.audience(300_000, true).map(({ ip }) => ip)).to.deep.equal(["10.0.0.3"]);
+  });
+
   it("should come from nodes of its own zone first", () => {
     const table = new PeerTable({ ip: "10.0.0.9", zone: "b", strength: 1 });
     table.hearRoster("10.0.0.1", [entry("10.0.0.1", 0), entry("10.0.0.2", 0, { zone: "b" })]);
