--- a/src/gateway/activationTask.ts
+++ b/src/gateway/activationTask.ts
@@ -59,8 +59,10 @@
   readonly presenceRevision: () => number;
   /** Time since any active node read the store, as far as is known, ms; infinite if none did. */
   readonly readAgeMs: () => number;
-  /** The node is not to retire now: it holds the placement lease. */
-  readonly needed: () => boolean;
+  /** Does the node hold the placement lease? */
+  readonly holdsLease: () => boolean;
+  /** Gives the placement lease up. */
+  readonly handOver: () => Promise<void>;
   /** Does the node know the other nodes, from the store or from peers, or has it waited long enough? */
   readonly listKnown: () => boolean;
 }
@@ -126,8 +128,7 @@
     const { table } = this.options;
     const view = { self: this.options.standing(), active: table.active(now), listed: table.listed };
     if (this.activeNow) {
-      const surplus = !this.options.needed() && mayRetire(view);
-      if (this.dueFor(surplus, now) >= surplusMs) this.become(false, view.active);
+      if (this.dueFor(mayRetire(view), now) >= surplusMs) this.retire(view.active);
       return;
     }
     const turn = turnToActivate(view);
@@ -149,6 +150,15 @@
     return now - this.dueSinceMs;
   }
 
+  /**
+   * A holder gives its lease up first, and retires at the next look. Guards "a small host plans for good": it took the
+   * lease while stronger ones were starting.
+   */
+  private retire(others: readonly ActiveNode[]): void {
+    if (this.options.holdsLease()) void this.options.handOver();
+    else this.become(false, others);
+  }
+
   private become(active: boolean, others: readonly ActiveNode[]): void {
     this.activeNow = active;
     this.dueSinceMs = undefined;
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -123,7 +123,8 @@
       standing: () => this.standing(),
       presenceRevision: () => this.serving.fleet.presenceRevision,
       readAgeMs: () => this.freshestReadMs,
-      needed: () => this.lease.holding,
+      holdsLease: () => this.lease.holding,
+      handOver: () => this.lease.handOver(),
       listKnown: () => this.member.listKnown,
     });
     this.lease = new LeaseTask({
--- a/src/gateway/leaseTask.ts
+++ b/src/gateway/leaseTask.ts
@@ -77,6 +77,8 @@
   /** The last yield heard, and when. */
   private yielded: { readonly message: Yield; readonly atMs: number } | undefined;
   private stopping = false;
+  /** The lease is being given up: no order is sent any more. */
+  private handingOver = false;
   private lookedAtStart = false;
 
   constructor(private readonly options: LeaseTaskOptions) {
@@ -112,7 +114,8 @@
 
   /** Does this node hold the lease? Asked without sending an order. */
   get holding(): boolean {
-    return this.held !== undefined && !this.stopping && performance.now() < this.held.untilMs - sendMarginMs;
+    if (this.stopping || this.handingOver) return false;
+    return this.held !== undefined && performance.now() < this.held.untilMs - sendMarginMs;
   }
 
   /** The token while held, to tell peers. */
@@ -120,10 +123,16 @@
     return this.holding ? this.held?.token : undefined;
   }
 
-  /** Stops ordering and lets a successor in as early as the bound allows. */
+  /** Stops ordering for good and lets a successor in as early as the bound allows. */
   async release(): Promise<void> {
     this.stopping = true;
-    if (this.held === undefined || this.row === undefined) return;
+    await this.handOver();
+  }
+
+  /** Stops ordering and lets a successor in as early as the bound allows. */
+  async handOver(): Promise<void> {
+    if (this.held === undefined || this.row === undefined || this.handingOver) return;
+    this.handingOver = true;
     const ordered = Object.fromEntries(
       [...this.lastOrders()].map(([id, ms]) => [id, Math.ceil(this.clock.at(ms))]),
     );
@@ -137,11 +146,12 @@
       this.options.log.warn({ event: "lease-release-failed", detail: toFailure(error).message });
     }
     this.lose("released");
+    this.handingOver = false;
   }
 
   override async step(): Promise<void> {
     this.checkClocks();
-    if (this.stopping) return;
+    if (this.stopping || this.handingOver) return;
     const now = performance.now();
     if (this.held !== undefined && now > this.held.untilMs) this.lose("not renewed in time");
     if (this.held !== undefined) {
--- a/src/gateway/serverWait.ts
+++ b/src/gateway/serverWait.ts
@@ -132,28 +132,29 @@
   private candidates(): BackendServer[] {
     const { facts, service, serving } = this.options;
     const now = performance.now();
-    const servers = this.reachableServers().filter((s) => serving.refusals.open(s.id, this.scope, now));
     const { model, adapter } = facts;
-    if (model === undefined || service.engine === undefined) return servers;
-    return servers.filter((server) => holds(server, model, adapter));
+    const held = service.engine === undefined ? undefined : model;
+    return this.reachableServers(held, adapter).filter((s) => serving.refusals.open(s.id, this.scope, now));
   }
 
   /**
-   * Servers that take requests. One that can't be reached is none, not even where it is the only one: guards
-   * "every request runs into a dead server": its registration outlives a crash by seconds, and each request
-   * that was sent to it meanwhile was refused with no word on when to come back.
+   * Servers that take requests, and hold the model and adapter if they are named. One that can't be reached is none,
+   * not even where it is the only one: guards "every request runs into a dead server": its registration outlives a
+   * crash by seconds, and each request that was sent to it meanwhile was refused with no word on when to come back.
    */
-  private reachableServers(): BackendServer[] {
+  private reachableServers(model: string | undefined, adapter: string | undefined): BackendServer[] {
     const now = performance.now();
     const { fleet, outliers } = this.options.serving;
+    // A few of 80 engines hold a model, so that is asked first: a request that waits its turn chooses 20 times a second.
     return fleet
       .available(this.options.service.name)
+      .filter((server) => model === undefined || holds(server, model, adapter))
       .filter((server) => !outliers.health(server.id, now).unreachable);
   }
 
   private modelIsThere(): boolean {
     const { model } = this.options.facts;
-    return model !== undefined && this.reachableServers().some((s) => holds(s, model, undefined));
+    return model !== undefined && this.reachableServers(model, undefined).length > 0;
   }
 
   private admission(chosen: Chosen, { sends }: Progress): "send" | "wait" | "refuse" {
--- a/src/serving/fleet.ts
+++ b/src/serving/fleet.ts
@@ -79,6 +79,8 @@
   private graceUntil = 0;
   private revisionCount = 0;
   private presenceCount = 0;
+  /** What `available` gives, by service; emptied with each change. */
+  private readonly availableNow = new Map<string, readonly BackendServer[]>();
 
   /** Grows with each change that peers want to hear. */
   get revision(): number {
@@ -105,6 +107,7 @@
       const revision = this.nextRevision("presence");
       const changedAt = { all: revision, presence: revision };
       this.entries.set(server.id, { registered: server, server, version, changedAt, changes: new Map() });
+      this.availableNow.clear();
       return true;
     }
     // Registrations may come out of order: an older one must not bring back a server that is leaving.
@@ -114,7 +117,7 @@
     const changed = JSON.stringify(registered) !== JSON.stringify(entry.registered);
     if (changed) this.noteChange(entry, registered);
     entry.registered = registered;
-    entry.server = withChanges(entry, nowMs);
+    this.refresh(entry, nowMs);
     return changed;
   }
 
@@ -178,9 +181,15 @@
   private drop(id: string, asOf: number): boolean {
     this.gone.set(id, { asOf, revision: this.nextRevision("presence") });
     this.forgetOldestGone();
+    this.availableNow.clear();
     return this.entries.delete(id);
   }
 
+  private refresh(entry: Entry, nowMs: number): void {
+    entry.server = withChanges(entry, nowMs);
+    this.availableNow.clear();
+  }
+
   private forgetOldestGone(): void {
     const [oldest] = this.gone;
     if (this.gone.size <= mostGone || oldest === undefined) return;
@@ -210,7 +219,7 @@
     if ((change.startedAtMs ?? 0) !== (entry.registered.startedAtMs ?? 0)) return;
     const key = `${change.model}/${change.adapter ?? ""}`;
     entry.changes.set(key, { change, untilMs: nowMs + changeHoldsMs });
-    entry.server = withChanges(entry, nowMs);
+    this.refresh(entry, nowMs);
   }
 
   /** A server answered that it doesn't hold the model or adapter: believe it until it says otherwise. */
@@ -228,9 +237,13 @@
     return this.entries.get(id)?.server;
   }
 
-  /** Servers of the service that take new requests. */
-  available(service: string): BackendServer[] {
-    return this.all().filter((server) => server.service === service && !server.leaving);
+  /** Servers of the service that take new requests. Gathered once for all requests until a server changes. */
+  available(service: string): readonly BackendServer[] {
+    const known = this.availableNow.get(service);
+    if (known !== undefined) return known;
+    const servers = this.all().filter((server) => server.service === service && !server.leaving);
+    this.availableNow.set(service, servers);
+    return servers;
   }
 
   /** Every server known, leaving ones too. */
--- a/test/gateway/activeSet.spec.ts
+++ b/test/gateway/activeSet.spec.ts
@@ -4,6 +4,7 @@
   configuration,
   directoryOf,
   GatewayWorld,
+  metricsOf,
   route,
   statusOf,
   until,
@@ -76,3 +77,23 @@
     expect(standby().link.calls).to.equal(before);
   });
 });
+
+describe("a small host that holds the placement lease", () => {
+  it("should give it up once enough stronger ones are active", async () => {
+    // One small host starts before the others and takes the lease. It went on to plan for hundreds of models on a third
+    // of a core, as long as it lived.
+    const world = new GatewayWorld();
+    world.configure(configuration(1, [route()]));
+    const small = await world.startNode(undefined, { strength: 0.3 });
+    const holds = async (node: RunningNode): Promise<boolean> =>
+      (await metricsOf(node)).includes("parsleynotch_lease_held 1\n");
+    await until(async () => holds(small), 5_000);
+    for (let i = 1; i < size; i += 1) await world.startNode(undefined, { strength: 1 });
+    await until(async () => !(await directoryOf(small)).includes(`${small.ip}:21001`), 10_000);
+    await until(async () => {
+      const held = await Promise.all(world.nodes.map(holds));
+      return held.filter(Boolean).length === 1 && held[0] === false;
+    }, 6_000);
+    await world.dispose();
+  });
+});
