--- a/src/serving/fleet.ts
+++ b/src/serving/fleet.ts
@@ -228,11 +228,6 @@
     this.apply({ serverId, startedAtMs, model, adapter, present: false }, nowMs);
   }
 
-  /** Every server as it registered itself, without the changes since. */
-  registered(): BackendServer[] {
-    return [...this.entries.values()].map((entry) => entry.registered);
-  }
-
   get(id: string): BackendServer | undefined {
     return this.entries.get(id)?.server;
   }
@@ -261,7 +256,7 @@
   return { server: registered, version };
 }
 
-/** What a change of is worth telling within the scope. */
+/** The part of a server whose changes are worth telling within the scope, to compare by. */
 function told(server: BackendServer, scope: ChangeScope): string {
   const { residents, ...rest } = server;
   return JSON.stringify({ ...rest, atHand: [], residents: scope === "all" ? residents : [] });
--- a/src/serving/membership/activeSet.ts
+++ b/src/serving/membership/activeSet.ts
@@ -7,7 +7,7 @@
  */
 
 /** Nodes up to which all are active: telling each other costs little, and callers lose least with one. */
-export const fewNodes = 16;
+const fewNodes = 16;
 /** Active nodes over all zones, at least: the loss of one cuts off one caller in twelve. */
 const leastActive = 12;
 /** More nodes are wanted where the active ones use more than this part of their processor time. */
