--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -9,6 +9,8 @@
 
 /** Time to set up a connection, ms: some ten round trips between zones; a lost first packet takes 1 s. */
 const connectMs = 300;
+/** Errors of a connection that its other end closed or reset; others are answers that can't be read. */
+const cutCodes: ReadonlySet<string> = new Set(["ECONNRESET", "EPIPE"]);
 
 /** What a stream's events are written to. */
 export interface StreamSink {
@@ -59,7 +61,13 @@
   | { readonly kind: "streamed"; readonly firstByteMs: number; readonly timing: StreamTiming }
   | { readonly kind: "not-run"; readonly facts: AnswerFacts }
   | { readonly kind: "unreachable"; readonly reason: string }
-  | { readonly kind: "broken"; readonly reason: string; readonly lastEvent: number | undefined }
+  | {
+      readonly kind: "broken";
+      readonly reason: string;
+      readonly lastEvent: number | undefined;
+      /** The connection ended before the answer did, as it does when the server's process ends. */
+      readonly cut: boolean;
+    }
   | {
       readonly kind: "silent";
       readonly reason: string;
@@ -138,7 +146,7 @@
       const reason = error.code ?? error.message;
       // Without a connection nothing was sent, whatever became of it.
       if (!this.connected) this.end({ kind: "unreachable", reason });
-      else this.end({ kind: "broken", reason, lastEvent: this.lastEvent });
+      else this.broke(reason, cutCodes.has(reason));
     });
     this.req.on("response", (res) => {
       this.onResponse(res);
@@ -181,7 +189,7 @@
     // Guards "a caller gets another request's answer": a late second answer arrives where the next one is
     // due. The echoed id tells them apart; one without it belongs to no request.
     if (facts.requestId !== this.options.requestId) {
-      this.end({ kind: "broken", reason: "answer to another request", lastEvent: this.lastEvent });
+      this.broke("answer to another request", false);
       return;
     }
     this.listener.answer(facts);
@@ -208,7 +216,7 @@
     res.on("data", (chunk: Buffer) => chunks.push(chunk));
     res.on("error", () => undefined);
     res.on("close", () => {
-      this.end({ kind: "broken", reason: "answer incomplete", lastEvent: this.lastEvent });
+      this.broke("answer incomplete", true);
     });
     res.on("end", () => {
       if (this.failed || !res.complete) return;
@@ -239,13 +247,13 @@
     });
     res.on("error", () => undefined);
     res.on("close", () => {
-      this.end({ kind: "broken", reason: "stream incomplete", lastEvent: this.lastEvent });
+      this.broke("stream incomplete", true);
     });
     res.on("end", () => {
       if (this.failed || !res.complete || this.settled) return;
       this.keepOrClose();
       if (splitter.incomplete.length > 0) {
-        this.end({ kind: "broken", reason: "stream ended inside an event", lastEvent: this.lastEvent });
+        this.broke("stream ended inside an event", true);
         return;
       }
       if (this.firstByteMs === undefined) sink.open(res.rawHeaders);
@@ -277,6 +285,10 @@
     if (!this.sentWhole) this.req.socket?.destroy();
   }
 
+  private broke(reason: string, cut: boolean): void {
+    this.end({ kind: "broken", reason, lastEvent: this.lastEvent, cut });
+  }
+
   /** Settles and leaves the connection as it is. */
   private conclude(outcome: AttemptOutcome): void {
     if (this.settled) return;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,8 +1,10 @@
 /** One caller's request from arrival to answer: route, wait, choose, send, send again, answer. */
 import { Failure, toFailure, type ErrorKind } from "../common/errors.ts";
+import type { BackendServer } from "../serving/backendServer.ts";
 import { repeatable, type Model, type Route, type Service } from "../serving/configuration.ts";
 import { engineWorkMs } from "../serving/engineSpeed.ts";
 import type { RequestFacts } from "../serving/exchange.ts";
+import { fingerprintOf } from "../serving/fingerprint.ts";
 import type { InFlight } from "../serving/loadBoard.ts";
 import { patienceOf, type Patience } from "../serving/patience.ts";
 import type { RetryBudget } from "../serving/retryBudget.ts";
@@ -45,6 +47,7 @@
   private patience!: Patience;
   private wait!: ServerWait;
   private body: Buffer | undefined;
+  private contentId: string | undefined;
   private sends = 0;
   /** Sends whose server may have run the request. */
   private ran = 0;
@@ -211,6 +214,8 @@
     this.attempt = undefined;
     inFlight.done();
     this.judge(chosen, outcome);
+    if (outcome.kind === "broken" && outcome.cut)
+      this.noteCut(chosen.server, outcome, performance.now() - now);
     return outcome;
   }
 
@@ -273,6 +278,41 @@
     });
   }
 
+  /** The server may have ended while it ran the request: the one thing to go by to find out under which request. */
+  private noteCut(
+    server: BackendServer,
+    { reason, lastEvent }: { reason: string; lastEvent: number | undefined },
+    afterMs: number,
+  ): void {
+    const { serving, service, facts } = this;
+    serving.metrics.cuts.inc({ service: service.name });
+    serving.log.info({
+      event: "request-cut",
+      requestId: facts.requestId,
+      fingerprint: this.fingerprint,
+      service: service.name,
+      server: server.id,
+      model: facts.model,
+      adapter: facts.adapter,
+      sends: this.sends,
+      lastEvent,
+      afterMs: Math.round(afterMs),
+      reason,
+    });
+  }
+
+  /** Identifies what the request asks. */
+  private get fingerprint(): string {
+    const { req } = this.caller;
+    this.contentId ??= fingerprintOf({
+      method: req.method ?? "GET",
+      host: this.facts.host,
+      target: req.url ?? "/",
+      body: this.body,
+    });
+    return this.contentId;
+  }
+
   private learnPace(chosen: Chosen, firstByteMs: number): void {
     const { model } = this;
     if (model === undefined || !chosen.quiet) return;
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -10,6 +10,10 @@
   readonly requests = this.counter("requests_total", "Requests ended", ["kind", "service", "outcome"]);
   /** Sends to servers, by service and outcome. */
   readonly attempts = this.counter("attempts_total", "Sends to servers", ["service", "outcome"]);
+  /** Sends whose connection ended before the answer did, by service. */
+  readonly cuts = this.counter("cut_sends_total", "Sends whose connection ended before the answer", [
+    "service",
+  ]);
   /** Orders to engines, by action and outcome. */
   readonly orders = this.counter("orders_total", "Orders to engines", ["action", "outcome"]);
   /** Time to the first byte for callers, s. */
