--- a/test/gateway/crashes.spec.ts
+++ b/test/gateway/crashes.spec.ts
@@ -1,11 +1,20 @@
 import { expect } from "chai";
+import type { Route } from "../../src/serving/configuration.ts";
 import { createFlatLog } from "../../src/common/hostLog.ts";
-import { CrashingPool, deadly } from "../fixtures/crashingPool.ts";
-import { ask } from "../fixtures/gateways.ts";
+import { CrashingPool, deadly, deadlyMidway } from "../fixtures/crashingPool.ts";
+import { answerOk, beginStream, event } from "../fixtures/backends.ts";
+import { ask, until, type Reply } from "../fixtures/gateways.ts";
 
 /** The log's level for "info", whatever level the tests run with. */
 const infoLevel = 3;
 
+/** Between two repeats: a caller's own delay, ms. */
+const gapMs = 150;
+/** So many servers may end under a request before it is held back. */
+const mostEnded = 3;
+
+const pause = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
+
 describe("a request under which servers end", () => {
   let pool: CrashingPool;
 
@@ -13,6 +22,18 @@
     await pool.dispose();
   });
 
+  /** The caller sends the same again and again, to one node after the other. */
+  async function repeat(body: string, times: number): Promise<Reply[]> {
+    const replies: Reply[] = [];
+    for (let i = 0; i < times; i += 1) {
+      const node = pool.nodes[i % pool.nodes.length];
+      if (node === undefined) break;
+      replies.push(await ask({ ip: node.ip, method: "POST", path: "/drafts/7", body }));
+      await pause(gapMs);
+    }
+    return replies;
+  }
+
   it("should be told by its content in the log of each node that saw it cut", async () => {
     // Servers ended one after the other. The log named many cut requests at each end, with ids and models that
     // differed from end to end, so nobody could tell that one of them was there each time.
@@ -29,4 +50,101 @@
     expect(new Set(cuts.map(({ server }) => server)).size).to.equal(2);
     expect(new Set(cuts.map(({ fingerprint }) => fingerprint)).size).to.equal(1);
   });
+
+  const kinds: Record<string, Partial<Route>> = {
+    "an idempotent call": { kind: "idempotent", maxAttempts: 2 },
+    "a call that may run once": { kind: "non-idempotent", maxAttempts: 1 },
+    "a stream that can't be resumed": { kind: "stream", maxAttempts: 1, pauseMs: 400 },
+    "a stream that can be resumed": { kind: "stream", maxAttempts: 2, pauseMs: 400, resumable: true },
+  };
+
+  for (const [name, kind] of Object.entries(kinds)) {
+    it(`should be sent to no more servers once three have ended: ${name}`, async () => {
+      // Users saw one server after the other end, and with each one all that ran on it cut off. A caller sent the same
+      // request again and again, to whichever node; each node took each repeat for a new request, blamed the server
+      // alone and sent the repeat on to the next one.
+      pool = await CrashingPool.start({ route: kind });
+      const replies = await repeat(deadly, 12);
+      expect(pool.ended).to.have.length.at.most(mostEnded);
+      expect(replies.at(-1)?.status).to.equal(503);
+      expect(Number(replies.at(-1)?.headers["retry-after"])).to.be.greaterThan(0);
+    });
+  }
+
+  it("should be sent to no more servers when each one ends midway through its stream", async () => {
+    // The server streams an event and ends. The node resumed the stream at the next server, which ended as well, and so
+    // did those of the caller's repeats: a resumed stream is the same request, though it asks for later events.
+    pool = await CrashingPool.start({
+      route: { kind: "stream", maxAttempts: 3, pauseMs: 400, resumable: true },
+    });
+    await repeat(deadlyMidway, 8);
+    expect(pool.ended).to.have.length.at.most(mostEnded);
+  });
+
+  it("should still be held back by nodes that start after all others were lost", async () => {
+    // Three servers had ended, then all hosts lost power. The nodes came back knowing nothing, and the next repeat ended
+    // servers again: what was learned must outlive the processes that learned it.
+    pool = await CrashingPool.start({ route: { maxAttempts: 1 } });
+    await repeat(deadly, mostEnded);
+    await pause(500);
+    await pool.replaceNodes();
+    await repeat(deadly, 4);
+    expect(pool.ended).to.have.length.at.most(mostEnded);
+  });
+});
+
+describe("a harmless request", () => {
+  let pool: CrashingPool;
+
+  afterEach(async () => {
+    await pool.dispose();
+  });
+
+  it("should be served though the first servers that ran it ended for other reasons", async () => {
+    // Servers end one after the other, and a long stream happens to run on two of them. Its caller was still served, by
+    // the third: only what is there each time is held back.
+    pool = await CrashingPool.start({
+      route: { kind: "stream", maxAttempts: 3, pauseMs: 400, resumable: true },
+      answer: (arrival) => {
+        beginStream(arrival);
+        arrival.res.write(event(1));
+        if (pool.ended.length < 2) setTimeout(() => void pool.crash(pool.serverOf(arrival)), 50);
+        else arrival.res.end(event(2));
+      },
+    });
+    pool.ended.length = 0;
+    const reply = await ask({ ip: pool.nodes[0]?.ip ?? "", method: "POST", path: "/drafts/8", body: "long" });
+    expect(reply).to.include({ status: 200, complete: true });
+    expect(reply.body).to.equal(event(1) + event(2));
+  });
+
+  it("should never be held back where many ask the same and servers keep ending for other reasons", async () => {
+    // Hundreds of callers ask for the same page, so some are in flight whenever a server ends. Were each end counted
+    // against the page, nobody would get it any more; but servers run it to its end between.
+    pool = await CrashingPool.start({
+      answer: (arrival) =>
+        void setTimeout(() => {
+          answerOk(arrival);
+        }, 30),
+    });
+    const refused: number[] = [];
+    let asking = true;
+    const callers = pool.nodes
+      .flatMap(({ ip }) => [ip, ip])
+      .map(async (ip) => {
+        while (asking) {
+          const { status } = await ask({ ip, path: "/page" });
+          if (status === 503) refused.push(status);
+          await pause(10);
+        }
+      });
+    for (let i = 0; i < 8; i += 1) {
+      await pause(200);
+      await pool.crash([...pool.servers.keys()][0] ?? "");
+    }
+    await until(async () => (await ask({ ip: pool.nodes[0]?.ip ?? "", path: "/page" })).status === 200);
+    asking = false;
+    await Promise.all(callers);
+    expect(refused).to.have.length(0);
+  });
 });
