--- a/src/gateway/configurationTask.ts
+++ b/src/gateway/configurationTask.ts
@@ -5,52 +5,37 @@
 import { toFailure, type Failure } from "../common/errors.ts";
 import type { Log } from "../common/log.ts";
 import type { Handler } from "../common/rpc.ts";
-import { LoopTask } from "../common/loopTask.ts";
 import type { Configuration } from "../serving/configuration.ts";
 import { RouteTable } from "../serving/routeTable.ts";
-import type { Store } from "../serving/store.ts";
+import type { RowSet } from "../serving/store.ts";
 import type { PeerNews } from "./peerCalls.ts";
 import type { ConfigurationInForce } from "./serving.ts";
-import type { StoreLink } from "./storeLink.ts";
+import { TableTask, type TableTaskOptions } from "./tableTask.ts";
 
-/**
- * How long one wait for changes lasts, ms. A connection may fall silent for good; the next wait finds out,
- * so this and the store client's own limit bound how late a configuration can be in force.
- */
+/** How long one wait for changes lasts, ms: a silent connection delays a configuration by no more. */
 const waitMs = 3_000;
-/** Pause after a failed call, or while others read, ms. */
-const retryMs = 250;
-
-/** The pause of a node that stands by, ms: hundreds that wake for nothing take their hosts' processor time. */
-const standbyMs = 1_000;
 
 /** The configuration as it was stored. */
 const StoredConfiguration = Schema.Struct({ text: Schema.String });
 
 /** Options of a `ConfigurationTask`. */
-export interface ConfigurationTaskOptions {
-  readonly store: Store;
-  readonly link: StoreLink;
+export interface ConfigurationTaskOptions extends TableTaskOptions {
   readonly log: Log;
   readonly configuration: ConfigurationInForce;
   /** Where the configuration lies. */
   readonly row: { readonly table: string; readonly key: string };
   readonly decode: (text: string) => purify.Either<Failure, Configuration>;
-  /** Is it on this node to read? */
-  readonly reads: () => boolean;
-  /** Does this node take callers, rather than stand by? */
-  readonly active: () => boolean;
   /** Calls a peer. */
   readonly ask: (peer: PeerNews, method: string, params: unknown) => Promise<unknown>;
 }
 
 /** Reads the configuration, then waits for changes. */
-export class ConfigurationTask extends LoopTask {
+export class ConfigurationTask extends TableTask {
   private text: string | undefined;
   private pulling = false;
 
   constructor(private readonly options: ConfigurationTaskOptions) {
-    super("configuration");
+    super({ name: "configuration", table: options.row.table, waitMs }, options);
   }
 
   /** Methods for peers. */
@@ -73,38 +58,21 @@
     }
   }
 
-  protected override async follow(): Promise<void> {
-    const { store, link, row } = this.options;
-    let version: number | undefined;
-    while (!this.stopped) {
-      if (!this.options.reads() && !this.lacksConfiguration) {
-        // What changed meanwhile is read whole when it is on this node again.
-        version = undefined;
-        await this.pause(this.options.active() ? retryMs : standbyMs);
-        continue;
-      }
-      try {
-        const read =
-          version === undefined ? store.get(row.table, row.key) : store.changes(row.table, version, waitMs);
-        const set = await read;
-        link.succeeded();
-        version = set.version;
-        const found = set.rows.find((r) => r.key === row.key);
-        if (found !== undefined) this.apply(found.value, "store");
-      } catch (error) {
-        const failure = toFailure(error);
-        version = undefined;
-        if (failure.kind !== "history-lost") link.failed(failure);
-        await this.pause(failure.kind === "history-lost" ? 10 : retryMs);
-      }
-    }
-  }
-
   /** An active node without a configuration refuses its callers: it doesn't wait for a peer's word. */
-  private get lacksConfiguration(): boolean {
+  protected override get lacking(): boolean {
     return this.options.active() && this.options.configuration.current === undefined;
   }
 
+  protected override readWhole(): Promise<RowSet> {
+    const { table, key } = this.options.row;
+    return this.options.store.get(table, key);
+  }
+
+  protected override take({ rows }: RowSet): void {
+    const found = rows.find(({ key }) => key === this.options.row.key);
+    if (found !== undefined) this.apply(found.value, "store");
+  }
+
   private apply(text: string, from: string): void {
     if (text === this.text) return;
     const { log, configuration } = this.options;
--- /dev/null
+++ b/src/gateway/tableTask.ts
@@ -0,0 +1,84 @@
+/** Follows rows of the store while it is on this node to read them: reads them whole, then waits for changes. */
+import { LoopTask } from "../common/loopTask.ts";
+import { toFailure } from "../common/errors.ts";
+import type { RowSet, Store } from "../serving/store.ts";
+import type { StoreLink } from "./storeLink.ts";
+
+/** Pause after a failed call, or while others read, ms. */
+const retryMs = 250;
+/** The pause of a node that stands by, ms: hundreds that wake for nothing take their hosts' processor time. */
+const standbyMs = 1_000;
+/** Pause before rows are read whole where the store dropped the changes in between, ms. */
+const lostHistoryMs = 10;
+
+/** Options of a `TableTask`. */
+export interface TableTaskOptions {
+  readonly store: Store;
+  readonly link: StoreLink;
+  /** Is it on this node to read? */
+  readonly reads: () => boolean;
+  /** Does this node take callers, rather than stand by? */
+  readonly active: () => boolean;
+}
+
+/** What is followed. */
+export interface Followed {
+  readonly name: string;
+  readonly table: string;
+  /**
+   * How long one wait for changes lasts, ms. A connection may fall silent for good; the next wait finds out, so this and
+   * the store client's own limit bound how late a change is known.
+   */
+  readonly waitMs: number;
+}
+
+/** The loop; what the rows mean is the subclass's. */
+export abstract class TableTask extends LoopTask {
+  constructor(
+    private readonly follows: Followed,
+    private readonly reading: TableTaskOptions,
+  ) {
+    super(follows.name);
+  }
+
+  protected override async follow(): Promise<void> {
+    let version: number | undefined;
+    while (!this.stopped) {
+      if (!this.reading.reads() && !this.lacking) {
+        // What changed meanwhile is read whole when it is on this node again.
+        version = undefined;
+        await this.pause(this.reading.active() ? retryMs : standbyMs);
+        continue;
+      }
+      version = await this.readOnce(version);
+    }
+  }
+
+  /** Does the node have nothing yet to go by? Then it reads though others do. */
+  protected abstract get lacking(): boolean;
+
+  /** Reads all that is followed. */
+  protected abstract readWhole(): Promise<RowSet>;
+
+  /** Takes what was read: all of it, or what changed. */
+  protected abstract take(set: RowSet, whole: boolean): void;
+
+  /** Gives back the version to go on from. */
+  private async readOnce(version: number | undefined): Promise<number | undefined> {
+    const { store, link } = this.reading;
+    const { table, waitMs } = this.follows;
+    try {
+      const whole = version === undefined;
+      const set = await (whole ? this.readWhole() : store.changes(table, version, waitMs));
+      link.succeeded();
+      this.take(set, whole);
+      return set.version;
+    } catch (error) {
+      const failure = toFailure(error);
+      const lost = failure.kind === "history-lost";
+      if (!lost) link.failed(failure);
+      await this.pause(lost ? lostHistoryMs : retryMs);
+      return undefined;
+    }
+  }
+}
