--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -235,6 +235,7 @@
           log,
           quarantine: this.serving.quarantine,
           peers: this.peers,
+          decides: () => this.lease.holding,
         }),
         this.callers,
         this.member,
--- a/src/gateway/quarantineGossip.ts
+++ b/src/gateway/quarantineGossip.ts
@@ -19,6 +19,11 @@
   readonly log: Log;
   readonly quarantine: Quarantine;
   readonly peers: PeerTask;
+  /**
+   * Is it on this node to save holds that others' news leads to? One that stands by tells its news and hears none, so it
+   * doesn't know of the hold itself.
+   */
+  readonly decides: () => boolean;
 }
 
 /** Owns the timers of what is still to be told. */
@@ -70,7 +75,7 @@
         this.options.log.warn({ event: "peer-message-rejected", detail: failure.message });
       })
       .ifRight((news) => {
-        this.options.quarantine.hear(news, false, performance.now());
+        this.options.quarantine.hear(news, this.options.decides(), performance.now());
       });
   }
 
--- a/src/serving/quarantine/holds.ts
+++ b/src/serving/quarantine/holds.ts
@@ -11,7 +11,7 @@
 /** Requests held at once; past it the one that would be free soonest is let go. */
 const mostHolds = 500;
 /** A hold that another node decided is saved by this one if that one didn't for so long, ms: it may have died. */
-const savedByOthersMs = 2_000;
+const savedByOthersMs = 1_000;
 
 /** A request that is held back. */
 export interface Hold {
