--- a/src/gateway/quarantineCheck.ts
+++ b/src/gateway/quarantineCheck.ts
@@ -1,6 +1,6 @@
 /** One request as the quarantine sees it: whether it may be sent, and what its sends show of it and of their servers. */
 import type * as http from "node:http";
-import type { BackendServer } from "../serving/backendServer.ts";
+import { incarnationOf, type BackendServer } from "../serving/backendServer.ts";
 import type { RequestFacts } from "../serving/exchange.ts";
 import { fingerprintOf } from "../serving/quarantine/fingerprint.ts";
 import type { AttemptOutcome } from "./attempt.ts";
@@ -36,7 +36,7 @@
     if (outcome.kind === "broken" && outcome.cut)
       this.noteCut(server, outcome.reason, outcome.lastEvent, sentMs);
     if (quarantine.empty) return;
-    if (hasAnswered(outcome)) quarantine.answered(server, sentMs, performance.now());
+    if (hasAnswered(outcome)) quarantine.answered(incarnationOf(server), sentMs, performance.now());
     if (hasRun(outcome)) quarantine.survived(this.fingerprint);
   }
 
@@ -52,7 +52,7 @@
     // Guards "a request is held back because servers were taken away": one that was leaving, or whose registration is
     // gone already, ends for that reason, and cuts off whatever still runs on it.
     const ended = known !== undefined && !known.leaving;
-    if (ended) serving.quarantine.cut(this.fingerprint, server, now);
+    if (ended) serving.quarantine.cut(this.fingerprint, incarnationOf(server), now);
     serving.metrics.cuts.inc({ service: server.service });
     serving.log.info({
       event: "request-cut",
--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -41,6 +41,11 @@
   return (later.startedAtMs ?? 0) > (earlier.startedAtMs ?? 0);
 }
 
+/** Names the incarnation: a server that starts again under its id is another one. */
+export function incarnationOf({ id, startedAtMs }: Pick<BackendServer, "id" | "startedAtMs">): string {
+  return startedAtMs === undefined ? id : `${id}@${startedAtMs}`;
+}
+
 /** Does the server hold the model, and the adapter if one is named? */
 export function holds(server: BackendServer, model: string, adapter: string | undefined): boolean {
   const resident = server.residents.find((r) => r.model === model);
--- a/src/serving/quarantine/quarantine.ts
+++ b/src/serving/quarantine/quarantine.ts
@@ -8,7 +8,6 @@
  */
 import * as Schema from "effect/Schema";
 import { Emitter } from "../../common/emitter.ts";
-import type { BackendServer } from "../backendServer.ts";
 import { Holds, type Hold } from "./holds.ts";
 import { Suspects } from "./suspects.ts";
 
@@ -79,9 +78,8 @@
     return this.holds.leftMs(fingerprint, nowMs);
   }
 
-  /** The connection to the server ended while it ran the request. */
-  cut(fingerprint: string, server: BackendServer, nowMs: number): void {
-    const incarnation = incarnationOf(server);
+  /** The connection to the incarnation of a server ended while it ran the request. */
+  cut(fingerprint: string, incarnation: string, nowMs: number): void {
     const { cuts } = this.news;
     cuts[incarnation] = [...(cuts[incarnation] ?? []), fingerprint];
     this.count(fingerprint, incarnation, true, nowMs);
@@ -97,11 +95,10 @@
   }
 
   /**
-   * The server answered a request sent at `sentMs`. Guards "requests are held back because connections were reset": a
+   * The incarnation answered a request sent at `sentMs`. Guards "requests are held back because connections were reset": a
    * server that answers right after it cut a request has not ended.
    */
-  answered(server: BackendServer, sentMs: number, nowMs: number): void {
-    const incarnation = incarnationOf(server);
+  answered(incarnation: string, sentMs: number, nowMs: number): void {
     const endedAtMs = this.suspects.endedAtMs(incarnation);
     if (endedAtMs === undefined || sentMs <= endedAtMs || nowMs - endedAtMs >= restartMs) return;
     this.suspects.acquitBy(incarnation);
@@ -194,8 +191,3 @@
 function isEmpty({ cuts, survived, alive, held }: QuarantineNews): boolean {
   return Object.keys(cuts).length + survived.length + alive.length + Object.keys(held).length === 0;
 }
-
-/** A server that starts again under its id is another incarnation. */
-function incarnationOf({ id, startedAtMs }: BackendServer): string {
-  return startedAtMs === undefined ? id : `${id}@${startedAtMs}`;
-}
