--- a/src/entry/completionProxy.ts
+++ b/src/entry/completionProxy.ts
@@ -10,6 +10,16 @@
 import type { Answer } from "./answer.ts";
 import type { Engine } from "./fleet.ts";
 
+/** Errors of a connection that its other end closed or reset. */
+const cutCodes: ReadonlySet<string | undefined> = new Set(["ECONNRESET", "EPIPE"]);
+
+/** The connection ended before the answer did, as it does when the engine's process ends. */
+export class AnswerCut extends Failure {
+  constructor(message: string, requestId: string) {
+    super("upstream-failed", message, requestId);
+  }
+}
+
 /** What one forward needs. */
 export interface Forward {
   readonly engine: Engine;
@@ -72,7 +82,9 @@
       // the deadline shows as an aborted response, and was held against an engine that did nothing wrong.
       if (cause !== undefined) throw cause;
       if (error instanceof Failure) throw error;
-      throw new Failure("upstream-failed", error instanceof Error ? error.message : String(error), answer.id);
+      const { code, message } = error as NodeJS.ErrnoException;
+      if (cutCodes.has(code)) throw new AnswerCut(message, answer.id);
+      throw new Failure("upstream-failed", error instanceof Error ? message : String(error), answer.id);
     } finally {
       clearTimeout(deadline);
       stopListening();
@@ -127,7 +139,7 @@
     for (const event of events) if (await deliver(event, answer)) return;
   }
   // Guards "a cut answer passes for whole": an engine that closes its stream early ends it like any other.
-  throw new Failure("upstream-failed", "the engine's stream ended before its answer did", answer.id);
+  throw new AnswerCut("the engine's stream ended before its answer did", answer.id);
 }
 
 /** Delivers one SSE event; true when it ended the answer. Comments (the engine's "waiting") are skipped. */
--- a/src/entry/completions.ts
+++ b/src/entry/completions.ts
@@ -9,11 +9,12 @@
 import { promptOf, type CompletionRequest } from "../common/openai.ts";
 import { crowdingOf, type Admission, type Applicant } from "./admission.ts";
 import { Answer } from "./answer.ts";
-import type { CompletionProxy } from "./completionProxy.ts";
+import { AnswerCut, type CompletionProxy } from "./completionProxy.ts";
 import type { Entitlement } from "./configWatcher.ts";
 import type { DemandMeter } from "./demandMeter.ts";
 import type { DemandReporter } from "./demandReporter.ts";
 import type { Engine, Fleet } from "./fleet.ts";
+import type { HeldRequests } from "./heldRequests.ts";
 import type { RetryBudget } from "../serving/retryBudget.ts";
 import type { Router } from "./router.ts";
 import type { ServiceTimes } from "./serviceTimes.ts";
@@ -27,6 +28,7 @@
   readonly times: ServiceTimes;
   readonly meter: DemandMeter;
   readonly retries: RetryBudget;
+  readonly held: HeldRequests;
   readonly log: Log;
   /** Attempts per completion across engines (first try included). */
   readonly attempts: number;
@@ -89,9 +91,14 @@
   }
 
   private async attempt(completion: Completion, answer: Answer): Promise<Engine> {
+    const { held } = this.options;
+    const fingerprint = held.identify(completion);
     const tried = new Set<string>();
     let last: Failure | undefined;
     for (let attempt = 0; attempt < this.options.attempts; attempt += 1) {
+      // Guards "one request ends engine after engine": each attempt, and each repeat by its caller, was taken for a new
+      // request and sent to the next one.
+      held.check(fingerprint, completion.requestId);
       const engine = await this.find(completion, tried);
       if (engine === undefined) break;
       // Guards "retries bury a failing pool": past the budget the last failure is the answer, at once.
@@ -99,12 +106,15 @@
       // What has begun is not refused half-way.
       if (answer.tokens === 0) this.options.admission.check(applicantOf(completion), engine);
       tried.add(engine.address);
+      const sentMs = performance.now();
       try {
         await this.forward(completion, answer, engine);
+        held.served(fingerprint, engine, sentMs);
         return engine;
       } catch (error) {
         last = toFailure(error);
         if (answer.abandoned) break;
+        if (error instanceof AnswerCut) held.ended(fingerprint, engine);
         this.noteFailure(engine, last);
         if (last.kind === "unknown-model") {
           // Guards "a caller is told its own model does not exist": the copy left between the choice and
--- a/src/entry/entryNode.ts
+++ b/src/entry/entryNode.ts
@@ -19,6 +19,7 @@
 import { DemandMeter } from "./demandMeter.ts";
 import { DemandReport, type DemandReceipt } from "./demandReport.ts";
 import { DemandReporter } from "./demandReporter.ts";
+import { HeldRequests, quarantineMethod } from "./heldRequests.ts";
 import { EntryServer } from "./entryServer.ts";
 import { Fleet } from "./fleet.ts";
 import { Lease } from "./lease.ts";
@@ -28,6 +29,7 @@
 import { EntryMetrics } from "./metrics.ts";
 import { Peers } from "./peers.ts";
 import { Placer } from "./placer.ts";
+import { Quarantine, QuarantineNews } from "../serving/quarantine/quarantine.ts";
 import { RetryBudget } from "../serving/retryBudget.ts";
 import { Router } from "./router.ts";
 import type { RoutingPolicy } from "./routingPolicies.ts";
@@ -95,6 +97,7 @@
   private readonly times = new ServiceTimes();
   private readonly meter: DemandMeter;
   private readonly board = new DemandBoard();
+  private readonly held: HeldRequests;
   private membership: Membership | undefined;
   private server: EntryServer | undefined;
 
@@ -103,6 +106,7 @@
     this.log = createLog(`entry:${options.id}`);
     this.platform = new PlatformClient({ url: options.platformUrl, traffic: this.traffic });
     const peers = new Peers({ addresses: this.options.peers, traffic: this.traffic });
+    this.held = new HeldRequests({ quarantine: new Quarantine(), peers, log: this.log });
     this.config = new ConfigWatcher({
       platform: this.platform,
       peers,
@@ -154,6 +158,10 @@
       rpc: new RpcEndpoint({
         "config.rows": (params) => Promise.resolve(this.config.rowsSince(decodeParams(Since, params).since)),
         "hosts.known": () => Promise.resolve(this.fleet.known()),
+        [quarantineMethod]: (params) => {
+          this.held.hear(decodeParams(QuarantineNews, params));
+          return Promise.resolve({});
+        },
         "placement.demand": (params) => Promise.resolve(receive(decodeParams(DemandReport, params))),
       }),
       metrics: this.metrics,
@@ -200,6 +208,7 @@
       times: this.times,
       meter: this.meter,
       retries: new RetryBudget(),
+      held: this.held,
       log: this.log,
       attempts,
       arrivals: reporter,
--- a/src/entry/peers.ts
+++ b/src/entry/peers.ts
@@ -3,7 +3,7 @@
  * node: the configuration in force and the hosts known. Nothing is agreed here; each answer is a copy of
  * what the platform said, with the platform's own revisions.
  */
-import type * as Schema from "effect/Schema";
+import * as Schema from "effect/Schema";
 import { RpcClient, type Traffic } from "../common/rpc.ts";
 
 /** Options of `Peers`. */
@@ -27,6 +27,11 @@
     this.clients = addresses.map((url) => new RpcClient({ url, traffic, timeoutMs }));
   }
 
+  /** Tells every peer; `failed` hears of those that didn't take it. */
+  tell(method: string, params: unknown, failed: (error: unknown) => void): void {
+    for (const client of this.clients) client.call(method, params, Schema.Unknown).catch(failed);
+  }
+
   /** The first answer any peer gives, beginning with another one each time; rejects if none does. */
   async ask<A>(method: string, params: unknown, schema: Schema.Codec<A>): Promise<A> {
     const failures: string[] = [];
