--- a/src/gateway/configurationTask.ts
+++ b/src/gateway/configurationTask.ts
@@ -10,6 +10,7 @@
 import type { RowSet } from "../serving/store.ts";
 import type { PeerNews } from "./peerCalls.ts";
 import type { ConfigurationInForce } from "./serving.ts";
+import type { StoreLink } from "./storeLink.ts";
 import { TableTask, type TableTaskOptions } from "./tableTask.ts";
 
 /** How long one wait for changes lasts, ms: a silent connection delays a configuration by no more. */
@@ -22,6 +23,7 @@
 
 /** Options of a `ConfigurationTask`. */
 export interface ConfigurationTaskOptions extends TableTaskOptions {
+  readonly link: StoreLink;
   readonly log: Log;
   readonly configuration: ConfigurationInForce;
   /** Where the configuration lies. */
@@ -75,6 +77,12 @@
     if (found !== undefined) this.apply(found.value, "store");
   }
 
+  protected override noteCall(failure: Failure | undefined): void {
+    const { link } = this.options;
+    if (failure === undefined) link.succeeded();
+    else link.failed(failure);
+  }
+
   private apply(text: string, from: string): void {
     if (text === this.text) return;
     const { log, configuration } = this.options;
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -195,7 +195,6 @@
     });
     this.quarantine = new QuarantineTask({
       store,
-      link,
       log,
       metrics: this.serving.metrics,
       quarantine: this.serving.quarantine,
--- a/src/gateway/quarantineTask.ts
+++ b/src/gateway/quarantineTask.ts
@@ -5,7 +5,7 @@
 import * as Schema from "effect/Schema";
 import { decode, decodeEither } from "../common/decode.ts";
 import { DisposableStore } from "../common/disposables.ts";
-import { toFailure } from "../common/errors.ts";
+import { toFailure, type Failure } from "../common/errors.ts";
 import type { Log } from "../common/log.ts";
 import type { Handler } from "../common/rpc.ts";
 import type { Quarantine, QuarantineChange } from "../serving/quarantine/quarantine.ts";
@@ -125,6 +125,12 @@
     this.watch();
   }
 
+  /** Its waits last so long that one which fails tells of the store as it was; the tasks that read often tell of it now. */
+  protected override noteCall(failure: Failure | undefined): void {
+    if (failure === undefined) return;
+    this.options.log.debug({ event: "quarantine-not-read", kind: failure.kind, detail: failure.message });
+  }
+
   private takeRow({ key, value, version }: Row): void {
     decodeEither(HeldRow, parseJson(value))
       .ifLeft((failure) => {
--- a/src/gateway/tableTask.ts
+++ b/src/gateway/tableTask.ts
@@ -1,8 +1,7 @@
 /** Follows rows of the store while it is on this node to read them: reads them whole, then waits for changes. */
 import { LoopTask } from "../common/loopTask.ts";
-import { toFailure } from "../common/errors.ts";
+import { toFailure, type Failure } from "../common/errors.ts";
 import type { RowSet, Store } from "../serving/store.ts";
-import type { StoreLink } from "./storeLink.ts";
 
 /** Pause after a failed call, ms. */
 const retryMs = 250;
@@ -12,7 +11,6 @@
 /** Options of a `TableTask`. */
 export interface TableTaskOptions {
   readonly store: Store;
-  readonly link: StoreLink;
   /** Is it on this node to read? */
   readonly reads: () => boolean;
   /** Does this node take callers, rather than stand by? */
@@ -64,20 +62,23 @@
   /** Takes what was read: all of it, or what changed. */
   protected abstract take(set: RowSet, whole: boolean): void;
 
+  /** The store answered, or didn't. */
+  protected abstract noteCall(failure: Failure | undefined): void;
+
   /** Gives back the version to go on from. */
   private async readOnce(version: number | undefined): Promise<number | undefined> {
-    const { store, link } = this.reading;
+    const { store } = this.reading;
     const { table, waitMs } = this.follows;
     try {
       const whole = version === undefined;
       const set = await (whole ? this.readWhole() : store.changes(table, version, waitMs));
-      link.succeeded();
+      this.noteCall(undefined);
       this.take(set, whole);
       return set.version;
     } catch (error) {
       const failure = toFailure(error);
       const lost = failure.kind === "history-lost";
-      if (!lost) link.failed(failure);
+      if (!lost) this.noteCall(failure);
       await this.pause(lost ? lostHistoryMs : retryMs);
       return undefined;
     }
