--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -3,25 +3,21 @@
 import { repeatable, type Model, type Route, type Service } from "../serving/configuration.ts";
 import { engineWorkMs } from "../serving/engineSpeed.ts";
 import type { RequestFacts } from "../serving/exchange.ts";
-import type { InFlight } from "../serving/loadBoard.ts";
 import { patienceOf, type Patience } from "../serving/patience.ts";
 import type { RetryBudget } from "../serving/retryBudget.ts";
 import { firstByteLimitMs, pauseLimitMs } from "../serving/sendRules.ts";
-import { sharedTokens, type Chosen } from "../serving/serverChoice.ts";
+import type { Chosen } from "../serving/serverChoice.ts";
 import { Attempt, type AttemptOutcome, type WholeAnswer } from "./attempt.ts";
 import type { CallerConnection } from "./callerConnection.ts";
 import { QuarantineCheck } from "./quarantineCheck.ts";
+import { SendRecord, serverErrorStatus } from "./sendRecord.ts";
 import { ServerWait, soonS } from "./serverWait.ts";
-import { adapterKey, demandKey, residencyKey, type Placer, type Serving } from "./serving.ts";
+import { adapterKey, demandKey, type Placer, type Serving } from "./serving.ts";
 
 /** Sends beyond a route's own attempts that servers refused without running, so that it still ends. */
 const refusedSends = 3;
 /** Time kept to write the final answer before the caller's time is over, ms. */
 const answerMarginMs = 40;
-/** Prompts with a larger shared part say little of it either. */
-const mostSharedPart = 0.4;
-/** Answers of these classes by the server itself may be repeated elsewhere. */
-const serverErrorStatus = 500;
 
 /** What one exchange works with. */
 export interface ExchangeOptions {
@@ -47,6 +43,7 @@
   private wait!: ServerWait;
   private body: Buffer | undefined;
   private quarantine!: QuarantineCheck;
+  private record!: SendRecord;
   /** When a caller whose request is held back should return, s. */
   private heldForS: number | undefined;
   private sends = 0;
@@ -118,6 +115,7 @@
     });
     this.countDemand();
     this.body = await this.readBody(table.configuration.limits.maxBodyBytes);
+    this.record = new SendRecord({ serving, service, facts: this.facts, arrivedMs: this.arrivedMs });
     this.quarantine = new QuarantineCheck({ serving, req, facts: this.facts, body: this.body });
     this.options.budgetFor(service.name).earn();
   }
@@ -188,7 +186,7 @@
     if (this.sends === 0)
       serving.metrics.queued.observe({ service: this.service.name }, (now - this.arrivedMs) / 1000);
     this.sends += 1;
-    const inFlight = this.countInFlight(chosen);
+    const inFlight = this.record.begin(chosen);
     const answerMs = this.patience.answerByMs - now - answerMarginMs;
     const stream = route.kind === "stream";
     const body = this.body;
@@ -234,76 +232,11 @@
     const outcome = await this.attempt.outcome;
     this.attempt = undefined;
     inFlight.done();
-    this.judge(chosen, outcome);
-    this.quarantine.note(chosen.server, outcome, now);
-    return outcome;
-  }
-
-  /** Counts the send in flight at its server, and with its model and adapter, until it is done. */
-  private countInFlight(chosen: Chosen): InFlight {
-    const { loads, modelsRunning, adaptersRunning } = this.serving;
-    const { model, adapter } = this.facts;
-    const inFlight = loads.begin(chosen.server.id, chosen.workMs);
-    if (model === undefined) return inFlight;
-    const residency = residencyKey(chosen.server.id, model);
-    const running = adapter === undefined ? undefined : this.adapterKey(adapter);
-    modelsRunning.add(residency);
-    if (running !== undefined) adaptersRunning.add(running);
-    return {
-      started: () => {
-        inFlight.started();
-      },
-      done: () => {
-        inFlight.done();
-        modelsRunning.remove(residency);
-        if (running !== undefined) adaptersRunning.remove(running);
-      },
-    };
-  }
-
-  private judge(chosen: Chosen, outcome: AttemptOutcome): void {
-    const { serving } = this;
-    const { server } = chosen;
-    const now = performance.now();
-    serving.metrics.attempts.inc({ service: this.service.name, outcome: outcome.kind });
-    if (outcome.kind === "answered" && outcome.answer.facts.status >= serverErrorStatus) {
-      serving.outliers.failed(server.id, now);
-    } else if (outcome.kind === "answered" || outcome.kind === "streamed") {
-      serving.outliers.succeeded(server.id, outcome.firstByteMs, chosen.healthyMs);
-      this.learnPace(chosen, outcome.firstByteMs);
-      if (outcome.kind === "streamed" && this.service.engine !== undefined)
-        serving.speed.learn(outcome.timing, this.service.engine.tokensPerEvent);
-    } else if (outcome.kind === "unreachable") {
-      serving.outliers.unreachable(server.id, now);
-    } else if (outcome.kind === "broken" || outcome.kind === "silent") {
-      serving.outliers.failed(server.id, now);
-    }
-    if (outcome.kind === "silent" && outcome.waitedMs !== undefined)
-      serving.outliers.late(server.id, outcome.waitedMs, chosen.healthyMs);
+    this.record.note(chosen, outcome);
     if (outcome.kind === "not-run") this.wait.noteRefusal(server, outcome.facts);
     else if (outcome.kind === "answered" || outcome.kind === "streamed") this.wait.noteAccepted(server);
-    serving.log.debug({
-      event: "attempt",
-      requestId: this.facts.requestId,
-      server: server.id,
-      model: this.facts.model,
-      promptTokens: this.facts.promptTokens,
-      expectedMs: Math.round(chosen.expectedMs),
-      tookMs: Math.round(now - this.arrivedMs),
-      outcome: outcome.kind,
-      ...("reason" in outcome ? { reason: outcome.reason } : {}),
-      ...("firstByteMs" in outcome ? { firstByteMs: Math.round(outcome.firstByteMs) } : {}),
-      ...("answer" in outcome ? { status: outcome.answer.facts.status } : {}),
-      ...("facts" in outcome ? { status: outcome.facts.status } : {}),
-    });
-  }
-
-  private learnPace(chosen: Chosen, firstByteMs: number): void {
-    const { model } = this;
-    if (model === undefined || !chosen.quiet) return;
-    // Where much of the prompt is shared it isn't known how much of it was read.
-    if (sharedTokens(this.facts.prefix) > mostSharedPart * this.facts.promptTokens) return;
-    this.serving.paces.learn(model, firstByteMs, chosen.referenceMs);
+    this.quarantine.note(chosen.server, outcome, now);
+    return outcome;
   }
 
   /** The model asked for, where the service has engines. */
--- a/src/gateway/quarantineCheck.ts
+++ b/src/gateway/quarantineCheck.ts
@@ -4,11 +4,9 @@
 import type { RequestFacts } from "../serving/exchange.ts";
 import { fingerprintOf } from "../serving/quarantine/fingerprint.ts";
 import type { AttemptOutcome } from "./attempt.ts";
+import { serverErrorStatus } from "./sendRecord.ts";
 import type { Serving } from "./serving.ts";
 
-/** Statuses from here on are failures of the server, which may fail to run what another would run. */
-const serverErrorStatus = 500;
-
 /** What the check works with. */
 export interface QuarantineCheckOptions {
   readonly serving: Serving;
--- /dev/null
+++ b/src/gateway/readingDuty.ts
@@ -0,0 +1,64 @@
+/** Whether it is on this node to read the store for all, by what it hears of the others' reads. */
+import { freshMs, shouldRead, type Reader } from "../serving/membership/readers.ts";
+import type { PeerTable } from "../serving/membership/peerTable.ts";
+
+/**
+ * A node that stands by reads the store itself when no active one read it for this long, ms: two missed periods of
+ * reading, and the two of its questions in which it hears of it.
+ */
+const standbyReadMs = 3_000;
+
+/** Options of a `ReadingDuty`. */
+export interface ReadingDutyOptions {
+  readonly ip: string;
+  readonly table: PeerTable;
+  readonly active: () => boolean;
+  readonly holdsLease: () => boolean;
+  /** Time since this node's last read that succeeded, ms. */
+  readonly readAgeMs: () => number;
+  /** Time since any active node read, as a node that stands by hears it, ms. */
+  readonly heardReadAgeMs: () => number;
+}
+
+/** Decides by the moment. */
+export class ReadingDuty {
+  private readonly startedMs = performance.now();
+
+  constructor(private readonly options: ReadingDutyOptions) {}
+
+  /** Should this node read now? */
+  get due(): boolean {
+    const { ip, active, holdsLease, readAgeMs } = this.options;
+    if (!active() && this.leavesReading) return false;
+    return shouldRead({ ip, holder: holdsLease(), readAgeMs: readAgeMs() }, this.readers());
+  }
+
+  /** Time since any active node read the store, as far as is known, ms. */
+  get freshestReadMs(): number {
+    const { readAgeMs, heardReadAgeMs } = this.options;
+    return Math.min(readAgeMs(), heardReadAgeMs(), ...this.readers().map((reader) => reader.readAgeMs));
+  }
+
+  /** Did a peer read lately? */
+  get servedToPeers(): boolean {
+    return this.readers().some((reader) => reader.readAgeMs < freshMs);
+  }
+
+  /**
+   * A node that stands by reads only while no active one is known to; one that has just started waits for their word.
+   * Guards "a start costs calls for each host": 195 hosts read servers and configuration twice before they heard any.
+   */
+  private get leavesReading(): boolean {
+    if (performance.now() - this.startedMs < standbyReadMs) return true;
+    return this.options.heardReadAgeMs() < standbyReadMs;
+  }
+
+  /** Live peers, with how long ago each read the store. */
+  private readers(): Reader[] {
+    const now = performance.now();
+    return this.options.table.alive(now).map(({ pulse, heardMs }) => {
+      const readAgeMs = (pulse.readAgeMs ?? Number.POSITIVE_INFINITY) + (now - heardMs);
+      return { ip: pulse.ip, holder: pulse.token !== undefined, readAgeMs };
+    });
+  }
+}
