--- a/src/gateway/quarantineCheck.ts
+++ b/src/gateway/quarantineCheck.ts
@@ -7,6 +7,9 @@
 import { serverErrorStatus } from "./sendRecord.ts";
 import type { Serving } from "./serving.ts";
 
+/** Requests with a longer body are identified only once there is a suspicion, bytes. */
+const longestCommonBody = 4_096;
+
 /** What the check works with. */
 export interface QuarantineCheckOptions {
   readonly serving: Serving;
@@ -35,7 +38,13 @@
       this.noteCut(server, outcome.reason, outcome.lastEvent, sentMs);
     const now = performance.now();
     if (hasAnswered(outcome)) quarantine.answered(incarnationOf(server), sentMs, now);
-    if (hasRun(outcome) && !quarantine.empty) quarantine.survived(this.fingerprint, now);
+    if (hasRun(outcome) && (this.maySoonRepeat || !quarantine.empty))
+      quarantine.survived(this.fingerprint, now);
+  }
+
+  /** Long prompts are hardly ever sent twice by different callers, and cost the most to identify. */
+  private get maySoonRepeat(): boolean {
+    return (this.options.body?.length ?? 0) <= longestCommonBody;
   }
 
   private noteCut(
--- a/src/serving/quarantine/quarantine.ts
+++ b/src/serving/quarantine/quarantine.ts
@@ -9,6 +9,7 @@
 import * as Schema from "effect/Schema";
 import { Emitter } from "../../common/emitter.ts";
 import { Holds, type Hold } from "./holds.ts";
+import { Survivors } from "./survivors.ts";
 import { Suspects } from "./suspects.ts";
 
 /**
@@ -63,6 +64,7 @@
   readonly noted = new Emitter<undefined>();
   readonly holds = new Holds();
   private readonly suspects = new Suspects();
+  private readonly survivors = new Survivors();
   private news = emptyNews();
 
   /** Nothing is known of any request, so none needs to be looked at. */
@@ -82,6 +84,7 @@
 
   /** The connection to the incarnation of a server ended while it ran the request. */
   cut(fingerprint: string, incarnation: string, nowMs: number): void {
+    if (this.survivors.has(fingerprint, nowMs)) return;
     const { cuts } = this.news;
     cuts[incarnation] = [...(cuts[incarnation] ?? []), fingerprint];
     this.count(fingerprint, incarnation, true, nowMs);
@@ -90,6 +93,7 @@
 
   /** A server ran the request to its end: it is no poison. */
   survived(fingerprint: string, nowMs: number): void {
+    this.survivors.add(fingerprint, nowMs);
     if (!this.suspects.has(fingerprint) && !this.holds.has(fingerprint)) return;
     this.acquit(fingerprint, true, nowMs);
     this.tellSurvived(fingerprint);
@@ -102,7 +106,7 @@
   answered(incarnation: string, sentMs: number, nowMs: number): void {
     const endedAtMs = this.suspects.endedAtMs(incarnation);
     if (endedAtMs === undefined || sentMs <= endedAtMs || nowMs - endedAtMs >= restartMs) return;
-    this.suspects.acquitBy(incarnation);
+    this.acquitBy(incarnation, true, nowMs);
     this.news.alive.push(incarnation);
     this.noted.fire(undefined);
   }
@@ -110,10 +114,11 @@
   /** Takes what another node learned; `decides` says whether it is on this node to save and tell a hold that it leads to. */
   hear({ cuts, survived, alive, held }: QuarantineNews, decides: boolean, nowMs: number): void {
     for (const fingerprint of survived) this.acquit(fingerprint, false, nowMs);
-    for (const incarnation of alive) this.suspects.acquitBy(incarnation);
+    for (const incarnation of alive) this.acquitBy(incarnation, false, nowMs);
     for (const [incarnation, fingerprints] of Object.entries(cuts))
       for (const fingerprint of fingerprints) {
-        this.count(fingerprint, incarnation, decides, nowMs);
+        if (this.survivors.has(fingerprint, nowMs)) this.tellSurvived(fingerprint);
+        else this.count(fingerprint, incarnation, decides, nowMs);
       }
     for (const [fingerprint, { leftMs, forMs }] of Object.entries(held))
       this.learn(fingerprint, { untilMs: nowMs + leftMs, forMs }, undefined, nowMs);
@@ -143,6 +148,12 @@
 
   /** The store, or a node that read it, has the hold in a row of this version. */
   learn(fingerprint: string, hold: Hold, version: number | undefined, nowMs: number): void {
+    // One that was served here lately is held back for ends that had another cause.
+    if (this.survivors.has(fingerprint, nowMs)) {
+      this.tellSurvived(fingerprint);
+      this.changed.fire({ fingerprint, kind: "forgotten", own: true, version: version ?? 0 });
+      return;
+    }
     const before = this.leftMs(fingerprint, nowMs) > 0;
     this.holds.learn(fingerprint, hold, version, nowMs);
     if (!before && this.leftMs(fingerprint, nowMs) > 0)
@@ -182,6 +193,12 @@
     this.changed.fire({ fingerprint, kind: "held", own, version: 0 });
   }
 
+  /** The incarnation lives: requests under which hardly any other ended are let go. */
+  private acquitBy(incarnation: string, own: boolean, nowMs: number): void {
+    for (const fingerprint of this.suspects.acquitBy(incarnation))
+      if (this.suspects.endsUnder(fingerprint) < watchedFrom) this.letGo(fingerprint, own, nowMs);
+  }
+
   private acquit(fingerprint: string, own: boolean, nowMs: number): void {
     this.suspects.clear(fingerprint);
     this.letGo(fingerprint, own, nowMs);
--- a/test/gateway/crashes.spec.ts
+++ b/test/gateway/crashes.spec.ts
@@ -182,6 +182,33 @@
     expect(refused).to.have.length(0);
   });
 
+  it("should not be held back because all servers that ran its copies lost power at once", async () => {
+    // A rack fails while hundreds of callers ask for the same page: it was running on each server that ended, more than
+    // any cause needs to be. Callers got nothing but refusals of that page for minutes, though servers serve it.
+    pool = await CrashingPool.start({
+      answer: (arrival) =>
+        void setTimeout(() => {
+          answerOk(arrival);
+        }, 60),
+    });
+    const refused: number[] = [];
+    let asking = true;
+    const callers = pool.nodes
+      .flatMap(({ ip }) => Array<string>(8).fill(ip))
+      .map(async (ip) => {
+        while (asking) {
+          const reply = await ask({ ip, path: "/page" });
+          if (reply.body.includes("quarantined")) refused.push(reply.status);
+        }
+      });
+    await pause(400);
+    await Promise.all([...pool.servers.keys()].slice(0, 5).map((id) => pool.crash(id)));
+    await pause(1_500);
+    asking = false;
+    await Promise.all(callers);
+    expect(refused).to.have.length(0);
+  });
+
   /** The caller sends the same again and again; what it got the last time. */
   async function lastOf(times: number, body: string): Promise<Reply> {
     let reply: Reply | undefined;
--- a/test/serving/quarantine.spec.ts
+++ b/test/serving/quarantine.spec.ts
@@ -94,6 +94,32 @@
     expect(quarantine.leftMs("p", 4_000)).to.equal(0);
   });
 
+  it("should let go what was cut at many servers at once that all live", () => {
+    const quarantine = new Quarantine();
+    endUnder(quarantine, "p", ["i-1", "i-2", "i-3", "i-4"], 0);
+    expect(quarantine.leftMs("p", 1)).to.be.greaterThan(0);
+    for (const id of ["i-1", "i-2", "i-3", "i-4"]) quarantine.answered(id, 5, 20);
+    expect(quarantine.leftMs("p", 20)).to.equal(0);
+    expect(quarantine.empty).to.equal(true);
+  });
+
+  it("should not hold back what was served lately when a rack fails, on any node", () => {
+    // A page that many ask for runs on each of four servers when their rack loses power. One node served it a moment ago;
+    // another never did, and counts four ends.
+    const [a, b] = [new Quarantine(), new Quarantine()];
+    a.survived("page", 0);
+    endUnder(a, "page", ["i-1", "i-2", "i-3", "i-4"], 10);
+    expect(a.leftMs("page", 10)).to.equal(0);
+    endUnder(b, "page", ["i-1", "i-2", "i-3", "i-4"], 10);
+    const counted = b.takeNews();
+    if (counted === undefined) throw new Error("what was cut is news");
+    a.hear(counted, false, 20);
+    const served = a.takeNews();
+    if (served === undefined) throw new Error("what was served is news to a node that counts");
+    b.hear(served, false, 30);
+    for (const node of [a, b]) expect(node.leftMs("page", 30)).to.equal(0);
+  });
+
   it("should not take an answer from before the end, or of a server started since, for a sign of life", () => {
     const quarantine = new Quarantine();
     endUnder(quarantine, "p", ["i-1", "i-2"], 1_000);
@@ -160,6 +186,7 @@
     const quarantine = new Quarantine();
     for (let i = 0; i < 20_000; i += 1) endUnder(quarantine, `p${i}`, [`i-${i % 300}`], i);
     for (let i = 0; i < 2_000; i += 1) endUnder(quarantine, `q${i}`, ["j-1", "j-2", "j-3"], 20_000);
+    for (let i = 0; i < 20_000; i += 1) quarantine.survived(`r${i}`, 20_000);
     expect(quarantine.holds.size).to.be.at.most(500);
     expect(quarantine.suspected).to.be.at.most(2_000);
     quarantine.takeNews();
