--- a/src/serving/quarantine/holds.ts
+++ b/src/serving/quarantine/holds.ts
@@ -91,9 +91,10 @@
       this.set(fingerprint, { ...known, version: newest });
       return;
     }
-    const { sinceMs, own, saved } = known ?? { sinceMs: nowMs, own: false, saved: false };
-    const entry = { untilMs, forMs, sinceMs, own, version: newest };
-    this.set(fingerprint, { ...entry, saved: saved || version !== undefined });
+    // What the store has is another hold than this one, unless they are equally long.
+    const same = known?.forMs === forMs ? known : { sinceMs: nowMs, own: false, saved: false };
+    const entry = { untilMs, forMs, sinceMs: same.sinceMs, own: same.own, version: newest };
+    this.set(fingerprint, { ...entry, saved: same.saved || version !== undefined });
   }
 
   /** Lets the request go for good. Gives back the hold that it had. */
--- a/test/serving/quarantine.spec.ts
+++ b/test/serving/quarantine.spec.ts
@@ -173,6 +173,17 @@
     expect(after.leftMs("p", 20)).to.equal(10 * minuteMs);
   });
 
+  it("should still have a hold to save though the store has the watch before it", () => {
+    // A node hears of a hold from the one that decided it, which dies before it wrote it. The store's row still said that
+    // the request was only watched, and every node took it for the hold.
+    const quarantine = new Quarantine();
+    quarantine.learn("p", { untilMs: 0, forMs: 5 * minuteMs }, 7, 0);
+    quarantine.learn("p", { untilMs: 10 * minuteMs, forMs: 10 * minuteMs }, undefined, 10);
+    expect(quarantine.holds.unsaved(5_000).map(([name, { version }]) => [name, version])).to.deep.equal([
+      ["p", 7],
+    ]);
+  });
+
   it("should not count an end again that it is told of once more", () => {
     const quarantine = new Quarantine();
     endUnder(quarantine, "p", ["i-1", "i-2", "i-2", "i-1"], 0);
