--- a/src/gateway/readingDuty.ts
+++ b/src/gateway/readingDuty.ts
@@ -46,7 +46,7 @@
 
   /**
    * A node that stands by reads only while no active one is known to; one that has just started waits for their word.
-   * Guards "a start costs calls for each host": 195 hosts read servers and configuration twice before they heard any.
+   * Guards "a start costs calls for each host": hundreds of hosts each read servers and configuration before they heard any.
    */
   private get leavesReading(): boolean {
     if (performance.now() - this.startedMs < standbyReadMs) return true;
