--- a/src/serving/quarantine/holds.ts
+++ b/src/serving/quarantine/holds.ts
@@ -37,7 +37,7 @@
 }
 
 /** Was the request let through for as long as it had been held, without a server that ended under it? */
-export function isOver({ untilMs, forMs }: Hold, nowMs: number): boolean {
+function isOver({ untilMs, forMs }: Hold, nowMs: number): boolean {
   return nowMs >= untilMs + forMs;
 }
 
--- a/src/serving/quarantine/quarantine.ts
+++ b/src/serving/quarantine/quarantine.ts
@@ -29,11 +29,6 @@
   forMs: Schema.Number,
 });
 
-/** Holds by fingerprint, as nodes tell each other of them. */
-export const HeldRequests = Schema.Record(Schema.String, HeldFor);
-/** Decoded holds. */
-export type HeldRequests = typeof HeldRequests.Type;
-
 /** What one node learned, for the others. Hearing it twice changes nothing. */
 export const QuarantineNews = Schema.Struct({
   /** Fingerprints of requests that were cut, by the incarnation that ended. */
@@ -42,7 +37,8 @@
   survived: Schema.Array(Schema.String),
   /** Incarnations that live though a request was cut there. */
   alive: Schema.Array(Schema.String),
-  held: HeldRequests,
+  /** Requests held back since, by fingerprint. */
+  held: Schema.Record(Schema.String, HeldFor),
 });
 /** Decoded news. */
 export type QuarantineNews = typeof QuarantineNews.Type;
@@ -72,11 +68,6 @@
     return this.suspects.size === 0 && this.holds.size === 0;
   }
 
-  /** Requests under which a server ended, or seemed to. */
-  get suspected(): number {
-    return this.suspects.size;
-  }
-
   /** Time until the request may be sent, ms; 0 if it may now. */
   leftMs(fingerprint: string, nowMs: number): number {
     return this.holds.leftMs(fingerprint, nowMs);
