--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -221,6 +221,7 @@
       {
         answer: (facts) => {
           serving.pool.learnKeepAlive(server.id, facts.keepAliveS);
+          serving.notices.hear(server, facts.notice, now, performance.now());
         },
         firstByte: () => {
           inFlight.started();
--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/fleetTask.ts
@@ -80,6 +80,9 @@
     options.link.returned.on(() => {
       options.serving.fleet.storeReturned(performance.now());
     });
+    options.serving.notices.changed.on(({ server, ...notice }) => {
+      options.serving.log.info({ event: "server-notice", server: server.id, ...notice });
+    });
   }
 
   /** Time since the last read that succeeded, ms; infinite while the store doesn't answer. */
@@ -242,10 +245,12 @@
   private tidy(): void {
     const { serving } = this.options;
     serving.fleet.expire(performance.now());
-    const known = new Set(serving.fleet.all().map((server) => server.id));
+    const servers = serving.fleet.all();
+    const known = new Set(servers.map((server) => server.id));
     serving.pool.retain(known);
     serving.outliers.retain(known);
     serving.refusals.retain(known);
+    serving.notices.retain(servers);
   }
 
   private logChange(server: BackendServer): void {
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -14,6 +14,10 @@
   readonly cuts = this.counter("cut_sends_total", "Sends whose connection ended before the answer", [
     "service",
   ]);
+  /** Sends to servers while a rate limit of theirs was known, by service. */
+  readonly limitedSends = this.counter("limited_sends_total", "Sends to servers with a rate limit", [
+    "service",
+  ]);
   /** Orders to engines, by action and outcome. */
   readonly orders = this.counter("orders_total", "Orders to engines", ["action", "outcome"]);
   /** Time to the first byte for callers, s. */
--- a/src/gateway/sendRecord.ts
+++ b/src/gateway/sendRecord.ts
@@ -29,6 +29,8 @@
     const { loads, modelsRunning, adaptersRunning } = serving;
     const { model, adapter } = facts;
     const inFlight = loads.begin(chosen.server.id, chosen.workMs);
+    if (serving.notices.limitPerS(chosen.server) !== undefined)
+      serving.metrics.limitedSends.inc({ service: service.name });
     if (model === undefined) return inFlight;
     const residency = residencyKey(chosen.server.id, model);
     const running = adapter === undefined ? undefined : adapterKey(service.name, model, adapter);
--- a/src/gateway/serving.ts
+++ b/src/gateway/serving.ts
@@ -12,6 +12,7 @@
 import { Quarantine } from "../serving/quarantine/quarantine.ts";
 import { Refusals } from "../serving/refusals.ts";
 import type { RouteTable } from "../serving/routeTable.ts";
+import { ServerNotices } from "../serving/serverNotices.ts";
 import { GatewayMetrics } from "./gatewayMetrics.ts";
 import { UpstreamPool } from "./upstreamPool.ts";
 
@@ -93,6 +94,8 @@
   /** The same by residency key. */
   readonly modelsRunning: RequestCounts;
   readonly refusals: Refusals;
+  /** What servers say of themselves in their answers. */
+  readonly notices: ServerNotices;
   /** Requests under which servers end. */
   readonly quarantine: Quarantine;
   readonly modelWaits: ModelWaits;
@@ -123,6 +126,7 @@
     adaptersRunning: new RequestCounts(),
     modelsRunning: new RequestCounts(),
     refusals: new Refusals(),
+    notices: new ServerNotices(),
     quarantine: new Quarantine(),
     modelWaits: new ModelWaits(),
     paces: new ModelPaces(),
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -40,6 +40,16 @@
   readonly bodyBytes?: number | undefined;
 }
 
+/** What a server says of itself with an answer. */
+export interface ServerNotice {
+  /** Requests per second that it accepts from all nodes together; undefined without a limit. */
+  readonly limitPerS: number | undefined;
+  /** It shuts down soon. */
+  readonly leaving: boolean;
+  /** It asks this node not to send to it for this time, ms. */
+  readonly retryAfterMs: number | undefined;
+}
+
 /** What a server's answer says, before its body. */
 export interface AnswerFacts {
   readonly status: number;
@@ -55,6 +65,7 @@
   /** After this idle time the server closes the connection, s. */
   readonly keepAliveS: number | undefined;
   readonly closes: boolean;
+  readonly notice: ServerNotice;
 }
 
 /** Reads and writes the headers of requests and answers; the platform's names stay behind it. */
--- a/test/layering.spec.ts
+++ b/test/layering.spec.ts
@@ -6,6 +6,7 @@
 const wireNames = [
   /X-Server-Seal/i,
   /X-Not-Executed/i,
+  /Server-(Limit|Leaving)\b/,
   /X-Expected-(Instance|Version)/i,
   /X-(Token-Count|Prompt-Prefix|Request-Priority|Weight-Versions|Length-Hint|Pin-Ms|Hold)\b/i,
   /\/(readiness|resolve|rows-(tx|get|feed|parts)|blob-|kv-|hold-)/,
--- /dev/null
+++ b/test/serving/serverNotices.spec.ts
@@ -0,0 +1,42 @@
+import { expect } from "chai";
+import type { ServerNotice } from "../../src/serving/exchange.ts";
+import { ServerNotices } from "../../src/serving/serverNotices.ts";
+
+const none: ServerNotice = { limitPerS: undefined, leaving: false, retryAfterMs: undefined };
+const server = { id: "i-1" };
+
+describe("a server's notices", () => {
+  it("should bind a lower limit at once, and lift it with an answer to a later request", () => {
+    const notices = new ServerNotices();
+    notices.hear(server, { ...none, limitPerS: 3 }, 0, 10);
+    notices.hear(server, { ...none, limitPerS: 1 }, 5, 20);
+    expect(notices.limitPerS(server)).to.equal(1);
+    notices.hear(server, none, 21, 30);
+    expect(notices.limitPerS(server)).to.equal(undefined);
+  });
+
+  it("should not lift a limit because an answer to an earlier request arrives late", () => {
+    const notices = new ServerNotices();
+    notices.hear(server, { ...none, limitPerS: 1 }, 0, 20);
+    notices.hear(server, none, 10, 30);
+    expect(notices.limitPerS(server)).to.equal(1);
+  });
+
+  it("should hold for the incarnation that gave them only", () => {
+    const notices = new ServerNotices();
+    notices.hear({ id: "i-1", startedAtMs: 100 }, { ...none, limitPerS: 1 }, 0, 10);
+    expect(notices.limitPerS({ id: "i-1", startedAtMs: 200 })).to.equal(undefined);
+    notices.retain([{ id: "i-1", startedAtMs: 200 }]);
+    expect(notices.limitPerS({ id: "i-1", startedAtMs: 100 })).to.equal(undefined);
+  });
+
+  it("should be told as changed once, not with each answer", () => {
+    const notices = new ServerNotices();
+    let changes = 0;
+    notices.changed.on(() => (changes += 1));
+    for (let i = 0; i < 3; i += 1) notices.hear(server, { ...none, limitPerS: 2, leaving: true }, i, i + 1);
+    notices.hear(server, { ...none, limitPerS: 2, retryAfterMs: 500 }, 4, 5);
+    notices.hear(server, { ...none, limitPerS: 2, retryAfterMs: 500 }, 5, 6);
+    expect(changes).to.equal(2);
+  });
+});
