--- a/src/common/tokenBucket.ts
+++ b/src/common/tokenBucket.ts
@@ -21,6 +21,11 @@
     return Math.floor(this.tokens);
   }
 
+  /** What is missing of the next whole token, 0 if there is one. */
+  get missing(): number {
+    return Math.max(0, 1 - this.tokens);
+  }
+
   /** Adds tokens (parts of one included); what goes over the capacity is lost. */
   add(tokens: number): void {
     this.tokens = Math.min(this.capacity, this.tokens + tokens);
--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/fleetTask.ts
@@ -5,7 +5,7 @@
 import { toFailure, type Failure } from "../common/errors.ts";
 import type { Handler } from "../common/rpc.ts";
 import { LoopTask } from "../common/loopTask.ts";
-import { BackendServer, startedAfter } from "../serving/backendServer.ts";
+import { BackendServer, incarnationOf, startedAfter } from "../serving/backendServer.ts";
 import type { ChangeScope, Registration } from "../serving/fleet.ts";
 import type { PeerNews } from "./peerCalls.ts";
 import type { RowSet, Store } from "../serving/store.ts";
@@ -251,6 +251,9 @@
     serving.outliers.retain(known);
     serving.refusals.retain(known);
     serving.notices.retain(servers);
+    const incarnations = new Set(servers.map(incarnationOf));
+    serving.permits.retain(incarnations);
+    serving.permitIssuer.retain(incarnations);
   }
 
   private logChange(server: BackendServer): void {
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -28,6 +28,7 @@
 import { MemberTask } from "./memberTask.ts";
 import { PeerCalls, type PeerNews } from "./peerCalls.ts";
 import { PeerTask } from "./peerTask.ts";
+import { PermitTask } from "./permitTask.ts";
 import { PlacementTask } from "./placementTask.ts";
 import { QuarantineGossip } from "./quarantineGossip.ts";
 import { QuarantineTask } from "./quarantineTask.ts";
@@ -205,6 +206,17 @@
       active: () => this.activation.active,
       ask,
     });
+    const permits = new PermitTask({
+      log,
+      self: settings.peers,
+      table: this.table,
+      peers: this.peers,
+      notices: this.serving.notices,
+      permits: this.serving.permits,
+      issuer: this.serving.permitIssuer,
+      mayIssue: () => this.ready && this.activation.active,
+      granted: this.serving.fleetChanged,
+    });
     this.calls = new PeerCalls(settings.peers, {
       ...this.configuration.handlers,
       ...this.fleet.handlers,
@@ -239,6 +251,7 @@
           peers: this.peers,
           decides: () => this.lease.holding,
         }),
+        permits,
         this.callers,
         this.member,
         this.activation,
--- a/src/gateway/serverWait.ts
+++ b/src/gateway/serverWait.ts
@@ -1,4 +1,5 @@
 /** Finds a server for one request: at once where there is one, or once its model, adapter or turn has come. */
+import type { Disposable } from "../common/disposables.ts";
 import { admit } from "../serving/admission.ts";
 import { holds, type BackendServer } from "../serving/backendServer.ts";
 import type { Route, Service } from "../serving/configuration.ts";
@@ -48,6 +49,8 @@
   retryAfterS = soonS;
   private readonly tried = new Set<string>();
   private askedAgain = false;
+  /** The servers whose permits the request waits for. */
+  private permitWait: { readonly key: string; readonly waiting: Disposable } | undefined;
 
   constructor(private readonly options: ServerWaitOptions) {}
 
@@ -70,6 +73,8 @@
         if (admission === "send") {
           this.tried.add(chosen.server.id);
           this.options.serving.modelWaits.found(key);
+          this.options.serving.permits.spend(chosen.server);
+          this.wantSparePermits();
           return chosen;
         }
         if (admission === "refuse") return undefined;
@@ -77,6 +82,7 @@
       }
     } finally {
       if (counted) waiting.remove(key);
+      this.awaitPermits([]);
     }
   }
 
@@ -130,11 +136,54 @@
   }
 
   private candidates(): BackendServer[] {
+    const now = performance.now();
+    return this.openServers().filter((server) => this.options.serving.permits.admits(server, now));
+  }
+
+  /** Servers that could serve the request, whether or not this node has a permit for those with a rate limit. */
+  private openServers(): BackendServer[] {
     const { facts, service, serving } = this.options;
     const now = performance.now();
-    const { model, adapter } = facts;
-    const held = service.engine === undefined ? undefined : model;
-    return this.reachableServers(held, adapter).filter((s) => serving.refusals.open(s.id, this.scope, now));
+    const held = service.engine === undefined ? undefined : facts.model;
+    return this.reachableServers(held, facts.adapter).filter((s) =>
+      serving.refusals.open(s.id, this.scope, now),
+    );
+  }
+
+  /** Servers that could serve the request once this node has a permit. */
+  private limitedServers(): BackendServer[] {
+    const { notices, permits } = this.options.serving;
+    if (notices.empty) return [];
+    const now = performance.now();
+    return this.openServers().filter((s) => !this.tried.has(s.id) && !permits.admits(s, now));
+  }
+
+  /** The request is sent: the next one like it may go to a server with a rate limit, if that has capacity to spare. */
+  private wantSparePermits(): void {
+    const limited = this.limitedServers();
+    if (limited.length > 0) this.options.serving.permits.wantSpare(limited, performance.now());
+  }
+
+  /** Counts the request as waiting for permits of just these servers. */
+  private awaitPermits(servers: readonly BackendServer[]): void {
+    const key = servers.map(({ id }) => id).join(" ");
+    if (key === this.permitWait?.key) return;
+    void this.permitWait?.waiting.dispose();
+    this.permitWait = undefined;
+    if (servers.length === 0) return;
+    const waiting = this.options.serving.permits.wait(servers, this.options.arrivedMs);
+    this.permitWait = { key, waiting };
+  }
+
+  /** Sleeps until a permit may have come; false if none will in time. */
+  private async permitMayCome(servers: readonly BackendServer[]): Promise<boolean> {
+    const { permits, fleetChanged } = this.options.serving;
+    const expectedMs = permits.expectedMs(servers, performance.now());
+    this.refuse(expectedMs, "its servers accept no more requests per second");
+    if (this.permitWait === undefined && expectedMs >= this.leftMs) return false;
+    this.awaitPermits(servers);
+    await fleetChanged.next(Math.max(1, Math.min(this.leftMs, lookAgainMs)));
+    return true;
   }
 
   /**
@@ -178,6 +227,11 @@
 
   /** Sleeps until a server may have come; false if none will in time. */
   private async serverMayCome(progress: Progress): Promise<boolean> {
+    const limited = this.limitedServers();
+    if (limited.length > 0) {
+      this.options.placer.wanted();
+      return this.permitMayCome(limited);
+    }
     if (this.tried.size > 0) return this.askAgain(progress);
     this.options.placer.wanted();
     if (this.comesTooLate()) return false;
--- a/src/gateway/serving.ts
+++ b/src/gateway/serving.ts
@@ -10,6 +10,8 @@
 import { ModelPaces } from "../serving/modelPace.ts";
 import { Outliers } from "../serving/outliers.ts";
 import { Quarantine } from "../serving/quarantine/quarantine.ts";
+import { PermitIssuer } from "../serving/permits/permitIssuer.ts";
+import { Permits } from "../serving/permits/permits.ts";
 import { Refusals } from "../serving/refusals.ts";
 import type { RouteTable } from "../serving/routeTable.ts";
 import { ServerNotices } from "../serving/serverNotices.ts";
@@ -79,7 +81,7 @@
   readonly codec: HeaderCodec;
   readonly configuration: ConfigurationInForce;
   readonly fleet: Fleet;
-  /** Fired when a server, or what it holds, was learned or lost. */
+  /** Fired when a server, or what it holds, was learned or lost, or a server may be sent to again. */
   readonly fleetChanged: Emitter<undefined>;
   readonly loads: LoadBoard;
   readonly outliers: Outliers;
@@ -96,6 +98,10 @@
   readonly refusals: Refusals;
   /** What servers say of themselves in their answers. */
   readonly notices: ServerNotices;
+  /** Permits to send to servers that name a rate limit. */
+  readonly permits: Permits;
+  /** Those that this node issues to all. */
+  readonly permitIssuer: PermitIssuer;
   /** Requests under which servers end. */
   readonly quarantine: Quarantine;
   readonly modelWaits: ModelWaits;
@@ -113,6 +119,7 @@
 
 /** The parts as they are before anything was learned. */
 export function createServing({ nodes, ...options }: ServingOptions): Serving {
+  const notices = new ServerNotices();
   return {
     ...options,
     configuration: new ConfigurationInForce(),
@@ -126,7 +133,9 @@
     adaptersRunning: new RequestCounts(),
     modelsRunning: new RequestCounts(),
     refusals: new Refusals(),
-    notices: new ServerNotices(),
+    notices,
+    permits: new Permits(notices),
+    permitIssuer: new PermitIssuer(),
     quarantine: new Quarantine(),
     modelWaits: new ModelWaits(),
     paces: new ModelPaces(),
--- a/src/serving/serverNotices.ts
+++ b/src/serving/serverNotices.ts
@@ -1,4 +1,5 @@
 /** What backend servers last said of themselves: a rate limit, that they shut down, when to send to them again. */
+import * as Schema from "effect/Schema";
 import { Emitter } from "../common/emitter.ts";
 import { incarnationOf, type BackendServer } from "./backendServer.ts";
 import type { ServerNotice } from "./exchange.ts";
@@ -6,6 +7,16 @@
 /** Names one incarnation of a server. */
 export type Incarnation = Pick<BackendServer, "id" | "startedAtMs">;
 
+/** A rate limit as its node last heard of it. */
+export const LimitWord = Schema.Struct({
+  /** Requests per second from all nodes together; absent once the server names no limit any more. */
+  perS: Schema.optionalKey(Schema.Number),
+  /** Since the server said so, ms. */
+  ageMs: Schema.Number,
+});
+/** A decoded word. */
+export type LimitWord = typeof LimitWord.Type;
+
 /** A rate limit as last named or lifted, and when, ms. */
 interface LimitRecord {
   readonly perS: number | undefined;
@@ -48,11 +59,33 @@
       this.changed.fire({ server, limitPerS: record.limit?.perS, leaving: record.leaving, retryAfterMs });
   }
 
+  /** No server has said anything of itself. */
+  get empty(): boolean {
+    return this.records.size === 0;
+  }
+
   /** Requests per second that the server accepts from all nodes together; undefined without a limit. */
   limitPerS(server: Incarnation): number | undefined {
     return this.records.get(incarnationOf(server))?.limit?.perS;
   }
 
+  /** The limit as last named or lifted, to tell peers; undefined if the server never named one. */
+  limitWord(incarnation: string, nowMs: number): LimitWord | undefined {
+    const limit = this.records.get(incarnation)?.limit;
+    if (limit === undefined) return undefined;
+    const ageMs = Math.round(nowMs - limit.atMs);
+    return limit.perS === undefined ? { ageMs } : { perS: limit.perS, ageMs };
+  }
+
+  /** Takes a peer's word on a limit; true if it is newer than what is known. */
+  learnLimit(incarnation: string, { perS, ageMs }: LimitWord, nowMs: number): boolean {
+    const record = this.records.get(incarnation) ?? { limit: undefined, leaving: false, pausedUntilMs: 0 };
+    if (record.limit !== undefined && record.limit.atMs >= nowMs - ageMs) return false;
+    record.limit = { perS, atMs: nowMs - ageMs };
+    this.records.set(incarnation, record);
+    return true;
+  }
+
   /** Drops what is known of servers that are gone. */
   retain(servers: readonly Incarnation[]): void {
     const known = new Set(servers.map(incarnationOf));
