--- a/test/gateway/serverNotices.spec.ts
+++ b/test/gateway/serverNotices.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { answerOk } from "../fixtures/backends.ts";
+import { answerOk, turnAway, type Arrival } from "../fixtures/backends.ts";
 import { answerLimited, LimitedPool } from "../fixtures/limitedPool.ts";
 
 /** Span in which a server's requests are counted, ms. */
@@ -71,3 +71,120 @@
     for (const { headers } of refused) expect(Number(headers["retry-after"])).to.be.greaterThan(0);
   });
 });
+
+/** Requests may still be sent to a server for this long after it said that it leaves, ms. */
+const drainMs = 2_000;
+
+function answerLeaving(arrival: Arrival): void {
+  answerOk(arrival, "whole", { "Server-Leaving": "1" });
+}
+
+describe("a backend server that says in its answers that it leaves", () => {
+  let pool: LimitedPool;
+
+  afterEach(async () => {
+    await pool.dispose();
+  });
+
+  // Guards against nodes that hear of a leaving server from the store only, while that takes no registrations.
+  it("should get no more requests though it is still registered as ready, and nobody be refused", async () => {
+    pool = await LimitedPool.start({ servers: { "i-1": answerLeaving, "i-2": answerOk } });
+    const startedMs = performance.now();
+    const replies = await pool.askFor(4_000);
+    expect(pool.arrivalsAt("i-1", startedMs).length).to.be.greaterThan(0);
+    expect(pool.arrivalsAt("i-1", startedMs + drainMs + 500).length).to.equal(0);
+    expect(new Set(replies.map(({ status }) => status))).to.deep.equal(new Set([200]));
+  });
+
+  // Guards against callers refused because the one server that could serve them leaves and its successor is on its way.
+  it("should still be used at first if it is the only one, and its successor have the requests that wait", async () => {
+    pool = await LimitedPool.start({ servers: { "i-1": answerLeaving }, route: { timeoutMs: 5_000 } });
+    const startedMs = performance.now();
+    const asked = pool.askFor(5_500);
+    await new Promise((resolve) => setTimeout(resolve, drainMs + 1_000));
+    await pool.startServer("i-2", answerOk);
+    const replies = await asked;
+    expect(pool.arrivalsAt("i-1", startedMs + 500).length).to.be.greaterThan(0);
+    expect(pool.arrivalsAt("i-1", startedMs + drainMs + 200).length).to.equal(0);
+    expect(replies.filter(({ status }) => status !== 200).length).to.equal(0);
+  });
+});
+
+describe("a backend server that asks a node not to send for a while", () => {
+  /** The bound begins this long after the answer, ms. */
+  const graceMs = 500;
+  /** Requests that may reach the server meanwhile. */
+  const mostMeanwhile = 2;
+  let pool: LimitedPool;
+
+  afterEach(async () => {
+    await pool.dispose();
+  });
+
+  // Guards against nodes that try a server again after a pause of their own, sooner than it asked for.
+  it("should be left alone for so long", async () => {
+    const pauseMs = 4_000;
+    pool = await LimitedPool.start({
+      nodes: 1,
+      servers: {
+        "i-1": (arrival) => {
+          turnAway(arrival, { "Retry-After": String(pauseMs / 1000) });
+        },
+        "i-2": answerOk,
+      },
+    });
+    const startedMs = performance.now();
+    const replies = await pool.askFor(pauseMs + 500, 3);
+    const first = pool.arrivalsAt("i-1", startedMs)[0]?.atMs ?? 0;
+    const meanwhile = pool.arrivalsAt("i-1", first + graceMs, first + pauseMs);
+    expect(meanwhile.length).to.be.at.most(mostMeanwhile);
+    expect(new Set(replies.map(({ status }) => status))).to.deep.equal(new Set([200]));
+  });
+
+  // Guards against a server that is overrun by all waiting requests in the moment in which its pause ends.
+  it("should get one request first when the time is over, and the others once it took that", async () => {
+    const pauseMs = 1_000;
+    const workMs = 150;
+    let turnedAwayMs: number | undefined;
+    pool = await LimitedPool.start({
+      nodes: 1,
+      route: { timeoutMs: 5_000 },
+      servers: {
+        "i-1": (arrival) => {
+          turnedAwayMs ??= performance.now();
+          if (performance.now() - turnedAwayMs < pauseMs / 2) turnAway(arrival, { "Retry-After": "1" });
+          else
+            setTimeout(() => {
+              answerOk(arrival);
+            }, workMs);
+        },
+      },
+    });
+    const replies = await pool.askFor(2_500, 8);
+    const over = (turnedAwayMs ?? 0) + pauseMs - 50;
+    const [first] = pool.arrivalsAt("i-1", over);
+    expect(pool.arrivalsAt("i-1", over, (first?.atMs ?? 0) + workMs).length).to.equal(1);
+    expect(pool.arrivalsAt("i-1", over).length).to.be.greaterThan(16);
+    expect(replies.filter(({ status }) => status !== 200).length).to.equal(0);
+  });
+
+  // Guards against callers held until their deadline though no server can take them before it.
+  it("should have callers refused at once with its own time to return, where that is past their deadline", async () => {
+    pool = await LimitedPool.start({
+      nodes: 1,
+      servers: {
+        "i-1": (arrival) => {
+          turnAway(arrival, { "Retry-After": "8" });
+        },
+      },
+    });
+    const replies = await pool.askFor(1_000);
+    const later = replies.slice(1);
+    expect(later.length).to.be.greaterThan(5);
+    for (const { status, tookMs, headers } of later) {
+      expect(status).to.equal(503);
+      expect(tookMs).to.be.lessThan(100);
+      expect(Number(headers["retry-after"])).to.be.within(6, 8);
+    }
+  });
+});
