--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/fleetTask.ts
@@ -1,12 +1,13 @@
 /** Keeps the fleet up to date with the servers' registrations: read from the store, or told by a peer that reads. */
 import * as Schema from "effect/Schema";
 import type * as purify from "purify-ts";
-import { decode } from "../common/decode.ts";
+import { decode, decodeEither } from "../common/decode.ts";
 import { toFailure, type Failure } from "../common/errors.ts";
 import type { Handler } from "../common/rpc.ts";
 import { LoopTask } from "../common/loopTask.ts";
 import { BackendServer, incarnationOf, startedAfter } from "../serving/backendServer.ts";
 import type { ChangeScope, Registration } from "../serving/fleet.ts";
+import type { NoticeChange } from "../serving/serverNotices.ts";
 import type { PeerNews } from "./peerCalls.ts";
 import type { RowSet, Store } from "../serving/store.ts";
 import type { Serving } from "./serving.ts";
@@ -25,6 +26,10 @@
 /** Rejected entries remembered, so that a table full of them takes no memory; past it each is logged anew. */
 const mostRejected = 1_000;
 
+/** A server said that it leaves. */
+const LeavingMessage = Schema.Struct({ incarnation: Schema.String });
+type LeavingMessage = typeof LeavingMessage.Type;
+
 /** A peer asks for what changed after the revision that it pulled last. */
 const ChangesParams = Schema.Struct({ after: Schema.Number, scope: Schema.Literals(["all", "presence"]) });
 
@@ -53,6 +58,8 @@
   readonly ask: (peer: PeerNews, method: string, params: unknown) => Promise<unknown>;
   /** What was read differs from what peers were told. */
   readonly onChange: () => void;
+  /** Tells peers that a server leaves. */
+  readonly tellLeaving: (message: LeavingMessage) => void;
 }
 
 /** What was pulled from a peer last. */
@@ -80,8 +87,8 @@
     options.link.returned.on(() => {
       options.serving.fleet.storeReturned(performance.now());
     });
-    options.serving.notices.changed.on(({ server, ...notice }) => {
-      options.serving.log.info({ event: "server-notice", server: server.id, ...notice });
+    options.serving.notices.changed.on((notice) => {
+      this.onNotice(notice);
     });
   }
 
@@ -90,6 +97,17 @@
     return this.options.link.reachable ? performance.now() - this.lastReadMs : Number.POSITIVE_INFINITY;
   }
 
+  /** A peer says that a server leaves. */
+  onLeaving(params: unknown): void {
+    decodeEither(LeavingMessage, params)
+      .ifLeft((failure) => {
+        this.options.serving.log.warn({ event: "peer-message-rejected", detail: failure.message });
+      })
+      .ifRight(({ incarnation }) => {
+        this.options.serving.notices.learnLeaving(incarnation, performance.now());
+      });
+  }
+
   /** Methods for peers. */
   get handlers(): Record<string, Handler> {
     return {
@@ -126,6 +144,14 @@
     }
   }
 
+  private onNotice({ incarnation, ...notice }: NoticeChange): void {
+    const { serving, tellLeaving } = this.options;
+    serving.log.info({ event: "server-notice", server: incarnation, ...notice });
+    if (notice.leaving && notice.source === "answer") tellLeaving({ incarnation });
+    // Requests that wait for the server look for another one.
+    serving.fleetChanged.fire(undefined);
+  }
+
   private changesAfter(revision: number, scope: ChangeScope): typeof ChangesResult.Type {
     const asOf = Math.max(this.version ?? 0, this.heardAsOf);
     return { asOf, ...this.options.serving.fleet.changesAfter(revision, scope) };
@@ -250,7 +276,7 @@
     serving.pool.retain(known);
     serving.outliers.retain(known);
     serving.refusals.retain(known);
-    serving.notices.retain(servers);
+    serving.notices.retain(servers, performance.now());
     const incarnations = new Set(servers.map(incarnationOf));
     serving.permits.retain(incarnations);
     serving.permitIssuer.retain(incarnations);
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -98,6 +98,7 @@
     this.serving = createServing({
       host: settings.host,
       zone: settings.zone,
+      drainMs: settings.drainMs,
       log,
       codec: platform.codec,
       nodes: () => this.liveNodes,
@@ -151,6 +152,9 @@
       },
     });
     this.peers.handle("loads", (params) => this.hearLoads(params));
+    this.peers.handle("server.leaving", (params) => {
+      this.fleet.onLeaving(params);
+    });
     this.peers.handle("lease.yield", (params) => this.lease.onYield(params));
     this.placement = new PlacementTask({
       serving: this.serving,
@@ -196,6 +200,9 @@
       onChange: () => {
         this.peers.tell();
       },
+      tellLeaving: (message) => {
+        this.peers.notify("server.leaving", message);
+      },
     });
     this.quarantine = new QuarantineTask({
       store,
--- a/src/gateway/quarantineCheck.ts
+++ b/src/gateway/quarantineCheck.ts
@@ -58,7 +58,8 @@
     const known = serving.fleet.get(server.id);
     // Guards "a request is held back because servers were taken away": one that was leaving, or whose registration is
     // gone already, ends for that reason, and cuts off whatever still runs on it.
-    const ended = known !== undefined && !known.leaving;
+    const ended =
+      known !== undefined && !known.leaving && serving.notices.leavingSinceMs(known) === undefined;
     if (ended) serving.quarantine.cut(this.fingerprint, incarnationOf(server), now);
     serving.metrics.cuts.inc({ service: server.service });
     serving.log.info({
--- a/src/gateway/serverWait.ts
+++ b/src/gateway/serverWait.ts
@@ -140,14 +140,19 @@
     return this.openServers().filter((server) => this.options.serving.permits.admits(server, now));
   }
 
-  /** Servers that could serve the request, whether or not this node has a permit for those with a rate limit. */
+  /**
+   * Servers that could serve the request, whether or not this node has a permit for those with a rate limit. Where there
+   * is no other, one that has just said that it leaves.
+   */
   private openServers(): BackendServer[] {
     const { facts, service, serving } = this.options;
     const now = performance.now();
     const held = service.engine === undefined ? undefined : facts.model;
-    return this.reachableServers(held, facts.adapter).filter((s) =>
-      serving.refusals.open(s.id, this.scope, now),
-    );
+    const isOpen = ({ id }: BackendServer): boolean => serving.refusals.open(id, this.scope, now);
+    const servers = this.reachableServers(held, facts.adapter).filter(isOpen);
+    if (servers.length > 0) return servers;
+    const leaving = serving.fleet.leavingSince(service.name, now - serving.drainMs);
+    return this.reachable(leaving, held, facts.adapter).filter(isOpen);
   }
 
   /** Servers that could serve the request once this node has a permit. */
@@ -192,11 +197,18 @@
    * crash by seconds, and each request that was sent to it meanwhile was refused with no word on when to come back.
    */
   private reachableServers(model: string | undefined, adapter: string | undefined): BackendServer[] {
+    return this.reachable(this.options.serving.fleet.available(this.options.service.name), model, adapter);
+  }
+
+  private reachable(
+    servers: readonly BackendServer[],
+    model: string | undefined,
+    adapter: string | undefined,
+  ): BackendServer[] {
     const now = performance.now();
-    const { fleet, outliers } = this.options.serving;
+    const { outliers } = this.options.serving;
     // A few of 80 engines hold a model, so that is asked first: a request that waits its turn chooses 20 times a second.
-    return fleet
-      .available(this.options.service.name)
+    return servers
       .filter((server) => model === undefined || holds(server, model, adapter))
       .filter((server) => !outliers.health(server.id, now).unreachable);
   }
--- a/src/gateway/serving.ts
+++ b/src/gateway/serving.ts
@@ -77,6 +77,8 @@
 export interface Serving {
   readonly host: string;
   readonly zone: string;
+  /** A server that said that it leaves may be sent requests for this long, ms. */
+  readonly drainMs: number;
   readonly log: Log;
   readonly codec: HeaderCodec;
   readonly configuration: ConfigurationInForce;
@@ -112,7 +114,7 @@
 }
 
 /** What differs between nodes. */
-export interface ServingOptions extends Pick<Serving, "host" | "zone" | "log" | "codec"> {
+export interface ServingOptions extends Pick<Serving, "host" | "zone" | "drainMs" | "log" | "codec"> {
   /** Nodes that callers' requests are spread over now, this one included. */
   readonly nodes: () => number;
 }
@@ -123,7 +125,7 @@
   return {
     ...options,
     configuration: new ConfigurationInForce(),
-    fleet: new Fleet(),
+    fleet: new Fleet(notices),
     fleetChanged: new Emitter(),
     loads: new LoadBoard(),
     outliers: new Outliers(),
--- a/src/serving/fleet.ts
+++ b/src/serving/fleet.ts
@@ -3,6 +3,7 @@
  * are newer than the registration, and by what was learned while the store was away.
  */
 import { holds, startedAfter, type BackendServer, type Resident } from "./backendServer.ts";
+import { ServerNotices } from "./serverNotices.ts";
 
 /**
  * After the store was out of reach, registrations that lapsed meanwhile are back within two seconds if
@@ -82,6 +83,12 @@
   /** What `available` gives, by service; emptied with each change. */
   private readonly availableNow = new Map<string, readonly BackendServer[]>();
 
+  constructor(private readonly notices = new ServerNotices()) {
+    notices.changed.on(() => {
+      this.availableNow.clear();
+    });
+  }
+
   /** Grows with each change that peers want to hear. */
   get revision(): number {
     return this.revisionCount;
@@ -236,11 +243,24 @@
   available(service: string): readonly BackendServer[] {
     const known = this.availableNow.get(service);
     if (known !== undefined) return known;
-    const servers = this.all().filter((server) => server.service === service && !server.leaving);
+    const servers = this.all().filter(
+      (server) =>
+        server.service === service && !server.leaving && this.notices.leavingSinceMs(server) === undefined,
+    );
     this.availableNow.set(service, servers);
     return servers;
   }
 
+  /** Servers of the service that said after `sinceMs` that they leave, and are still registered as ready. */
+  leavingSince(service: string, sinceMs: number): readonly BackendServer[] {
+    return this.all().filter(
+      (server) =>
+        server.service === service &&
+        !server.leaving &&
+        (this.notices.leavingSinceMs(server) ?? Number.NEGATIVE_INFINITY) > sinceMs,
+    );
+  }
+
   /** Every server known, leaving ones too. */
   all(): BackendServer[] {
     return [...this.entries.values()].map((entry) => entry.server);
--- a/src/serving/hostSettings.ts
+++ b/src/serving/hostSettings.ts
@@ -29,6 +29,8 @@
   leaseMs: Schema.Number,
   /** Time a host is given between SIGTERM and SIGKILL, ms. */
   graceMs: Schema.Number,
+  /** A server may be sent requests for this long after it said that it leaves, ms. */
+  drainMs: Schema.Number,
   /** Longest time callers keep an answer of the directory, s. */
   maxTtlS: Schema.Number,
   retryRatio: Schema.Number,
--- a/src/serving/serverNotices.ts
+++ b/src/serving/serverNotices.ts
@@ -1,4 +1,7 @@
-/** What backend servers last said of themselves: a rate limit, that they shut down, when to send to them again. */
+/**
+ * What backend servers last said of themselves in their answers: a rate limit, that they shut down, when to send to them
+ * again. Every path that sends asks here, and every answer is heard here.
+ */
 import * as Schema from "effect/Schema";
 import { Emitter } from "../common/emitter.ts";
 import { incarnationOf, type BackendServer } from "./backendServer.ts";
@@ -25,18 +28,32 @@
 
 interface NoticeRecord {
   limit: LimitRecord | undefined;
-  leaving: boolean;
+  /** When this node first heard that the server leaves, ms. */
+  leavingSinceMs: number | undefined;
   pausedUntilMs: number;
+  /** When the server was last registered, ms. */
+  registeredMs: number;
 }
 
-/** What is new about a server, for the log. */
+/** Whom a node has a notice from: the server itself, with an answer, or a peer. */
+export type NoticeSource = "answer" | "peer";
+
+/** What is known of a server since something of it changed. */
 export interface NoticeChange {
-  readonly server: Incarnation;
+  readonly incarnation: string;
+  readonly source: NoticeSource;
   readonly limitPerS: number | undefined;
   readonly leaving: boolean;
-  readonly retryAfterMs: number | undefined;
+  /** Given where the server asked for a pause now. */
+  readonly retryAfterMs?: number | undefined;
 }
 
+/**
+ * Notices are kept this long after the registration is gone, ms: one that lapses while the store is away comes back, and
+ * the server still leaves.
+ */
+const keptMs = 60_000;
+
 /** Notices by incarnation: a server that starts again begins without any. */
 export class ServerNotices {
   /** A server said something new. */
@@ -45,18 +62,16 @@
 
   /** Takes the notice in an answer to a request that was sent at `sentMs`. */
   hear(server: Incarnation, notice: ServerNotice, sentMs: number, nowMs: number): void {
-    const known = this.records.get(incarnationOf(server));
-    if (known === undefined && isEmpty(notice)) return;
-    const record = known ?? { limit: undefined, leaving: false, pausedUntilMs: 0 };
-    this.records.set(incarnationOf(server), record);
+    const incarnation = incarnationOf(server);
+    if (isEmpty(notice) && !this.records.has(incarnation)) return;
+    const record = this.record(incarnation, nowMs);
     const { limitPerS, leaving, retryAfterMs } = notice;
-    const limitChanged = this.hearLimit(record, limitPerS, sentMs, nowMs);
-    const leavingChanged = leaving && !record.leaving;
+    const limitChanged = hearLimit(record, limitPerS, sentMs, nowMs);
+    const leavingChanged = leaving && record.leavingSinceMs === undefined;
     const pauseBegins = retryAfterMs !== undefined && nowMs >= record.pausedUntilMs;
-    record.leaving ||= leaving;
+    if (leaving) record.leavingSinceMs ??= nowMs;
     record.pausedUntilMs = Math.max(record.pausedUntilMs, nowMs + (retryAfterMs ?? 0));
-    if (limitChanged || leavingChanged || pauseBegins)
-      this.changed.fire({ server, limitPerS: record.limit?.perS, leaving: record.leaving, retryAfterMs });
+    if (limitChanged || leavingChanged || pauseBegins) this.tell(incarnation, record, "answer", retryAfterMs);
   }
 
   /** No server has said anything of itself. */
@@ -79,26 +94,63 @@
 
   /** Takes a peer's word on a limit; true if it is newer than what is known. */
   learnLimit(incarnation: string, { perS, ageMs }: LimitWord, nowMs: number): boolean {
-    const record = this.records.get(incarnation) ?? { limit: undefined, leaving: false, pausedUntilMs: 0 };
-    if (record.limit !== undefined && record.limit.atMs >= nowMs - ageMs) return false;
+    const record = this.record(incarnation, nowMs);
+    const known = record.limit;
+    if (known !== undefined && known.atMs >= nowMs - ageMs) return false;
     record.limit = { perS, atMs: nowMs - ageMs };
-    this.records.set(incarnation, record);
+    if (known?.perS !== perS) this.tell(incarnation, record, "peer");
     return true;
   }
 
-  /** Drops what is known of servers that are gone. */
-  retain(servers: readonly Incarnation[]): void {
-    const known = new Set(servers.map(incarnationOf));
-    for (const key of this.records.keys()) if (!known.has(key)) this.records.delete(key);
+  /** When this node first heard that the server leaves, ms; undefined if it didn't. */
+  leavingSinceMs(server: Incarnation): number | undefined {
+    return this.records.get(incarnationOf(server))?.leavingSinceMs;
   }
 
-  private hearLimit(record: NoticeRecord, perS: number | undefined, sentMs: number, nowMs: number): boolean {
-    const known = record.limit;
-    // Answers overtake each other, so one without a limit lifts it only if its request was sent after the last naming.
-    if (perS === undefined && (known === undefined || sentMs <= known.atMs)) return false;
-    record.limit = { perS, atMs: nowMs };
-    return known?.perS !== perS;
+  /** Takes a peer's word that the server leaves. */
+  learnLeaving(incarnation: string, nowMs: number): void {
+    const record = this.record(incarnation, nowMs);
+    if (record.leavingSinceMs !== undefined) return;
+    record.leavingSinceMs = nowMs;
+    this.tell(incarnation, record, "peer");
+  }
+
+  /** Drops what is known of servers that have been gone for long. */
+  retain(servers: readonly Incarnation[], nowMs: number): void {
+    for (const server of servers) {
+      const record = this.records.get(incarnationOf(server));
+      if (record !== undefined) record.registeredMs = nowMs;
+    }
+    for (const [incarnation, { registeredMs }] of this.records)
+      if (nowMs - registeredMs >= keptMs) this.records.delete(incarnation);
   }
+
+  private record(incarnation: string, nowMs: number): NoticeRecord {
+    const known = this.records.get(incarnation);
+    if (known !== undefined) return known;
+    const record = { limit: undefined, leavingSinceMs: undefined, pausedUntilMs: 0, registeredMs: nowMs };
+    this.records.set(incarnation, record);
+    return record;
+  }
+
+  private tell(
+    incarnation: string,
+    { limit, leavingSinceMs }: NoticeRecord,
+    source: NoticeSource,
+    retryAfterMs?: number,
+  ): void {
+    const leaving = leavingSinceMs !== undefined;
+    this.changed.fire({ incarnation, source, limitPerS: limit?.perS, leaving, retryAfterMs });
+  }
+}
+
+/** Takes what an answer says of a limit; true if it is something new. */
+function hearLimit(record: NoticeRecord, perS: number | undefined, sentMs: number, nowMs: number): boolean {
+  const known = record.limit;
+  // Answers overtake each other, so one without a limit lifts it only if its request was sent after the last naming.
+  if (perS === undefined && (known === undefined || sentMs <= known.atMs)) return false;
+  record.limit = { perS, atMs: nowMs };
+  return known?.perS !== perS;
 }
 
 function isEmpty({ limitPerS, leaving, retryAfterMs }: ServerNotice): boolean {
