--- /dev/null
+++ b/src/gateway/serverCandidates.ts
@@ -0,0 +1,97 @@
+/** Which backend servers could serve one request: now, or once what they said of themselves allows it. */
+import { holds, type BackendServer } from "../serving/backendServer.ts";
+import type { Service } from "../serving/configuration.ts";
+import type { RequestFacts } from "../serving/exchange.ts";
+import type { Serving } from "./serving.ts";
+
+/** What the candidates are found with. */
+export interface ServerCandidatesOptions {
+  readonly serving: Serving;
+  readonly service: Service;
+  readonly facts: RequestFacts;
+}
+
+/** The candidates of one request. */
+export class ServerCandidates {
+  /** Servers that had the request and aren't asked again. */
+  readonly tried = new Set<string>();
+
+  constructor(private readonly options: ServerCandidatesOptions) {}
+
+  /** What a refusal is about: the model at engines, the whole server elsewhere. */
+  get scope(): string {
+    return this.options.facts.model ?? "";
+  }
+
+  /** Servers that may be sent the request now. */
+  get ready(): BackendServer[] {
+    const now = performance.now();
+    return this.open().filter((server) => this.takesRequests(server, now));
+  }
+
+  /** Servers that could serve the request, and by their own word take none now: a rate limit, or a pause. */
+  get heldBack(): BackendServer[] {
+    if (this.options.serving.notices.empty) return [];
+    const now = performance.now();
+    return this.open().filter((server) => !this.tried.has(server.id) && !this.takesRequests(server, now));
+  }
+
+  /** Does any server refuse requests like this at the moment, and may take them again any time? */
+  get refusing(): boolean {
+    const now = performance.now();
+    const { refusals } = this.options.serving;
+    return this.reachable(this.available, this.model, this.options.facts.adapter).some(
+      ({ id }) => !this.tried.has(id) && !refusals.open(id, this.scope, now),
+    );
+  }
+
+  /** Does any server hold the model asked for, whatever its adapters? */
+  get modelIsThere(): boolean {
+    const { model } = this.options.facts;
+    return model !== undefined && this.reachable(this.available, model, undefined).length > 0;
+  }
+
+  /** The model that a server must hold; undefined at plain servers. */
+  private get model(): string | undefined {
+    const { service, facts } = this.options;
+    return service.engine === undefined ? undefined : facts.model;
+  }
+
+  private get available(): readonly BackendServer[] {
+    return this.options.serving.fleet.available(this.options.service.name);
+  }
+
+  private takesRequests(server: BackendServer, nowMs: number): boolean {
+    const { notices, permits } = this.options.serving;
+    return notices.isOpen(server, nowMs) && permits.admits(server, nowMs);
+  }
+
+  /** Servers that don't refuse requests like this; where there is no other, one that has just said that it leaves. */
+  private open(): BackendServer[] {
+    const { facts, service, serving } = this.options;
+    const now = performance.now();
+    const isOpen = ({ id }: BackendServer): boolean => serving.refusals.open(id, this.scope, now);
+    const servers = this.reachable(this.available, this.model, facts.adapter).filter(isOpen);
+    if (servers.length > 0) return servers;
+    const leaving = serving.fleet.leavingSince(service.name, now - serving.drainMs);
+    return this.reachable(leaving, this.model, facts.adapter).filter(isOpen);
+  }
+
+  /**
+   * Servers that hold the model and adapter if they are named. One that can't be reached is none, not even where it is
+   * the only one: guards "every request runs into a dead server": its registration outlives a crash by seconds, and each
+   * request that was sent to it meanwhile was refused with no word on when to come back.
+   */
+  private reachable(
+    servers: readonly BackendServer[],
+    model: string | undefined,
+    adapter: string | undefined,
+  ): BackendServer[] {
+    const now = performance.now();
+    const { outliers } = this.options.serving;
+    // A few of 80 engines hold a model, so that is asked first: a request that waits its turn chooses 20 times a second.
+    return servers
+      .filter((server) => model === undefined || holds(server, model, adapter))
+      .filter((server) => !outliers.health(server.id, now).unreachable);
+  }
+}
--- a/src/gateway/serverWait.ts
+++ b/src/gateway/serverWait.ts
@@ -1,11 +1,12 @@
 /** Finds a server for one request: at once where there is one, or once its model, adapter or turn has come. */
 import type { Disposable } from "../common/disposables.ts";
 import { admit } from "../serving/admission.ts";
-import { holds, type BackendServer } from "../serving/backendServer.ts";
+import type { BackendServer } from "../serving/backendServer.ts";
 import type { Route, Service } from "../serving/configuration.ts";
 import type { AnswerFacts, RequestFacts } from "../serving/exchange.ts";
 import type { Patience } from "../serving/patience.ts";
 import { chooseServer, type Chosen } from "../serving/serverChoice.ts";
+import { ServerCandidates } from "./serverCandidates.ts";
 import { demandKey, type Placer, type Serving } from "./serving.ts";
 
 /** Longest sleep between looks at whether a server can be had, ms. */
@@ -47,16 +48,18 @@
   refusal = "";
   /** When the caller should come back, s. */
   retryAfterS = soonS;
-  private readonly tried = new Set<string>();
+  private readonly candidates: ServerCandidates;
   private askedAgain = false;
   /** The servers whose permits the request waits for. */
   private permitWait: { readonly key: string; readonly waiting: Disposable } | undefined;
 
-  constructor(private readonly options: ServerWaitOptions) {}
+  constructor(private readonly options: ServerWaitOptions) {
+    this.candidates = new ServerCandidates(options);
+  }
 
   /** The best server, as soon as there is one; undefined once waiting can't help any more. */
   async next(progress: Progress): Promise<Chosen | undefined> {
-    const key = demandKey(this.options.service.name, this.scope);
+    const key = demandKey(this.options.service.name, this.candidates.scope);
     const { waiting } = this.options.serving;
     let counted = false;
     try {
@@ -71,10 +74,9 @@
         }
         const admission = this.admission(chosen, progress);
         if (admission === "send") {
-          this.tried.add(chosen.server.id);
+          this.candidates.tried.add(chosen.server.id);
           this.options.serving.modelWaits.found(key);
-          this.options.serving.permits.spend(chosen.server);
-          this.wantSparePermits();
+          this.noteSent(chosen.server);
           return chosen;
         }
         if (admission === "refuse") return undefined;
@@ -96,34 +98,30 @@
     const { model, adapter } = this.options.facts;
     const { refusals, fleet } = this.options.serving;
     const now = performance.now();
-    this.tried.delete(server.id);
-    if (!answer.wrongServer) refusals.refused(server.id, this.scope, now);
+    this.candidates.tried.delete(server.id);
+    if (answer.notice.retryAfterMs !== undefined) return;
+    if (!answer.wrongServer) refusals.refused(server.id, this.candidates.scope, now);
     else if (model !== undefined) fleet.forget(server, model, adapter, now);
     // Another incarnation has the address: it isn't this server any more.
-    else this.tried.add(server.id);
+    else this.candidates.tried.add(server.id);
   }
 
   noteAccepted(server: BackendServer): void {
-    this.options.serving.refusals.accepted(server.id, this.scope);
+    this.options.serving.refusals.accepted(server.id, this.candidates.scope);
   }
 
   private get leftMs(): number {
     return this.options.patience.firstByteByMs - performance.now();
   }
 
-  /** What a refusal is about: the model at engines, the whole server elsewhere. */
-  private get scope(): string {
-    return this.options.facts.model ?? "";
-  }
-
   private choose(): Chosen | undefined {
     const { facts, service, serving } = this.options;
     const now = performance.now();
     return chooseServer({
-      candidates: this.candidates(),
+      candidates: this.candidates.ready,
       zone: serving.zone,
       draw: Math.random(),
-      tried: this.tried,
+      tried: this.candidates.tried,
       promptTokens: facts.promptTokens,
       pace: serving.paces.pace(service.engine?.models.find((m) => m.name === facts.model)),
       overheadMs: serving.paces.overheadMs,
@@ -135,44 +133,20 @@
     });
   }
 
-  private candidates(): BackendServer[] {
-    const now = performance.now();
-    return this.openServers().filter((server) => this.options.serving.permits.admits(server, now));
-  }
-
-  /**
-   * Servers that could serve the request, whether or not this node has a permit for those with a rate limit. Where there
-   * is no other, one that has just said that it leaves.
-   */
-  private openServers(): BackendServer[] {
-    const { facts, service, serving } = this.options;
-    const now = performance.now();
-    const held = service.engine === undefined ? undefined : facts.model;
-    const isOpen = ({ id }: BackendServer): boolean => serving.refusals.open(id, this.scope, now);
-    const servers = this.reachableServers(held, facts.adapter).filter(isOpen);
-    if (servers.length > 0) return servers;
-    const leaving = serving.fleet.leavingSince(service.name, now - serving.drainMs);
-    return this.reachable(leaving, held, facts.adapter).filter(isOpen);
-  }
-
-  /** Servers that could serve the request once this node has a permit. */
-  private limitedServers(): BackendServer[] {
+  private noteSent(server: BackendServer): void {
     const { notices, permits } = this.options.serving;
-    if (notices.empty) return [];
     const now = performance.now();
-    return this.openServers().filter((s) => !this.tried.has(s.id) && !permits.admits(s, now));
-  }
-
-  /** The request is sent: the next one like it may go to a server with a rate limit, if that has capacity to spare. */
-  private wantSparePermits(): void {
-    const limited = this.limitedServers();
-    if (limited.length > 0) this.options.serving.permits.wantSpare(limited, performance.now());
+    notices.sent(server, now);
+    permits.spend(server);
+    // The next request like this may go to a server with a rate limit, if that has capacity to spare.
+    const limited = this.candidates.heldBack.filter((other) => notices.isOpen(other, now));
+    if (limited.length > 0) permits.wantSpare(limited, now);
   }
 
   /** Counts the request as waiting for permits of just these servers. */
   private awaitPermits(servers: readonly BackendServer[]): void {
     const key = servers.map(({ id }) => id).join(" ");
-    if (key === this.permitWait?.key) return;
+    if (key === (this.permitWait?.key ?? "")) return;
     void this.permitWait?.waiting.dispose();
     this.permitWait = undefined;
     if (servers.length === 0) return;
@@ -180,42 +154,22 @@
     this.permitWait = { key, waiting };
   }
 
-  /** Sleeps until a permit may have come; false if none will in time. */
-  private async permitMayCome(servers: readonly BackendServer[]): Promise<boolean> {
-    const { permits, fleetChanged } = this.options.serving;
-    const expectedMs = permits.expectedMs(servers, performance.now());
-    this.refuse(expectedMs, "its servers accept no more requests per second");
-    if (this.permitWait === undefined && expectedMs >= this.leftMs) return false;
-    this.awaitPermits(servers);
-    await fleetChanged.next(Math.max(1, Math.min(this.leftMs, lookAgainMs)));
-    return true;
-  }
-
-  /**
-   * Servers that take requests, and hold the model and adapter if they are named. One that can't be reached is none,
-   * not even where it is the only one: guards "every request runs into a dead server": its registration outlives a
-   * crash by seconds, and each request that was sent to it meanwhile was refused with no word on when to come back.
-   */
-  private reachableServers(model: string | undefined, adapter: string | undefined): BackendServer[] {
-    return this.reachable(this.options.serving.fleet.available(this.options.service.name), model, adapter);
-  }
-
-  private reachable(
-    servers: readonly BackendServer[],
-    model: string | undefined,
-    adapter: string | undefined,
-  ): BackendServer[] {
+  /** Sleeps until one of the servers may take requests again; false if none will in time. */
+  private async turnMayCome(servers: readonly BackendServer[]): Promise<boolean> {
+    const { notices, permits, fleetChanged } = this.options.serving;
     const now = performance.now();
-    const { outliers } = this.options.serving;
-    // A few of 80 engines hold a model, so that is asked first: a request that waits its turn chooses 20 times a second.
-    return servers
-      .filter((server) => model === undefined || holds(server, model, adapter))
-      .filter((server) => !outliers.health(server.id, now).unreachable);
-  }
-
-  private modelIsThere(): boolean {
-    const { model } = this.options.facts;
-    return model !== undefined && this.reachableServers(model, undefined).length > 0;
+    const pauses = servers.map((server) => notices.pauseLeftMs(server, now));
+    const pauseMs = Math.min(...pauses);
+    const turns = servers.map((server, i) => Math.max(pauses[i] ?? 0, permits.expectedMs(server, now)));
+    const expectedMs = Math.min(...turns);
+    this.refuse(expectedMs, "its servers take no more requests now", Number.POSITIVE_INFINITY);
+    // The queue is judged once: later it holds requests that came after this one.
+    const isTooLate = pauseMs >= this.leftMs || (this.permitWait === undefined && expectedMs >= this.leftMs);
+    if (isTooLate && !this.candidates.refusing) return false;
+    this.awaitPermits(servers.filter((server) => notices.isOpen(server, now)));
+    const sleepMs = pauseMs > 0 ? Math.min(lookAgainMs, pauseMs) : lookAgainMs;
+    await fleetChanged.next(Math.max(1, Math.min(this.leftMs, sleepMs)));
+    return true;
   }
 
   private admission(chosen: Chosen, { sends }: Progress): "send" | "wait" | "refuse" {
@@ -239,16 +193,16 @@
 
   /** Sleeps until a server may have come; false if none will in time. */
   private async serverMayCome(progress: Progress): Promise<boolean> {
-    const limited = this.limitedServers();
-    if (limited.length > 0) {
+    const { heldBack } = this.candidates;
+    if (heldBack.length > 0) {
       this.options.placer.wanted();
-      return this.permitMayCome(limited);
+      return this.turnMayCome(heldBack);
     }
-    if (this.tried.size > 0) return this.askAgain(progress);
+    if (this.candidates.tried.size > 0) return this.askAgain(progress);
     this.options.placer.wanted();
     if (this.comesTooLate()) return false;
     const { model, adapter } = this.options.facts;
-    if (model !== undefined && adapter !== undefined && this.modelIsThere()) {
+    if (model !== undefined && adapter !== undefined && this.candidates.modelIsThere) {
       await this.options.placer.ensureAdapter(this.options.service.name, model, adapter);
       if (this.choose() !== undefined) return true;
       if (this.heldLong()) {
@@ -274,7 +228,7 @@
     if (ran > 0 || this.askedAgain || this.leftMs <= lookAgainMs) return false;
     this.askedAgain = true;
     await new Promise((resolve) => setTimeout(resolve, lookAgainMs));
-    this.tried.clear();
+    this.candidates.tried.clear();
     return true;
   }
 
@@ -282,7 +236,7 @@
   private comesTooLate(): boolean {
     const { facts, service, serving, patience } = this.options;
     const model = service.engine?.models.find((m) => m.name === facts.model);
-    if (model === undefined || this.modelIsThere()) return false;
+    if (model === undefined || this.candidates.modelIsThere) return false;
     const now = performance.now();
     const key = demandKey(service.name, model.name);
     const servers = serving.fleet.available(service.name);
@@ -292,8 +246,8 @@
     return true;
   }
 
-  private refuse(retryAfterMs: number, why: string): void {
-    this.retryAfterS = Math.min(longestRetryAfterS, Math.max(0.1, retryAfterMs / 1000));
+  private refuse(retryAfterMs: number, why: string, longestS = longestRetryAfterS): void {
+    this.retryAfterS = Math.min(longestS, Math.max(0.1, retryAfterMs / 1000));
     this.refusal = why;
   }
 }
--- a/src/serving/permits/permits.ts
+++ b/src/serving/permits/permits.ts
@@ -90,17 +90,8 @@
     known.backlog = { requests: backlog, atMs: nowMs };
   }
 
-  /** Until a request that begins to wait now is permitted to go to one of the servers, ms, as far as is known. */
-  expectedMs(servers: readonly Incarnation[], nowMs: number): number {
-    return Math.min(...servers.map((server) => this.turnMs(server, nowMs)));
-  }
-
-  /** Drops what is kept of servers that are gone. */
-  retain(servers: ReadonlySet<string>): void {
-    for (const server of this.servers.keys()) if (!servers.has(server)) this.servers.delete(server);
-  }
-
-  private turnMs(server: Incarnation, nowMs: number): number {
+  /** Until a request that begins to wait now is permitted to go to the server, ms, as far as is known. */
+  expectedMs(server: Incarnation, nowMs: number): number {
     const perS = this.notices.limitPerS(server);
     if (perS === undefined) return 0;
     const permits = this.servers.get(incarnationOf(server));
@@ -109,6 +100,11 @@
     return (ahead / perS) * 1000;
   }
 
+  /** Drops what is kept of servers that are gone. */
+  retain(servers: ReadonlySet<string>): void {
+    for (const server of this.servers.keys()) if (!servers.has(server)) this.servers.delete(server);
+  }
+
   private inHand(server: string, nowMs: number): number {
     const permits = this.servers.get(server);
     if (permits === undefined) return 0;
--- a/src/serving/serverNotices.ts
+++ b/src/serving/serverNotices.ts
@@ -31,6 +31,10 @@
   /** When this node first heard that the server leaves, ms. */
   leavingSinceMs: number | undefined;
   pausedUntilMs: number;
+  /** A pause is over, and no answer has shown yet that the server takes requests again. */
+  isUntried: boolean;
+  /** Until then one request that was sent since the pause is waited for, ms. */
+  probeUntilMs: number;
   /** When the server was last registered, ms. */
   registeredMs: number;
 }
@@ -54,6 +58,9 @@
  */
 const keptMs = 60_000;
 
+/** The first request after a pause may take this long to be answered, ms; then another one is sent. */
+const probeMs = 1_000;
+
 /** Notices by incarnation: a server that starts again begins without any. */
 export class ServerNotices {
   /** A server said something new. */
@@ -68,10 +75,10 @@
     const { limitPerS, leaving, retryAfterMs } = notice;
     const limitChanged = hearLimit(record, limitPerS, sentMs, nowMs);
     const leavingChanged = leaving && record.leavingSinceMs === undefined;
-    const pauseBegins = retryAfterMs !== undefined && nowMs >= record.pausedUntilMs;
+    const pauseChanged = hearPause(record, retryAfterMs, sentMs, nowMs);
     if (leaving) record.leavingSinceMs ??= nowMs;
-    record.pausedUntilMs = Math.max(record.pausedUntilMs, nowMs + (retryAfterMs ?? 0));
-    if (limitChanged || leavingChanged || pauseBegins) this.tell(incarnation, record, "answer", retryAfterMs);
+    if (limitChanged || leavingChanged || pauseChanged)
+      this.tell(incarnation, record, "answer", retryAfterMs);
   }
 
   /** No server has said anything of itself. */
@@ -102,6 +109,24 @@
     return true;
   }
 
+  /** May the server be sent requests, by the pauses that it asked this node for? */
+  isOpen(server: Incarnation, nowMs: number): boolean {
+    const record = this.records.get(incarnationOf(server));
+    if (record === undefined) return true;
+    return nowMs >= record.pausedUntilMs && (!record.isUntried || nowMs >= record.probeUntilMs);
+  }
+
+  /** Until the pause that the server asked for is over, ms. */
+  pauseLeftMs(server: Incarnation, nowMs: number): number {
+    return Math.max(0, (this.records.get(incarnationOf(server))?.pausedUntilMs ?? 0) - nowMs);
+  }
+
+  /** A request is sent to the server; the first after a pause is to be answered before others follow. */
+  sent(server: Incarnation, nowMs: number): void {
+    const record = this.records.get(incarnationOf(server));
+    if (record?.isUntried === true) record.probeUntilMs = nowMs + probeMs;
+  }
+
   /** When this node first heard that the server leaves, ms; undefined if it didn't. */
   leavingSinceMs(server: Incarnation): number | undefined {
     return this.records.get(incarnationOf(server))?.leavingSinceMs;
@@ -128,7 +153,14 @@
   private record(incarnation: string, nowMs: number): NoticeRecord {
     const known = this.records.get(incarnation);
     if (known !== undefined) return known;
-    const record = { limit: undefined, leavingSinceMs: undefined, pausedUntilMs: 0, registeredMs: nowMs };
+    const record: NoticeRecord = {
+      limit: undefined,
+      leavingSinceMs: undefined,
+      pausedUntilMs: 0,
+      isUntried: false,
+      probeUntilMs: 0,
+      registeredMs: nowMs,
+    };
     this.records.set(incarnation, record);
     return record;
   }
@@ -153,6 +185,25 @@
   return known?.perS !== perS;
 }
 
+/** Takes what an answer says of a pause; true if one begins or is over. */
+function hearPause(
+  record: NoticeRecord,
+  retryAfterMs: number | undefined,
+  sentMs: number,
+  nowMs: number,
+): boolean {
+  if (retryAfterMs === undefined) {
+    const isOver = record.isUntried && sentMs >= record.pausedUntilMs;
+    if (isOver) record.isUntried = false;
+    return isOver;
+  }
+  const begins = nowMs >= record.pausedUntilMs;
+  record.pausedUntilMs = Math.max(record.pausedUntilMs, nowMs + retryAfterMs);
+  record.probeUntilMs = 0;
+  record.isUntried = true;
+  return begins;
+}
+
 function isEmpty({ limitPerS, leaving, retryAfterMs }: ServerNotice): boolean {
   return limitPerS === undefined && !leaving && retryAfterMs === undefined;
 }
--- a/test/serving/serverNotices.spec.ts
+++ b/test/serving/serverNotices.spec.ts
@@ -54,4 +54,24 @@
     notices.hear(server, none, 21, 30);
     expect(notices.leavingSinceMs(server)).to.equal(10);
   });
+
+  it("should keep a server closed until its pause is over, though an answer to an earlier request arrives", () => {
+    const notices = new ServerNotices();
+    notices.hear(server, { ...none, retryAfterMs: 1_000 }, 0, 10);
+    notices.hear(server, none, 5, 20);
+    expect(notices.isOpen(server, 1_009)).to.equal(false);
+    expect(notices.pauseLeftMs(server, 510)).to.equal(500);
+    expect(notices.isOpen(server, 1_010)).to.equal(true);
+  });
+
+  it("should let one request through after a pause, and another if that gets no answer", () => {
+    const notices = new ServerNotices();
+    notices.hear(server, { ...none, retryAfterMs: 1_000 }, 0, 10);
+    notices.sent(server, 1_020);
+    expect(notices.isOpen(server, 1_030)).to.equal(false);
+    expect(notices.isOpen(server, 2_020)).to.equal(true);
+    notices.hear(server, none, 1_020, 2_030);
+    notices.sent(server, 2_040);
+    expect(notices.isOpen(server, 2_050)).to.equal(true);
+  });
 });
