--- a/src/common/httpCall.ts
+++ b/src/common/httpCall.ts
@@ -20,6 +20,7 @@
 export interface HttpReply {
   readonly status: number;
   readonly text: string;
+  readonly headers: http.IncomingHttpHeaders;
 }
 
 /**
@@ -62,7 +63,8 @@
       res.on("error", fail);
       res.on("end", () => {
         clearTimeout(timer);
-        resolve({ status: res.statusCode ?? 0, text: Buffer.concat(chunks).toString("utf8") });
+        const text = Buffer.concat(chunks).toString("utf8");
+        resolve({ status: res.statusCode ?? 0, text, headers: res.headers });
       });
     });
     req.end(body);
--- a/src/gateway/engineDesk.ts
+++ b/src/gateway/engineDesk.ts
@@ -2,7 +2,7 @@
 import { toFailure } from "../common/errors.ts";
 import type { Log } from "../common/log.ts";
 import { startedAfter, type BackendServer } from "../serving/backendServer.ts";
-import type { Engines, OrderOutcome } from "../serving/orders.ts";
+import type { Engines, OrderOutcome, OrderTarget } from "../serving/orders.ts";
 import type { GatewayMetrics } from "./gatewayMetrics.ts";
 
 /** What to order. */
@@ -270,8 +270,7 @@
 
   /** Asks the engine itself, where an order's outcome is not known from its answer. */
   async ask(): Promise<void> {
-    const { id, address } = this.registered;
-    const report = await this.options.engines.report({ serverId: id, address });
+    const report = await this.options.engines.report(this.target);
     const { startedAtMs } = report;
     if (startedAtMs !== undefined) {
       // Made before a restart that is known by now: it says nothing of what the engine holds.
@@ -335,9 +334,14 @@
     return !this.dropping.has(model) && !this.coming.has(model) && (this.movedMs.get(model) ?? 0) > atMs;
   }
 
+  private get target(): OrderTarget {
+    const { id, startedAtMs, address } = this.registered;
+    return { serverId: id, startedAtMs, address };
+  }
+
   private async send(request: OrderRequest): Promise<DeskOutcome> {
     const { engines, log, metrics, holder, token } = this.options;
-    const target = { serverId: this.registered.id, address: this.registered.address };
+    const { target } = this;
     if (this.askFirst && (await this.movedUnseen())) return "outdated";
     const fencingToken = token(target.serverId);
     if (fencingToken === undefined) return "no-lease";
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -267,6 +267,9 @@
       ],
       log,
     );
+    platform.engines.heard.on(({ target: { serverId: id, startedAtMs }, notice }) => {
+      this.serving.notices.hearAside({ id, startedAtMs }, notice, performance.now());
+    });
     this.lease.changed.on(() => {
       this.peers.tell();
     });
--- a/src/serving/orders.ts
+++ b/src/serving/orders.ts
@@ -1,9 +1,12 @@
 /** Orders to engines: what may be asked of one, and what it may answer. */
+import type { Emitter } from "../common/emitter.ts";
 import type { Resident } from "./backendServer.ts";
+import type { ServerNotice } from "./exchange.ts";
 
 /** The engine an order is meant for; another incarnation at that address refuses it. */
 export interface OrderTarget {
   readonly serverId: string;
+  readonly startedAtMs?: number | undefined;
   /** IP:PORT. */
   readonly address: string;
 }
@@ -39,8 +42,16 @@
   readonly coming: readonly string[];
 }
 
+/** What an engine said of itself with the answer to an order or a question. */
+export interface EngineNotice {
+  readonly target: OrderTarget;
+  readonly notice: ServerNotice;
+}
+
 /** Speaks to engines. A rejection means that the order may have been accepted, or may still be. */
 export interface Engines {
+  /** Fired with each answer. */
+  readonly heard: Emitter<EngineNotice>;
   order(target: OrderTarget, order: Order): Promise<OrderOutcome>;
   report(target: OrderTarget): Promise<EngineReport>;
 }
--- a/src/serving/serverNotices.ts
+++ b/src/serving/serverNotices.ts
@@ -81,6 +81,11 @@
       this.tell(incarnation, record, "answer", retryAfterMs);
   }
 
+  /** Takes the notice in an answer that isn't one to a request: what it leaves out says nothing. */
+  hearAside(server: Incarnation, notice: ServerNotice, nowMs: number): void {
+    this.hear(server, notice, Number.NEGATIVE_INFINITY, nowMs);
+  }
+
   /** No server has said anything of itself. */
   get empty(): boolean {
     return this.records.size === 0;
--- a/test/serving/serverNotices.spec.ts
+++ b/test/serving/serverNotices.spec.ts
@@ -74,4 +74,12 @@
     notices.sent(server, 2_040);
     expect(notices.isOpen(server, 2_050)).to.equal(true);
   });
+
+  it("should be heard from an answer to an order, but not be lifted by one that says nothing", () => {
+    const notices = new ServerNotices();
+    notices.hearAside(server, { ...none, limitPerS: 2, leaving: true }, 10);
+    notices.hearAside(server, none, 20);
+    expect(notices.limitPerS(server)).to.equal(2);
+    expect(notices.leavingSinceMs(server)).to.equal(10);
+  });
 });
