--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -4,7 +4,7 @@
 import type { Task } from "../common/supervisor.ts";
 import type { CallerLimits } from "../serving/configuration.ts";
 import type { Endpoint } from "../serving/hostSettings.ts";
-import { RetryBudget } from "../serving/retryBudget.ts";
+import { RetryBudget, type Sharers } from "../serving/retryBudget.ts";
 import { CallerConnection } from "./callerConnection.ts";
 import { Exchange } from "./exchange.ts";
 import type { Placer, Serving } from "./serving.ts";
@@ -31,7 +31,7 @@
   /** Retries beyond the ratio that all nodes together may make in a window. */
   readonly retryBurst: number;
   /** Nodes that share the budget. */
-  readonly nodes: () => number;
+  readonly sharers: () => Sharers;
 }
 
 /** Accepts requests and runs an exchange for each. */
@@ -112,8 +112,8 @@
   private budgetFor(service: string): RetryBudget {
     const known = this.budgets.get(service);
     if (known !== undefined) return known;
-    const { retryRatio, retryBurst, nodes } = this.options;
-    const budget = new RetryBudget({ ratio: retryRatio, burst: retryBurst, nodes, firstPart });
+    const { retryRatio, retryBurst, sharers } = this.options;
+    const budget = new RetryBudget({ ratio: retryRatio, burst: retryBurst, sharers, firstPart });
     this.budgets.set(service, budget);
     return budget;
   }
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -172,7 +172,7 @@
       placer: this.placement,
       retryRatio: settings.retryRatio,
       retryBurst: settings.retryBurst,
-      nodes: () => this.liveNodes,
+      sharers: () => this.table.sharers(this.activation.active, performance.now()),
     });
     const reads = (): boolean => this.reading.due;
     const ask = (peer: PeerNews, method: string, params: unknown): Promise<unknown> =>
--- a/src/serving/membership/peerTable.ts
+++ b/src/serving/membership/peerTable.ts
@@ -4,7 +4,8 @@
  */
 import * as crypto from "node:crypto";
 import * as Schema from "effect/Schema";
-import { isCrowded, likelyActive, type ActiveNode, type Candidate } from "./activeSet.ts";
+import type { Sharers } from "../retryBudget.ts";
+import { isCrowded, isFew, likelyActive, type ActiveNode, type Candidate } from "./activeSet.ts";
 
 /** What callers ask of a node. */
 export const Asked = Schema.Struct({
@@ -98,6 +99,9 @@
 /** Dead nodes are still spoken to for this long, ms, so that a cut that heals is noticed on both sides. */
 const forgetMs = 60_000;
 
+/** Part of a bound over all nodes that those that stand by share. */
+const standbyPart = 0.1;
+
 /** A peer as last heard. */
 export interface Peer {
   readonly pulse: Standing;
@@ -198,6 +202,19 @@
     return this.alive(nowMs).map(({ pulse }) => pulse);
   }
 
+  /**
+   * The nodes that share bounds over all nodes with this one. Nodes that stand by share a small part among themselves:
+   * there may be many of them, and hardly any request comes to one.
+   */
+  sharers(active: boolean, nowMs: number): Sharers {
+    const alive = new Set(this.alive(nowMs).map(({ pulse }) => pulse.ip));
+    const { listed } = this;
+    const part = isFew(listed) ? 1 : active ? 1 - standbyPart : standbyPart;
+    const nodes = active ? [...alive] : listed.map(({ ip }) => ip).filter((ip) => !alive.has(ip));
+    const others = nodes.filter((ip) => ip !== this.self.ip);
+    return { count: others.length + 1, rank: others.filter((ip) => ip < this.self.ip).length, part };
+  }
+
   /** A node didn't answer: it counts as dead until it is heard of again. */
   drop(ip: string): void {
     this.peers.delete(ip);
--- a/src/serving/retryBudget.ts
+++ b/src/serving/retryBudget.ts
@@ -1,9 +1,18 @@
 /**
  * Bounds retries to a part of the requests, so that a failing pool is not buried under its own retries. The
- * bound is on all nodes together; each takes an equal part of the burst without asking the others.
+ * bound is on all nodes together; each takes an equal part of the burst without asking the others, or one retry where there are more nodes than retries.
  */
 import { TokenBucket } from "../common/tokenBucket.ts";
 
+/** The nodes that share a budget, and this one's place among them. */
+export interface Sharers {
+  readonly count: number;
+  /** From 0. */
+  readonly rank: number;
+  /** Part of the budget that they share, from 0 to 1. */
+  readonly part: number;
+}
+
 /** Options of a `RetryBudget`. */
 export interface RetryBudgetOptions {
   /** Retries earned by each request. */
@@ -11,7 +20,7 @@
   /** Retries that may be saved up, over all nodes. */
   readonly burst?: number;
   /** Nodes that share the burst now, this one included. */
-  readonly nodes?: () => number;
+  readonly sharers?: () => Sharers;
   /**
    * What a node begins with, as a part of its share. Guards "the bound is exceeded when all nodes are killed":
    * each forgets what it has used of the window, and a full share each would allow almost twice the burst.
@@ -19,7 +28,12 @@
   readonly firstPart?: number;
 }
 
-const defaults = { ratio: 0.2, burst: 20, nodes: () => 1, firstPart: 1 };
+const defaults = {
+  ratio: 0.2,
+  burst: 20,
+  sharers: (): Sharers => ({ count: 1, rank: 0, part: 1 }),
+  firstPart: 1,
+};
 
 /** Part of the burst that the nodes share out; the rest is slack for those that start anew. */
 const sharedPart = 0.9;
@@ -46,7 +60,11 @@
   }
 
   private get share(): number {
-    const { burst, nodes } = this.options;
-    return Math.max(1, (burst * sharedPart) / Math.max(1, nodes()));
+    const { burst, sharers } = this.options;
+    const { count, rank, part } = sharers();
+    const shared = burst * sharedPart * part;
+    if (shared >= count) return shared / count;
+    // Parts of a retry are of no use, and rounded up they would exceed the burst.
+    return rank < Math.floor(shared) ? 1 : 0;
   }
 }
--- a/test/serving/membership.spec.ts
+++ b/test/serving/membership.spec.ts
@@ -158,4 +158,26 @@
     table.hearRoster("10.0.0.1", [entry("10.0.0.2", 500, { ready: false })]);
     expect(table.digest(600)).to.not.equal(first);
   });
+
+  // Guards against a bound over all nodes of which each node that stands by takes as much as an active one.
+  it("should be with how many nodes it shares a bound over all, so that the parts add up to it", () => {
+    const listed = fleetOf(195);
+    const chosen = new Set(settle(listed).map(({ ip }) => ip));
+    const partOf = (self: Candidate): number => {
+      const table = new PeerTable(self);
+      table.list(
+        listed.map((n) => ({ ...n, port: 1 })),
+        0,
+      );
+      const others = [...chosen].filter((ip) => ip !== self.ip);
+      table.hearRoster(
+        "10.0.0.1",
+        others.map((ip) => entry(ip, 0)),
+      );
+      const { count, part } = table.sharers(chosen.has(self.ip), 1);
+      return part / count;
+    };
+    const sum = listed.reduce((total, self) => total + partOf(self), 0);
+    expect(sum).to.be.closeTo(1, 0.001);
+  });
 });
