--- a/test/gateway/crashes.spec.ts
+++ b/test/gateway/crashes.spec.ts
@@ -90,6 +90,16 @@
     expect(pool.ended).to.have.length.at.most(mostEnded);
   });
 
+  // Guards against copies that gather at several nodes and are all sent in the same moment.
+  it("should run in one copy at a time over all nodes once a server has ended under it", async () => {
+    pool = await CrashingPool.start({ route: { maxAttempts: 1 } });
+    await repeat(deadly, 1);
+    const copies = Array.from({ length: 4 }, () => pool.nodes).flat();
+    await Promise.all(copies.map(({ ip }) => ask({ ip, method: "POST", path: "/drafts/7", body: deadly })));
+    expect(pool.deadlyRuns).to.be.at.most(mostEnded);
+    expect(pool.ended).to.have.length.at.most(mostEnded);
+  });
+
   it("should be held back by nodes that stand by too, and by all where only those had it", async () => {
     // Hundreds of nodes stand by and hear little. Callers with an old answer of the directory still come to them: each
     // knew of the one end that it had seen itself, and sent the request to one more server.
@@ -203,6 +213,29 @@
     expect(await refusedWhile(endTogether, { callers: 8, isRefusal })).to.equal(0);
   });
 
+  // Guards against copies of a harmless request that are refused, or wait for long, because a server ended under one.
+  it("should have all its copies served soon after a server ended under one of them", async () => {
+    pool = await CrashingPool.start({
+      route: { maxAttempts: 1 },
+      answer: (arrival) => {
+        if (pool.ended.length === 0) void pool.crash(pool.serverOf(arrival));
+        else
+          setTimeout(() => {
+            answerOk(arrival);
+          }, servingMs);
+      },
+    });
+    const askOnce = ({ ip }: { readonly ip: string }): Promise<Reply> =>
+      ask({ ip, method: "POST", path: "/drafts/9", body: "harmless" });
+    const [first] = pool.nodes;
+    if (first !== undefined) await askOnce(first);
+    await pause(gapMs);
+    const copies = Array.from({ length: 4 }, () => pool.nodes).flat();
+    const replies = await Promise.all(copies.map(askOnce));
+    expect(replies.filter(({ status }) => status !== 200).length).to.equal(0);
+    expect(Math.max(...replies.map(({ tookMs }) => tookMs))).to.be.lessThan(1_000);
+  });
+
   /** The caller sends the same again and again; what it got the last time. */
   async function lastOf(times: number, body: string): Promise<Reply> {
     let reply: Reply | undefined;
--- a/test/serving/quarantine.spec.ts
+++ b/test/serving/quarantine.spec.ts
@@ -49,6 +49,20 @@
     expect(quarantine.leftMs("p", 3)).to.be.greaterThan(0);
   });
 
+  // Guards against one end that counts twice where word of the watch comes before word of the ends that led to it.
+  it("should not count the ends again that a watch was decided by", () => {
+    const [a, b] = [new Quarantine(), new Quarantine()];
+    endUnder(a, "p", ["i-1", "i-2"], 0);
+    const [watch] = a.holds.unsaved(1);
+    if (watch === undefined) throw new Error("two ends are watched");
+    b.learn("p", watch[1], 1, 5);
+    const news = a.takeNews();
+    if (news !== undefined) b.hear(news, false, 10);
+    expect(b.leftMs("p", 10)).to.equal(0);
+    endUnder(b, "p", ["i-3"], 1_000);
+    expect(b.leftMs("p", 1_000)).to.be.greaterThan(0);
+  });
+
   it("should count ends that different nodes saw", () => {
     // The caller goes to another node each time, so each of them sees one end, and none would ever see three.
     const nodes = [new Quarantine(), new Quarantine(), new Quarantine()];
