--- a/src/gateway/quarantineTask.ts
+++ b/src/gateway/quarantineTask.ts
@@ -25,12 +25,22 @@
 const mostChanges = 50;
 
 /** A row: when the request is let through, by the store's clock, and how long it is held in all, ms. */
-const HeldRow = Schema.Struct({ untilMs: Schema.Number, forMs: Schema.Number });
+const HeldRow = Schema.Struct({
+  untilMs: Schema.Number,
+  forMs: Schema.Number,
+  /** Incarnations whose ends led to it. */
+  ended: Schema.optionalKey(Schema.Array(Schema.String)),
+});
 
 /** What the log says of a change. */
 const changeEvents = { held: "request-quarantined", released: "request-released" };
 
-const HeldEntry = Schema.Struct({ leftMs: Schema.Number, forMs: Schema.Number, version: Schema.Number });
+const HeldEntry = Schema.Struct({
+  leftMs: Schema.Number,
+  forMs: Schema.Number,
+  version: Schema.Number,
+  ended: Schema.optionalKey(Schema.Array(Schema.String)),
+});
 
 /** All holds that the store is known to have, for a peer. */
 const HeldResult = Schema.Struct({
@@ -139,8 +149,8 @@
       .ifLeft((failure) => {
         this.options.log.warn({ event: "quarantine-row-rejected", row: key, detail: failure.message });
       })
-      .ifRight(({ untilMs, forMs }) => {
-        const hold = { untilMs: untilMs - (this.clockOffsetMs ?? 0), forMs };
+      .ifRight(({ untilMs, forMs, ended }) => {
+        const hold = { untilMs: untilMs - (this.clockOffsetMs ?? 0), forMs, ended };
         this.options.quarantine.learn(key, hold, version, performance.now());
         this.known = Math.max(this.known, version);
       });
@@ -160,17 +170,17 @@
     const now = performance.now();
     const held = this.options.quarantine.holds
       .saved()
-      .map(([fingerprint, { untilMs, forMs, version }]): [string, typeof HeldEntry.Type] => [
+      .map(([fingerprint, { untilMs, forMs, version, ended }]): [string, typeof HeldEntry.Type] => [
         fingerprint,
-        { leftMs: untilMs - now, forMs, version },
+        { leftMs: untilMs - now, forMs, version, ...endedOf(ended) },
       ]);
     return { version: this.known, held: Object.fromEntries(held) };
   }
 
   private takeAll({ version, held }: typeof HeldResult.Type): void {
     const now = performance.now();
-    for (const [fingerprint, { leftMs, forMs, version: rowVersion }] of Object.entries(held))
-      this.options.quarantine.learn(fingerprint, { untilMs: now + leftMs, forMs }, rowVersion, now);
+    for (const [fingerprint, { leftMs, forMs, version: rowVersion, ended }] of Object.entries(held))
+      this.options.quarantine.learn(fingerprint, { untilMs: now + leftMs, forMs, ended }, rowVersion, now);
     this.releaseMissing(new Set(Object.keys(held)), version);
     this.known = Math.max(this.known, version);
     this.watch();
@@ -221,10 +231,10 @@
 
   private changesToSave(offsetMs: number): RowChange[] {
     const unsaved = this.options.quarantine.holds.unsaved(performance.now());
-    const held = unsaved.map(([key, { untilMs, forMs, version }]) => ({
+    const held = unsaved.map(([key, { untilMs, forMs, version, ended }]) => ({
       table,
       key,
-      value: JSON.stringify({ untilMs: Math.round(untilMs + offsetMs), forMs }),
+      value: JSON.stringify({ untilMs: Math.round(untilMs + offsetMs), forMs, ...endedOf(ended) }),
       expected: version,
     }));
     const removed = [...this.released].map(([key, expected]) => ({ table, key, expected }));
@@ -245,6 +255,10 @@
   }
 }
 
+function endedOf(ended: readonly string[] | undefined): { ended?: readonly string[] } {
+  return ended === undefined ? {} : { ended };
+}
+
 function parseJson(text: string): unknown {
   try {
     return JSON.parse(text) as unknown;
--- a/src/serving/quarantine/holds.ts
+++ b/src/serving/quarantine/holds.ts
@@ -21,6 +21,8 @@
   readonly untilMs: number;
   /** How long it is held in all, ms. */
   readonly forMs: number;
+  /** Incarnations whose ends led to it, so that other nodes don't count these again. */
+  readonly ended?: readonly string[] | undefined;
 }
 
 /** A hold with the store's version of its row; 0 if it has none. */
@@ -68,8 +70,8 @@
    * Remembers the request as one that the next end holds back, wherever it is seen. Guards "each life of a node, and each
    * that no peer reaches, ends servers of its own": what they counted is lost or told to nobody; this lies in the store.
    */
-  watch(fingerprint: string, own: boolean, nowMs: number): void {
-    const entry = { untilMs: nowMs, forMs: watchMs, sinceMs: nowMs, own, version: 0, saved: false };
+  watch(fingerprint: string, ended: readonly string[], own: boolean, nowMs: number): void {
+    const entry = { untilMs: nowMs, forMs: watchMs, ended, sinceMs: nowMs, own, version: 0, saved: false };
     this.set(fingerprint, entry);
   }
 
@@ -83,7 +85,12 @@
   }
 
   /** Another node says that the request is held back; with the version of the store's row, if it has one. */
-  learn(fingerprint: string, { untilMs, forMs }: Hold, version: number | undefined, nowMs: number): void {
+  learn(
+    fingerprint: string,
+    { untilMs, forMs, ended }: Hold,
+    version: number | undefined,
+    nowMs: number,
+  ): void {
     const known = this.entries.get(fingerprint);
     const newest = Math.max(known?.version ?? 0, version ?? 0);
     // Guards "a hold ends early": word of the hold before may come after that of the next, which is longer.
@@ -93,7 +100,7 @@
     }
     // What the store has is another hold than this one, unless they are equally long.
     const same = known?.forMs === forMs ? known : { sinceMs: nowMs, own: false, saved: false };
-    const entry = { untilMs, forMs, sinceMs: same.sinceMs, own: same.own, version: newest };
+    const entry = { untilMs, forMs, ended, sinceMs: same.sinceMs, own: same.own, version: newest };
     this.set(fingerprint, { ...entry, saved: same.saved || version !== undefined });
   }
 
--- a/src/serving/quarantine/quarantine.ts
+++ b/src/serving/quarantine/quarantine.ts
@@ -146,7 +146,11 @@
       return;
     }
     const before = this.leftMs(fingerprint, nowMs) > 0;
+    for (const incarnation of hold.ended ?? []) this.suspects.add(fingerprint, incarnation, nowMs);
     this.holds.learn(fingerprint, hold, version, nowMs);
+    // Ends seen here and those that others' watch names may be three together.
+    if (this.leftMs(fingerprint, nowMs) === 0 && this.suspects.endsUnder(fingerprint) >= mostEnded)
+      this.hold(fingerprint, true, nowMs);
     if (!before && this.leftMs(fingerprint, nowMs) > 0)
       this.changed.fire({ fingerprint, kind: "held", own: false, version: 0 });
   }
@@ -169,7 +173,8 @@
     const ended = this.suspects.add(fingerprint, incarnation, nowMs);
     if (!isNew) return;
     if (ended >= mostEnded || this.holds.has(fingerprint)) this.hold(fingerprint, own, nowMs);
-    else if (ended >= watchedFrom) this.holds.watch(fingerprint, own, nowMs);
+    else if (ended >= watchedFrom)
+      this.holds.watch(fingerprint, this.suspects.endedUnder(fingerprint), own, nowMs);
   }
 
   /** Nodes that haven't served it themselves count what is cut. */
--- a/src/serving/quarantine/suspects.ts
+++ b/src/serving/quarantine/suspects.ts
@@ -34,6 +34,11 @@
     return this.cuts.get(fingerprint)?.size ?? 0;
   }
 
+  /** The incarnations that ended under the request. */
+  endedUnder(fingerprint: string): readonly string[] {
+    return [...(this.cuts.get(fingerprint)?.keys() ?? [])];
+  }
+
   /** Is the request suspected to have ended the incarnation? */
   isUnder(fingerprint: string, incarnation: string): boolean {
     return this.cuts.get(fingerprint)?.has(incarnation) ?? false;
--- a/test/serving/quarantine.spec.ts
+++ b/test/serving/quarantine.spec.ts
@@ -63,6 +63,15 @@
     expect(b.leftMs("p", 1_000)).to.be.greaterThan(0);
   });
 
+  it("should hold a request back where its own ends and those of another node's watch are three", () => {
+    const [a, b] = [new Quarantine(), new Quarantine()];
+    endUnder(a, "p", ["i-1", "i-2"], 0);
+    endUnder(b, "p", ["i-3"], 0);
+    const [watch] = a.holds.unsaved(1);
+    if (watch !== undefined) b.learn("p", watch[1], 1, 5);
+    expect(b.leftMs("p", 5)).to.be.greaterThan(0);
+  });
+
   it("should count ends that different nodes saw", () => {
     // The caller goes to another node each time, so each of them sees one end, and none would ever see three.
     const nodes = [new Quarantine(), new Quarantine(), new Quarantine()];
