--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -13,6 +13,7 @@
 import { SendRecord, serverErrorStatus } from "./sendRecord.ts";
 import { ServerWait, soonS } from "./serverWait.ts";
 import { adapterKey, demandKey, type Placer, type Serving } from "./serving.ts";
+import type { TurnTask } from "./turnTask.ts";
 
 /** Sends beyond a route's own attempts that servers refused without running, so that it still ends. */
 const refusedSends = 3;
@@ -23,6 +24,7 @@
 export interface ExchangeOptions {
   readonly serving: Serving;
   readonly placer: Placer;
+  readonly turns: Pick<TurnTask, "take">;
   readonly budgetFor: (service: string) => RetryBudget;
   readonly caller: CallerConnection;
   /** New streams are refused: the node stops before they could end. */
@@ -72,6 +74,8 @@
       this.refuse(toFailure(error));
     } finally {
       this.caller.onLeft(undefined);
+      // Absent where the request was refused before its body was read.
+      (this.quarantine as QuarantineCheck | undefined)?.dispose();
     }
   }
 
@@ -112,11 +116,14 @@
       arrivedMs: this.arrivedMs,
       // What comes to be held back while it waits is refused at once.
       over: () => this.caller.left || this.abandoned || this.quarantine.leftMs > 0,
+      mayRun: () => this.quarantine.mayRun,
+      awaitTurn: () => this.quarantine.awaitTurn(),
     });
     this.countDemand();
     this.body = await this.readBody(table.configuration.limits.maxBodyBytes);
     this.record = new SendRecord({ serving, service, facts: this.facts, arrivedMs: this.arrivedMs });
-    this.quarantine = new QuarantineCheck({ serving, req, facts: this.facts, body: this.body });
+    const { turns } = this.options;
+    this.quarantine = new QuarantineCheck({ serving, turns, req, facts: this.facts, body: this.body });
     this.options.budgetFor(service.name).earn();
   }
 
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -15,6 +15,7 @@
   PeerTable,
   type Asked,
   type Member,
+  type PeerAddress,
   type Pulse,
   type Standing,
 } from "../serving/membership/peerTable.ts";
@@ -35,6 +36,7 @@
 import { ReadingDuty } from "./readingDuty.ts";
 import { createServing, type Serving } from "./serving.ts";
 import { StoreLink } from "./storeLink.ts";
+import { TurnTask } from "./turnTask.ts";
 import { Utilization } from "./utilization.ts";
 
 /** Callers keep an answer of the directory for this long, s: short, so that a stopping node is soon left alone. */
@@ -166,10 +168,17 @@
       ceilingOverage: settings.ceilingOverage,
     });
     this.member = new MemberTask({ store, log, peers: this.table, self: memberOf(settings) });
+    const turns = new TurnTask({
+      log,
+      self: settings.peers,
+      peers: this.peers,
+      ownerOf: (fingerprint) => this.ownerOf(fingerprint),
+    });
     this.callers = new CallerServer({
       endpoint: settings.callers,
       serving: this.serving,
       placer: this.placement,
+      turns,
       retryRatio: settings.retryRatio,
       retryBurst: settings.retryBurst,
       sharers: () => this.table.sharers(this.activation.active, performance.now()),
@@ -216,12 +225,11 @@
     const permits = new PermitTask({
       log,
       self: settings.peers,
-      table: this.table,
       peers: this.peers,
+      ownerOf: (server) => this.ownerOf(server),
       notices: this.serving.notices,
       permits: this.serving.permits,
       issuer: this.serving.permitIssuer,
-      mayIssue: () => this.ready && this.activation.active,
       granted: this.serving.fleetChanged,
     });
     this.calls = new PeerCalls(settings.peers, {
@@ -259,6 +267,7 @@
           decides: () => this.lease.holding,
         }),
         permits,
+        turns,
         this.callers,
         this.member,
         this.activation,
@@ -336,6 +345,12 @@
     this.quarantine.wake();
   }
 
+  /** The node that answers for a key of all nodes. */
+  private ownerOf(key: string): PeerAddress {
+    const mayOwn = this.ready && this.activation.active;
+    return this.table.owner(key, this.options.settings.peers, mayOwn, performance.now());
+  }
+
   /** Active nodes: this one and the peers heard from lately. */
   private get liveNodes(): number {
     return this.table.alive(performance.now()).length + 1;
--- a/src/gateway/permitTask.ts
+++ b/src/gateway/permitTask.ts
@@ -4,8 +4,8 @@
 import type { Emitter } from "../common/emitter.ts";
 import type { Log } from "../common/log.ts";
 import type { Task } from "../common/supervisor.ts";
-import type { PeerAddress, PeerTable } from "../serving/membership/peerTable.ts";
-import { issuerOf, PermitAsk, type PermitIssuer } from "../serving/permits/permitIssuer.ts";
+import type { PeerAddress } from "../serving/membership/peerTable.ts";
+import { PermitAsk, type PermitIssuer } from "../serving/permits/permitIssuer.ts";
 import type { Permits } from "../serving/permits/permits.ts";
 import { LimitWord, type ServerNotices } from "../serving/serverNotices.ts";
 import type { PeerTask } from "./peerTask.ts";
@@ -38,13 +38,12 @@
 export interface PermitTaskOptions {
   readonly log: Log;
   readonly self: PeerAddress;
-  readonly table: PeerTable;
   readonly peers: PeerTask;
   readonly notices: ServerNotices;
   readonly permits: Permits;
   readonly issuer: PermitIssuer;
-  /** Is this node active and ready, so that it may issue permits? */
-  readonly mayIssue: () => boolean;
+  /** The node that issues permits for the server. */
+  readonly ownerOf: (server: string) => PeerAddress;
   /** Fired with new permits, as requests may wait for them. */
   readonly granted: Emitter<undefined>;
 }
@@ -104,24 +103,22 @@
     const asks = permits.asks(performance.now());
     if (asks.length === 0) return;
     this.askedMs = performance.now();
-    for (const [issuer, theirs] of this.byIssuer(asks)) {
+    for (const { issuer, theirs } of this.byIssuer(asks)) {
       if (issuer.ip === self.ip) this.hear(self, theirs);
       else peers.tellOne("permits.ask", { ...addressOf(self), asks: theirs }, issuer);
     }
     this.askAfter(askAgainMs);
   }
 
-  private byIssuer(asks: readonly PermitAsk[]): Map<PeerAddress, PermitAsk[]> {
-    const { table, self, mayIssue } = this.options;
-    const ready = table.alive(performance.now()).filter(({ pulse }) => pulse.ready);
-    const nodes = new Map<string, PeerAddress>(ready.map(({ pulse }) => [pulse.ip, pulse]));
-    if (mayIssue() || nodes.size === 0) nodes.set(self.ip, self);
-    const grouped = new Map<PeerAddress, PermitAsk[]>();
+  private byIssuer(asks: readonly PermitAsk[]): { issuer: PeerAddress; theirs: PermitAsk[] }[] {
+    const grouped = new Map<string, { issuer: PeerAddress; theirs: PermitAsk[] }>();
     for (const ask of asks) {
-      const issuer = nodes.get(issuerOf(ask.server, [...nodes.keys()]) ?? self.ip) ?? self;
-      grouped.set(issuer, [...(grouped.get(issuer) ?? []), ask]);
+      const issuer = this.options.ownerOf(ask.server);
+      const group = grouped.get(issuer.ip) ?? { issuer, theirs: [] };
+      group.theirs.push(ask);
+      grouped.set(issuer.ip, group);
     }
-    return grouped;
+    return [...grouped.values()];
   }
 
   private onAsk(params: unknown): void {
--- a/src/gateway/quarantineCheck.ts
+++ b/src/gateway/quarantineCheck.ts
@@ -6,13 +6,18 @@
 import type { AttemptOutcome } from "./attempt.ts";
 import { serverErrorStatus } from "./sendRecord.ts";
 import type { Serving } from "./serving.ts";
+import type { Turn, TurnTask } from "./turnTask.ts";
 
 /** Requests with a longer body are identified only once there is a suspicion, bytes. */
 const longestCommonBody = 4_096;
 
+/** Pause between tries for a turn, ms. */
+const turnMs = 40;
+
 /** What the check works with. */
 export interface QuarantineCheckOptions {
   readonly serving: Serving;
+  readonly turns: Pick<TurnTask, "take">;
   readonly req: http.IncomingMessage;
   readonly facts: RequestFacts;
   readonly body: Buffer | undefined;
@@ -21,6 +26,8 @@
 /** Asked before each send, told after it. */
 export class QuarantineCheck {
   private contentId: string | undefined;
+  /** Held while this copy of a suspected request runs. */
+  private turn: Turn | undefined;
 
   constructor(private readonly options: QuarantineCheckOptions) {}
 
@@ -31,15 +38,37 @@
     return quarantine.holds.size === 0 ? 0 : quarantine.leftMs(this.fingerprint, performance.now());
   }
 
+  /** May this copy run now? Of a suspected request one copy runs at a time, over all nodes. */
+  get mayRun(): boolean {
+    if (this.turn !== undefined) return true;
+    const { quarantine } = this.options.serving;
+    return quarantine.empty || !quarantine.isSuspected(this.fingerprint, performance.now());
+  }
+
+  /** Takes the turn if no other copy has it, or else sleeps a moment. */
+  async awaitTurn(): Promise<void> {
+    this.turn = await this.options.turns.take(this.fingerprint);
+    if (this.turn === undefined) await new Promise((resolve) => setTimeout(resolve, turnMs));
+  }
+
+  /** Gives the turn back. */
+  dispose(): void {
+    void this.turn?.dispose();
+    this.turn = undefined;
+  }
+
   /** Takes the outcome of a send made at `sentMs`. */
   note(server: BackendServer, outcome: AttemptOutcome, sentMs: number): void {
     const { quarantine } = this.options.serving;
-    if (outcome.kind === "broken" && outcome.cut)
+    if (outcome.kind === "broken" && outcome.cut) {
       this.noteCut(server, outcome.reason, outcome.lastEvent, sentMs);
+      this.turn?.cut();
+    }
     const now = performance.now();
     if (hasAnswered(outcome)) quarantine.answered(incarnationOf(server), sentMs, now);
     if (hasRun(outcome) && (this.maySoonRepeat || !quarantine.empty))
       quarantine.survived(this.fingerprint, now);
+    this.dispose();
   }
 
   /** Long prompts are hardly ever sent twice by different callers, and cost the most to identify. */
--- a/src/gateway/serverWait.ts
+++ b/src/gateway/serverWait.ts
@@ -33,6 +33,10 @@
   readonly arrivedMs: number;
   /** Nobody waits for the answer any more. */
   readonly over: () => boolean;
+  /** May this copy of the request run now? */
+  readonly mayRun: () => boolean;
+  /** Tries to bring that about; sleeps a moment if it can't. */
+  readonly awaitTurn: () => Promise<void>;
 }
 
 /** How far the request has come. */
@@ -74,6 +78,10 @@
         }
         const admission = this.admission(chosen, progress);
         if (admission === "send") {
+          if (!this.options.mayRun()) {
+            await this.options.awaitTurn();
+            continue;
+          }
           this.candidates.tried.add(chosen.server.id);
           this.options.serving.modelWaits.found(key);
           this.noteSent(chosen.server);
--- /dev/null
+++ b/src/serving/membership/owner.ts
@@ -0,0 +1,15 @@
+/** Which node answers for a key: highest random weight, so that nodes that know the same nodes agree without talking. */
+import { hashFraction } from "../routeTable.ts";
+
+/** The owner of the key among the nodes; undefined if there are none. */
+export function ownerOf(key: string, nodes: readonly string[]): string | undefined {
+  let owner: string | undefined;
+  let highest = -1;
+  for (const node of nodes) {
+    const weight = hashFraction(`${key} ${node}`);
+    if (weight <= highest) continue;
+    highest = weight;
+    owner = node;
+  }
+  return owner;
+}
--- a/src/serving/membership/peerTable.ts
+++ b/src/serving/membership/peerTable.ts
@@ -5,6 +5,7 @@
 import * as crypto from "node:crypto";
 import * as Schema from "effect/Schema";
 import type { Sharers } from "../retryBudget.ts";
+import { ownerOf } from "./owner.ts";
 import { isCrowded, isFew, likelyActive, type ActiveNode, type Candidate } from "./activeSet.ts";
 
 /** What callers ask of a node. */
@@ -226,6 +227,14 @@
     this.rosters.clear();
   }
 
+  /** The node that answers for the key: a ready one among those alive, or this one if it `mayOwn` or knows of none. */
+  owner(key: string, self: PeerAddress, mayOwn: boolean, nowMs: number): PeerAddress {
+    const ready = this.alive(nowMs).filter(({ pulse }) => pulse.ready);
+    const nodes = new Map<string, PeerAddress>(ready.map(({ pulse }) => [pulse.ip, pulse]));
+    if (mayOwn) nodes.set(self.ip, self);
+    return nodes.get(ownerOf(key, [...nodes.keys()]) ?? "") ?? self;
+  }
+
   /** Addresses to tell of this node: alive ones, and at times those that may come back. */
   audience(nowMs: number, everyone: boolean): PeerAddress[] {
     const addresses = new Map<string, PeerAddress>();
--- a/src/serving/permits/permitIssuer.ts
+++ b/src/serving/permits/permitIssuer.ts
@@ -5,7 +5,6 @@
  */
 import * as Schema from "effect/Schema";
 import { TokenBucket } from "../../common/tokenBucket.ts";
-import { hashFraction } from "../routeTable.ts";
 import { LimitWord } from "../serverNotices.ts";
 
 /** What a node wants of one server. */
@@ -121,19 +120,6 @@
   }
 }
 
-/** The node that issues the permits of a server: highest random weight, so that all nodes agree without talking. */
-export function issuerOf(server: string, nodes: readonly string[]): string | undefined {
-  let issuer: string | undefined;
-  let highest = -1;
-  for (const node of nodes) {
-    const weight = hashFraction(`${server} ${node}`);
-    if (weight <= highest) continue;
-    highest = weight;
-    issuer = node;
-  }
-  return issuer;
-}
-
 function burst(perS: number): number {
   return Math.max(1, perS * burstS);
 }
--- a/src/serving/quarantine/quarantine.ts
+++ b/src/serving/quarantine/quarantine.ts
@@ -68,6 +68,12 @@
     return this.suspects.size === 0 && this.holds.size === 0;
   }
 
+  /** Did a server end under the request, and was it served by none since? */
+  isSuspected(fingerprint: string, nowMs: number): boolean {
+    const isKnown = this.suspects.has(fingerprint) || this.holds.has(fingerprint);
+    return isKnown && !this.survivors.has(fingerprint, nowMs);
+  }
+
   /** Time until the request may be sent, ms; 0 if it may now. */
   leftMs(fingerprint: string, nowMs: number): number {
     return this.holds.leftMs(fingerprint, nowMs);
--- a/test/gateway/crashes.spec.ts
+++ b/test/gateway/crashes.spec.ts
@@ -93,6 +93,7 @@
   // Guards against copies that gather at several nodes and are all sent in the same moment.
   it("should run in one copy at a time over all nodes once a server has ended under it", async () => {
     pool = await CrashingPool.start({ route: { maxAttempts: 1 } });
+    for (const node of pool.nodes) await until(async () => (await directoryOf(node)).length === 3);
     await repeat(deadly, 1);
     const copies = Array.from({ length: 4 }, () => pool.nodes).flat();
     await Promise.all(copies.map(({ ip }) => ask({ ip, method: "POST", path: "/drafts/7", body: deadly })));
