--- a/src/entry/completions.ts
+++ b/src/entry/completions.ts
@@ -2,15 +2,14 @@
  * One completion from arrival to its final answer: wait for a first copy of the model if it has none,
  * route, admit, forward, and go on from another engine if one breaks off.
  */
-import type * as http from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Failure, toFailure } from "../common/errors.ts";
 import type { Log } from "../common/log.ts";
 import { promptOf, type CompletionRequest } from "../common/openai.ts";
 import { crowdingOf, type Admission, type Applicant } from "./admission.ts";
 import { Answer } from "./answer.ts";
+import type { Completion } from "./completion.ts";
 import { AnswerCut, type CompletionProxy } from "./completionProxy.ts";
-import type { Entitlement } from "./configWatcher.ts";
 import type { DemandMeter } from "./demandMeter.ts";
 import type { DemandReporter } from "./demandReporter.ts";
 import type { Engine, Fleet } from "./fleet.ts";
@@ -38,18 +37,6 @@
   readonly unsureWaitMs?: number;
 }
 
-/** One completion to serve. */
-export interface Completion {
-  readonly requestId: string;
-  readonly entitlement: Entitlement;
-  readonly request: CompletionRequest;
-  /** Path to forward to. */
-  readonly path: string;
-  /** Absolute deadline, epoch ms. */
-  readonly deadline: number;
-  readonly res: http.ServerResponse;
-}
-
 const defaults = { unsureWaitMs: 1500 };
 /** Tokens expected of a request that sets no limit. */
 const defaultTokens = 16;
--- a/src/entry/heldRequests.ts
+++ b/src/entry/heldRequests.ts
@@ -7,7 +7,7 @@
 import { Failure, toFailure } from "../common/errors.ts";
 import { fingerprintOf } from "../serving/quarantine/fingerprint.ts";
 import { QuarantineNews, type Quarantine } from "../serving/quarantine/quarantine.ts";
-import type { Completion } from "./completions.ts";
+import type { Completion } from "./completion.ts";
 import type { Engine } from "./fleet.ts";
 import type { Peers } from "./peers.ts";
 
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -8,7 +8,7 @@
 import { CallerConnection } from "./callerConnection.ts";
 import { Exchange } from "./exchange.ts";
 import type { Placer, Serving } from "./serving.ts";
-import type { TurnTask } from "./turnTask.ts";
+import type { RunLockTask } from "./runLockTask.ts";
 
 /** Largest head of a request Node reads, bytes; callers stay within the configured limit. */
 const maxHeadBytes = 64 * 1024;
@@ -28,7 +28,7 @@
   readonly endpoint: Endpoint;
   readonly serving: Serving;
   readonly placer: Placer;
-  readonly turns: Pick<TurnTask, "take">;
+  readonly runLocks: Pick<RunLockTask, "acquire">;
   readonly retryRatio: number;
   /** Retries beyond the ratio that all nodes together may make in a window. */
   readonly retryBurst: number;
@@ -90,12 +90,12 @@
   }
 
   private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
-    const { serving, placer, turns } = this.options;
+    const { serving, placer, runLocks } = this.options;
     const caller = new CallerConnection(req, res, serving.codec, () => this.stopping !== undefined);
     const exchange = new Exchange({
       serving,
       placer,
-      turns,
+      runLocks,
       caller,
       budgetFor: (service) => this.budgetFor(service),
       refuseStreams: () =>
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -13,7 +13,7 @@
 import { SendRecord, serverErrorStatus } from "./sendRecord.ts";
 import { ServerWait, soonS } from "./serverWait.ts";
 import { adapterKey, demandKey, type Placer, type Serving } from "./serving.ts";
-import type { TurnTask } from "./turnTask.ts";
+import type { RunLockTask } from "./runLockTask.ts";
 
 /** Sends beyond a route's own attempts that servers refused without running, so that it still ends. */
 const refusedSends = 3;
@@ -24,7 +24,7 @@
 export interface ExchangeOptions {
   readonly serving: Serving;
   readonly placer: Placer;
-  readonly turns: Pick<TurnTask, "take">;
+  readonly runLocks: Pick<RunLockTask, "acquire">;
   readonly budgetFor: (service: string) => RetryBudget;
   readonly caller: CallerConnection;
   /** New streams are refused: the node stops before they could end. */
@@ -117,13 +117,13 @@
       // What comes to be held back while it waits is refused at once.
       over: () => this.caller.left || this.abandoned || this.quarantine.leftMs > 0,
       mayRun: () => this.quarantine.mayRun,
-      awaitTurn: () => this.quarantine.awaitTurn(),
+      awaitLock: () => this.quarantine.awaitLock(),
     });
     this.countDemand();
     this.body = await this.readBody(table.configuration.limits.maxBodyBytes);
     this.record = new SendRecord({ serving, service, facts: this.facts, arrivedMs: this.arrivedMs });
-    const { turns } = this.options;
-    this.quarantine = new QuarantineCheck({ serving, turns, req, facts: this.facts, body: this.body });
+    const { runLocks } = this.options;
+    this.quarantine = new QuarantineCheck({ serving, runLocks, req, facts: this.facts, body: this.body });
     this.options.budgetFor(service.name).earn();
   }
 
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -36,7 +36,7 @@
 import { ReadingDuty } from "./readingDuty.ts";
 import { createServing, type Serving } from "./serving.ts";
 import { StoreLink } from "./storeLink.ts";
-import { TurnTask } from "./turnTask.ts";
+import { RunLockTask } from "./runLockTask.ts";
 import { Utilization } from "./utilization.ts";
 
 /** Callers keep an answer of the directory for this long, s: short, so that a stopping node is soon left alone. */
@@ -168,7 +168,7 @@
       ceilingOverage: settings.ceilingOverage,
     });
     this.member = new MemberTask({ store, log, peers: this.table, self: memberOf(settings) });
-    const turns = new TurnTask({
+    const runLocks = new RunLockTask({
       log,
       self: settings.peers,
       peers: this.peers,
@@ -178,7 +178,7 @@
       endpoint: settings.callers,
       serving: this.serving,
       placer: this.placement,
-      turns,
+      runLocks,
       retryRatio: settings.retryRatio,
       retryBurst: settings.retryBurst,
       sharers: () => this.table.sharers(this.activation.active, performance.now()),
@@ -267,7 +267,7 @@
           decides: () => this.lease.holding,
         }),
         permits,
-        turns,
+        runLocks,
         this.callers,
         this.member,
         this.activation,
--- a/src/gateway/quarantineCheck.ts
+++ b/src/gateway/quarantineCheck.ts
@@ -6,18 +6,18 @@
 import type { AttemptOutcome } from "./attempt.ts";
 import { serverErrorStatus } from "./sendRecord.ts";
 import type { Serving } from "./serving.ts";
-import type { Turn, TurnTask } from "./turnTask.ts";
+import type { RunLock, RunLockTask } from "./runLockTask.ts";
 
 /** Requests with a longer body are identified only once there is a suspicion, bytes. */
 const longestCommonBody = 4_096;
 
-/** Pause between tries for a turn, ms. */
-const turnMs = 40;
+/** Pause between tries for a lock, ms. */
+const lockMs = 40;
 
 /** What the check works with. */
 export interface QuarantineCheckOptions {
   readonly serving: Serving;
-  readonly turns: Pick<TurnTask, "take">;
+  readonly runLocks: Pick<RunLockTask, "acquire">;
   readonly req: http.IncomingMessage;
   readonly facts: RequestFacts;
   readonly body: Buffer | undefined;
@@ -27,7 +27,7 @@
 export class QuarantineCheck {
   private contentId: string | undefined;
   /** Held while this copy of a suspected request runs. */
-  private turn: Turn | undefined;
+  private lock: RunLock | undefined;
 
   constructor(private readonly options: QuarantineCheckOptions) {}
 
@@ -40,21 +40,21 @@
 
   /** May this copy run now? Of a suspected request one copy runs at a time, over all nodes. */
   get mayRun(): boolean {
-    if (this.turn !== undefined) return true;
+    if (this.lock !== undefined) return true;
     const { quarantine } = this.options.serving;
     return quarantine.empty || !quarantine.isSuspected(this.fingerprint, performance.now());
   }
 
-  /** Takes the turn if no other copy has it, or else sleeps a moment. */
-  async awaitTurn(): Promise<void> {
-    this.turn = await this.options.turns.take(this.fingerprint);
-    if (this.turn === undefined) await new Promise((resolve) => setTimeout(resolve, turnMs));
+  /** Acquires the lock if no other copy holds it, or else sleeps a moment. */
+  async awaitLock(): Promise<void> {
+    this.lock = await this.options.runLocks.acquire(this.fingerprint);
+    if (this.lock === undefined) await new Promise((resolve) => setTimeout(resolve, lockMs));
   }
 
-  /** Gives the turn back. */
+  /** Gives the lock back. */
   dispose(): void {
-    void this.turn?.dispose();
-    this.turn = undefined;
+    void this.lock?.dispose();
+    this.lock = undefined;
   }
 
   /** Takes the outcome of a send made at `sentMs`. */
@@ -62,7 +62,7 @@
     const { quarantine } = this.options.serving;
     if (outcome.kind === "broken" && outcome.cut) {
       this.noteCut(server, outcome.reason, outcome.lastEvent, sentMs);
-      this.turn?.cut();
+      this.lock?.cut();
     }
     const now = performance.now();
     if (hasAnswered(outcome)) quarantine.answered(incarnationOf(server), sentMs, now);
--- a/src/gateway/serverWait.ts
+++ b/src/gateway/serverWait.ts
@@ -36,7 +36,7 @@
   /** May this copy of the request run now? */
   readonly mayRun: () => boolean;
   /** Tries to bring that about; sleeps a moment if it can't. */
-  readonly awaitTurn: () => Promise<void>;
+  readonly awaitLock: () => Promise<void>;
 }
 
 /** How far the request has come. */
@@ -79,7 +79,7 @@
         const admission = this.admission(chosen, progress);
         if (admission === "send") {
           if (!this.options.mayRun()) {
-            await this.options.awaitTurn();
+            await this.options.awaitLock();
             continue;
           }
           this.candidates.tried.add(chosen.server.id);
