--- a/src/entry/completions.ts
+++ b/src/entry/completions.ts
@@ -101,7 +101,10 @@
       } catch (error) {
         last = toFailure(error);
         if (answer.abandoned) break;
-        if (error instanceof AnswerCut) held.ended(fingerprint, engine);
+        if (error instanceof AnswerCut) {
+          held.ended(fingerprint, engine);
+          this.options.fleet.noteCut(engine.address);
+        }
         this.noteFailure(engine, last);
         if (last.kind === "unknown-model") {
           // Guards "a caller is told its own model does not exist": the copy left between the choice and
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -130,6 +130,15 @@
     if (engine !== undefined) countFailure(engine);
   }
 
+  /**
+   * The engine cut an answer off, so its process may have ended. It gets nothing until it reports again: what is known of
+   * it, its boot above all, is of the process before.
+   */
+  noteCut(address: string): void {
+    const engine = this.engines.get(address);
+    while (engine !== undefined && engine.failures < failuresToEject) countFailure(engine);
+  }
+
   /** An engine says it no longer has `model`; not routed there again until it reports so. */
   forgetCopy(address: string, model: string): void {
     const engine = this.engines.get(address);
