--- a/test/gateway/serverNotices.spec.ts
+++ b/test/gateway/serverNotices.spec.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { answerOk, turnAway, type Arrival } from "../fixtures/backends.ts";
+import { directoryOf, until } from "../fixtures/gateways.ts";
 import { answerLimited, LimitedPool } from "../fixtures/limitedPool.ts";
 
 /** Span in which a server's requests are counted, ms. */
@@ -29,6 +30,21 @@
     expect(pool.arrivalsAt("i-1", startedMs + settleMs).length).to.be.at.least(windowMs / 1000);
   });
 
+  // Guards against nodes that stand by, or come and go, and each send as if they were alone.
+  it("should get no more than that though most callers come to nodes that stand by, and a node is lost", async () => {
+    const limitPerS = 1;
+    pool = await LimitedPool.start({ nodes: 12, small: 6, servers: { "i-1": answerLimited(limitPerS) } });
+    const active = pool.nodes[0] ?? { ip: "" };
+    await until(async () => (await directoryOf(active)).length === 12, 12_000);
+    const startedMs = performance.now();
+    const asked = pool.askFor(settleMs + windowMs + 1_000);
+    await new Promise((resolve) => setTimeout(resolve, settleMs));
+    await Promise.all([pool.startNode(), pool.nodes[1]?.node.dispose()]);
+    await asked;
+    expect(pool.most("i-1", windowMs, startedMs + settleMs)).to.be.at.most(allowed(limitPerS));
+    expect(pool.arrivalsAt("i-1", startedMs + settleMs).length).to.be.at.least(1);
+  });
+
   // Guards against a limit that outlives the need of the server that named it.
   it("should be sent to freely again once it names none", async () => {
     const limited = answerLimited(1);
