--- a/src/gateway/quarantineCheck.ts
+++ b/src/gateway/quarantineCheck.ts
@@ -34,7 +34,7 @@
   /** Time until the request may be sent, ms; 0 if it may now. */
   get leftMs(): number {
     const { quarantine } = this.options.serving;
-    // Nearly always there is nothing to look for, and the body needn't be hashed.
+    // Skips hashing the body while nothing is quarantined.
     return quarantine.holds.size === 0 ? 0 : quarantine.leftMs(this.fingerprint, performance.now());
   }
 
--- a/src/serving/outliers.ts
+++ b/src/serving/outliers.ts
@@ -24,7 +24,7 @@
 
 /** What is known of a server's answers. */
 export interface Health {
-  /** Not to be used while another server is to be had. */
+  /** Ejected: used only if no other server is available. */
   readonly ejected: boolean;
   /** Couldn't be connected to a moment ago. */
   readonly unreachable: boolean;
--- a/src/serving/quarantine/quarantine.ts
+++ b/src/serving/quarantine/quarantine.ts
@@ -1,15 +1,15 @@
 /**
- * Keeps requests from servers that end under them. Answers the poison request: it ends each server that runs it, its
- * caller sends it again with a new id and to whichever node, and every end cuts off all that ran beside it. So nodes
- * tell each other what was running when a server ended, and the request that was there three times is held back by all.
+ * Quarantines poison requests: requests that crash every server that runs them. Their callers send them again with a new id
+ * and to whichever node, so nodes tell each other what was running when a server crashed, and a request that was there three
+ * times is refused by all.
  *
- * Harmless requests are there too when a server ends. One that a server ran to its end lately, or does so then, is none of
- * these; nor is one whose server lives after all; and a server that was leaving is no evidence.
+ * Not counted against a request: crashes while it completes elsewhere, cut connections of servers that live, and servers that
+ * were draining.
  */
 import * as Schema from "effect/Schema";
 import { Emitter } from "../../common/emitter.ts";
 import { Holds, type Hold } from "./holds.ts";
-import { Survivors } from "./survivors.ts";
+import { RecentSuccesses } from "./recentSuccesses.ts";
 import { Suspects } from "./suspects.ts";
 
 /**
@@ -60,7 +60,7 @@
   readonly noted = new Emitter<undefined>();
   readonly holds = new Holds();
   private readonly suspects = new Suspects();
-  private readonly survivors = new Survivors();
+  private readonly recentSuccesses = new RecentSuccesses();
   private news = emptyNews();
 
   /** Nothing is known of any request, so none needs to be looked at. */
@@ -71,7 +71,7 @@
   /** Did a server end under the request, and was it served by none since? */
   isSuspected(fingerprint: string, nowMs: number): boolean {
     const isKnown = this.suspects.has(fingerprint) || this.holds.has(fingerprint);
-    return isKnown && !this.survivors.has(fingerprint, nowMs);
+    return isKnown && !this.recentSuccesses.has(fingerprint, nowMs);
   }
 
   /** Time until the request may be sent, ms; 0 if it may now. */
@@ -81,7 +81,7 @@
 
   /** The connection to the incarnation of a server ended while it ran the request. */
   cut(fingerprint: string, incarnation: string, nowMs: number): void {
-    if (this.survivors.has(fingerprint, nowMs)) return;
+    if (this.recentSuccesses.has(fingerprint, nowMs)) return;
     const { cuts } = this.news;
     cuts[incarnation] = [...(cuts[incarnation] ?? []), fingerprint];
     this.count(fingerprint, incarnation, true, nowMs);
@@ -90,9 +90,9 @@
 
   /** A server ran the request to its end: it is no poison. */
   survived(fingerprint: string, nowMs: number): void {
-    this.survivors.add(fingerprint, nowMs);
+    this.recentSuccesses.add(fingerprint, nowMs);
     if (!this.suspects.has(fingerprint) && !this.holds.has(fingerprint)) return;
-    this.acquit(fingerprint, true, nowMs);
+    this.clear(fingerprint, true, nowMs);
     this.tellSurvived(fingerprint);
   }
 
@@ -103,18 +103,18 @@
   answered(incarnation: string, sentMs: number, nowMs: number): void {
     const endedAtMs = this.suspects.endedAtMs(incarnation);
     if (endedAtMs === undefined || sentMs <= endedAtMs || nowMs - endedAtMs >= restartMs) return;
-    this.acquitBy(incarnation, true, nowMs);
+    this.clearCrash(incarnation, true, nowMs);
     this.news.alive.push(incarnation);
     this.noted.fire(undefined);
   }
 
   /** Takes what another node learned; `decides` says whether it is on this node to save and tell a hold that it leads to. */
   hear({ cuts, survived, alive, held }: QuarantineNews, decides: boolean, nowMs: number): void {
-    for (const fingerprint of survived) this.acquit(fingerprint, false, nowMs);
-    for (const incarnation of alive) this.acquitBy(incarnation, false, nowMs);
+    for (const fingerprint of survived) this.clear(fingerprint, false, nowMs);
+    for (const incarnation of alive) this.clearCrash(incarnation, false, nowMs);
     for (const [incarnation, fingerprints] of Object.entries(cuts))
       for (const fingerprint of fingerprints) {
-        if (this.survivors.has(fingerprint, nowMs)) this.tellSurvived(fingerprint);
+        if (this.recentSuccesses.has(fingerprint, nowMs)) this.tellSurvived(fingerprint);
         else this.count(fingerprint, incarnation, decides, nowMs);
       }
     for (const [fingerprint, { leftMs, forMs }] of Object.entries(held))
@@ -146,7 +146,7 @@
   /** The store, or a node that read it, has the hold in a row of this version. */
   learn(fingerprint: string, hold: Hold, version: number | undefined, nowMs: number): void {
     // One that was served here lately is held back for ends that had another cause.
-    if (this.survivors.has(fingerprint, nowMs)) {
+    if (this.recentSuccesses.has(fingerprint, nowMs)) {
       this.tellSurvived(fingerprint);
       this.changed.fire({ fingerprint, kind: "forgotten", own: true, version: version ?? 0 });
       return;
@@ -163,13 +163,13 @@
 
   /** The request is let through again: its row is gone, as it was served or an operator removed it. */
   release(fingerprint: string, nowMs: number): void {
-    this.acquit(fingerprint, false, nowMs);
+    this.clear(fingerprint, false, nowMs);
   }
 
   /** Drops what is too old to matter; `own` says whether it is on this node to remove it from the store. */
   expire(nowMs: number, own: boolean): void {
     this.suspects.expire(nowMs);
-    for (const fingerprint of this.holds.over(nowMs)) this.acquit(fingerprint, own, nowMs);
+    for (const fingerprint of this.holds.over(nowMs)) this.clear(fingerprint, own, nowMs);
   }
 
   private count(fingerprint: string, incarnation: string, own: boolean, nowMs: number): void {
@@ -196,17 +196,17 @@
   }
 
   /** The incarnation lives: requests under which hardly any other ended are let go. */
-  private acquitBy(incarnation: string, own: boolean, nowMs: number): void {
-    for (const fingerprint of this.suspects.acquitBy(incarnation))
-      if (this.suspects.endsUnder(fingerprint) < watchedFrom) this.letGo(fingerprint, own, nowMs);
+  private clearCrash(incarnation: string, own: boolean, nowMs: number): void {
+    for (const fingerprint of this.suspects.clearCrash(incarnation))
+      if (this.suspects.endsUnder(fingerprint) < watchedFrom) this.drop(fingerprint, own, nowMs);
   }
 
-  private acquit(fingerprint: string, own: boolean, nowMs: number): void {
+  private clear(fingerprint: string, own: boolean, nowMs: number): void {
     this.suspects.clear(fingerprint);
-    this.letGo(fingerprint, own, nowMs);
+    this.drop(fingerprint, own, nowMs);
   }
 
-  private letGo(fingerprint: string, own: boolean, nowMs: number): void {
+  private drop(fingerprint: string, own: boolean, nowMs: number): void {
     const hold = this.holds.release(fingerprint);
     if (hold === undefined) return;
     const kind = hold.untilMs > nowMs ? "released" : "forgotten";
--- a/src/serving/quarantine/survivors.ts
+++ b/src/serving/quarantine/recentSuccesses.ts
@@ -1,15 +1,15 @@
 /**
- * Requests that a server ran to their end lately: whatever ends under them ends for another reason. Without it, a page
- * that many ask for is held back when a rack fails, as it was running on each of its servers.
+ * Requests completed recently. They are not quarantined when a server crashes: a page that many ask for runs on every
+ * server of a rack that fails.
  */
 
 /** A request is remembered for this long after it was served, ms. */
 const rememberedMs = 60_000;
 /** Requests remembered: those that many ask for are served again and again, and stay among them. */
-const mostSurvivors = 4_000;
+const mostRemembered = 4_000;
 
 /** Fingerprints of requests served lately. */
-export class Survivors {
+export class RecentSuccesses {
   /** When each was served last, ms, in that order. */
   private readonly servedMs = new Map<string, number>();
 
@@ -20,7 +20,7 @@
   add(fingerprint: string, nowMs: number): void {
     this.servedMs.delete(fingerprint);
     this.servedMs.set(fingerprint, nowMs);
-    if (this.servedMs.size <= mostSurvivors) return;
+    if (this.servedMs.size <= mostRemembered) return;
     const [oldest] = this.servedMs.keys();
     if (oldest !== undefined) this.servedMs.delete(oldest);
   }
--- a/src/serving/quarantine/suspects.ts
+++ b/src/serving/quarantine/suspects.ts
@@ -64,7 +64,7 @@
   }
 
   /** The incarnation lives: what it cut was not cut by its end. Gives back those requests. */
-  acquitBy(incarnation: string): readonly string[] {
+  clearCrash(incarnation: string): readonly string[] {
     const fingerprints = [...(this.ends.get(incarnation)?.fingerprints ?? [])];
     this.ends.delete(incarnation);
     for (const fingerprint of fingerprints) {
