--- a/src/gateway/serverWait.ts
+++ b/src/gateway/serverWait.ts
@@ -19,6 +19,8 @@
 const adapterHeldPart = 0.7;
 /** Retry-After for an adapter that got no place, ms: model loads that keep engines closed take seconds. */
 const adapterRetryMs = 1_000;
+/** A pause shorter than this that a server asks for is no reason to ask it again sooner than another that refuses, ms. */
+const leastPauseMs = 200;
 /** Longest Retry-After, s: placement may have changed by then. */
 const longestRetryAfterS = 5;
 
@@ -107,7 +109,7 @@
     const { refusals, fleet } = this.options.serving;
     const now = performance.now();
     this.candidates.tried.delete(server.id);
-    if (answer.notice.retryAfterMs !== undefined) return;
+    if ((answer.notice.retryAfterMs ?? 0) >= leastPauseMs) return;
     if (!answer.wrongServer) refusals.refused(server.id, this.candidates.scope, now);
     else if (model !== undefined) fleet.forget(server, model, adapter, now);
     // Another incarnation has the address: it isn't this server any more.
--- a/test/gateway/serverNotices.spec.ts
+++ b/test/gateway/serverNotices.spec.ts
@@ -203,4 +203,20 @@
       expect(Number(headers["retry-after"])).to.be.within(6, 8);
     }
   });
+
+  // Guards against a server that is asked again and again because it asked for no pause at all.
+  it("should be left alone for a moment though it names a time of 0", async () => {
+    pool = await LimitedPool.start({
+      nodes: 1,
+      servers: {
+        "i-1": (arrival) => {
+          turnAway(arrival, { "Retry-After": "0" });
+        },
+        "i-2": answerOk,
+      },
+    });
+    const startedMs = performance.now();
+    await pool.askFor(1_500, 4);
+    expect(pool.arrivalsAt("i-1", startedMs).length).to.be.at.most(12);
+  });
 });
