--- a/src/serving/permits/permitIssuer.ts
+++ b/src/serving/permits/permitIssuer.ts
@@ -48,7 +48,7 @@
 /** Permits that a server unused for long has saved up: what it takes in this time, s; at least one. */
 const burstS = 0.5;
 /** Lowest rate used, requests per second: a server that names none at all is still asked whether it does. */
-const leastPerS = 0.1;
+export const leastPerS = 0.1;
 
 /** The permits that this node issues. */
 export class PermitIssuer {
--- a/src/serving/permits/permits.ts
+++ b/src/serving/permits/permits.ts
@@ -3,7 +3,7 @@
 import type { Disposable } from "../../common/disposables.ts";
 import { incarnationOf } from "../backendServer.ts";
 import type { Incarnation, ServerNotices } from "../serverNotices.ts";
-import type { PermitAsk } from "./permitIssuer.ts";
+import { leastPerS, type PermitAsk } from "./permitIssuer.ts";
 
 /** A permit is used within this time or not at all, ms: unused ones must not add up to a burst. */
 const permitMs = 1_000;
@@ -97,7 +97,7 @@
     const permits = this.servers.get(incarnationOf(server));
     const isFresh = permits?.backlog !== undefined && nowMs - permits.backlog.atMs < backlogMs;
     const ahead = Math.max(permits?.waiting.size ?? 0, isFresh ? (permits.backlog?.requests ?? 0) : 0);
-    return (ahead / perS) * 1000;
+    return (ahead / Math.max(leastPerS, perS)) * 1000;
   }
 
   /** Drops what is kept of servers that are gone. */
--- a/src/serving/retryBudget.ts
+++ b/src/serving/retryBudget.ts
@@ -1,6 +1,7 @@
 /**
  * Bounds retries to a part of the requests, so that a failing pool is not buried under its own retries. The
- * bound is on all nodes together; each takes an equal part of the burst without asking the others, or one retry where there are more nodes than retries.
+ * bound is on all nodes together; each takes an equal part of the burst without asking the others, or one retry where
+ * there are more nodes than retries.
  */
 import { TokenBucket } from "../common/tokenBucket.ts";
 
--- a/test/serving/permits.spec.ts
+++ b/test/serving/permits.spec.ts
@@ -210,4 +210,14 @@
     permits.take(server.id, 0, 8, 10);
     expect(permits.expectedMs(server, 20)).to.equal(4_000);
   });
+
+  // Guards against callers told to return after a time that is no number.
+  it("should say so for a server that accepts no requests at all", () => {
+    const notices = new ServerNotices();
+    notices.hear(server, { limitPerS: 0, leaving: false, retryAfterMs: undefined }, 0, 0);
+    const permits = new Permits(notices);
+    expect(permits.expectedMs(server, 10)).to.equal(0);
+    permits.take(server.id, 0, 1, 10);
+    expect(permits.expectedMs(server, 20)).to.equal(10_000);
+  });
 });
