--- a/src/explain/story.ts
+++ b/src/explain/story.ts
@@ -8,7 +8,13 @@
 const afterMs = 500;
 
 /** Beliefs of the host that had the request, of which the last before its arrival was in force. */
-const standing = new Set(["configuration-applied", "store-lost", "store-regained", "started"]);
+const standing = new Set([
+  "configuration-applied",
+  "store-lost",
+  "store-regained",
+  "store-era-changed",
+  "started",
+]);
 /** Events about servers and placement that bear on any request near them. */
 const placement = new Set(["lease-taken", "lease-lost", "lease-released"]);
 const servers = new Set(["server-found", "server-leaving", "server-removed"]);
--- a/src/gateway/engineDesk.ts
+++ b/src/gateway/engineDesk.ts
@@ -77,6 +77,8 @@
   /** When each model, or adapter as MODEL/NAME, was last ordered in or out; of adapters only out. */
   private readonly movedMs = new Map<string, number>();
   private registered: BackendServer;
+  /** When the registration was learned. */
+  private registeredMs = performance.now();
   /** What the engine's last report showed, as models and as MODEL/NAME of adapters. */
   private reported:
     { readonly models: string[]; readonly adapters: string[]; readonly atMs: number } | undefined;
@@ -221,6 +223,7 @@
     if (server === this.registered || startedAfter(this.registered, server)) return [];
     if (startedAfter(server, this.registered)) this.restarted();
     this.registered = server;
+    this.registeredMs = performance.now();
     const held = new Set(server.residents.map((resident) => resident.model));
     const arrived = [...held].filter((model) => this.coming.delete(model));
     for (const model of [...this.dropping.keys()]) if (!held.has(model)) this.dropping.delete(model);
@@ -376,6 +379,9 @@
       sequence: expectedSequence,
       token: fencingToken,
       outcome,
+      counted: { models: [...this.occupying], adapters: this.adapters },
+      reportAgeMs: ageMs(this.reported?.atMs),
+      registrationAgeMs: ageMs(this.registeredMs),
     });
     return outcome;
   }
@@ -422,6 +428,10 @@
   }
 }
 
+function ageMs(sinceMs: number | undefined): number | undefined {
+  return sinceMs === undefined ? undefined : Math.round(performance.now() - sinceMs);
+}
+
 function dropUncertain(orders: Map<string, Unconfirmed>): void {
   for (const [name, order] of [...orders]) if (order.uncertain) orders.delete(name);
 }
--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/fleetTask.ts
@@ -188,6 +188,8 @@
       this.learn(set, since === undefined);
     } catch (error) {
       const failure = toFailure(error);
+      if (failure.kind === "history-lost")
+        this.options.serving.log.info({ event: "history-lost", after: since });
       if (failure.kind === "history-lost") this.version = undefined;
       else link.failed(failure);
     }
@@ -229,6 +231,7 @@
     let changed = false;
     for (const registration of registrations) {
       const known = fleet.get(registration.server.id);
+      this.notePassedOver(registration);
       if (!fleet.learn(registration, now)) continue;
       changed = true;
       if (known !== undefined && startedAfter(registration.server, known))
@@ -240,6 +243,15 @@
     return changed;
   }
 
+  /** A registration that says something else than the known one is passed over if that one is newer. */
+  private notePassedOver({ server, version }: Registration): void {
+    const { fleet, log, metrics } = this.options.serving;
+    const known = fleet.versionOf(server.id);
+    if (known === undefined || version >= known) return;
+    metrics.outdatedRegistrations.inc();
+    log.info({ event: "registration-outdated", server: server.id, leaving: server.leaving, version, known });
+  }
+
   /** What was learned of a server before it restarted doesn't hold for it now. */
   private forgetIncarnation({ id, startedAtMs }: BackendServer): void {
     const { outliers, refusals, pool, log } = this.options.serving;
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -35,6 +35,15 @@
   /** 1 while the store answers. */
   readonly storeReachable = this.gauge("store_reachable", "1 while the store answers");
 
+  /** Era of the store; grows each time it comes back from a copy. */
+  readonly storeEra = this.gauge("store_era", "Era of the store, which grows when it comes back from a copy");
+  /** Registrations passed over, as a newer one of the same server was known. */
+  readonly outdatedRegistrations = this.counter(
+    "outdated_registrations_total",
+    "Registrations passed over as older than a known one",
+    [],
+  );
+
   private counter<T extends string>(name: string, help: string, labelNames: T[]): prom.Counter<T> {
     return new prom.Counter({ name: `parsleynotch_${name}`, help, labelNames, registers: [this.registry] });
   }
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -279,6 +279,10 @@
     platform.engines.heard.on(({ target: { serverId: id, startedAtMs }, notice }) => {
       this.serving.notices.hearAside({ id, startedAtMs }, notice, performance.now());
     });
+    store.eras.changed.on(({ from, to }) => {
+      this.serving.metrics.storeEra.set(to);
+      if (from !== undefined) log.warn({ event: "store-era-changed", from, to });
+    });
     this.lease.changed.on(() => {
       this.peers.tell();
     });
--- /dev/null
+++ b/src/serving/eraWatch.ts
@@ -0,0 +1,30 @@
+/** The era of the store: it grows each time the store comes back from a copy and has lost its newest writes. */
+import { Emitter } from "../common/emitter.ts";
+
+/** The store came back from a copy. */
+export interface EraChange {
+  /** Undefined where no era was known. */
+  readonly from: number | undefined;
+  readonly to: number;
+}
+
+/** The newest era that a node knows of, from answers of the store and from its peers. */
+export class EraWatch {
+  /** Fired before anything that was read in the new era is used. */
+  readonly changed = new Emitter<EraChange>();
+  private known: number | undefined;
+
+  /** Undefined until the first answer or word of a peer. */
+  get current(): number | undefined {
+    return this.known;
+  }
+
+  /** Takes an era that an answer or a peer names; false if a later one is known. */
+  note(era: number): boolean {
+    const from = this.known;
+    if (from !== undefined && era <= from) return era === from;
+    this.known = era;
+    this.changed.fire({ from, to: era });
+    return true;
+  }
+}
--- a/src/serving/fleet.ts
+++ b/src/serving/fleet.ts
@@ -235,6 +235,11 @@
     this.apply({ serverId, startedAtMs, model, adapter, present: false }, nowMs);
   }
 
+  /** The store's version of the registration in force; undefined where none is known. */
+  versionOf(id: string): number | undefined {
+    return this.entries.get(id)?.version;
+  }
+
   get(id: string): BackendServer | undefined {
     return this.entries.get(id)?.server;
   }
--- a/src/serving/store.ts
+++ b/src/serving/store.ts
@@ -1,4 +1,5 @@
 /** The table store, as the gateway uses it: rows in tables, changed under conditions. */
+import type { EraWatch } from "./eraWatch.ts";
 
 /** A row as read. */
 export interface Row {
@@ -46,6 +47,8 @@
  * longer known), `outcome-unknown` (a commit may have been carried out, or may still be).
  */
 export interface Store {
+  /** The newest era seen in any answer. */
+  readonly eras: EraWatch;
   /** All rows of a table. */
   list(table: string, options?: StoreCallOptions): Promise<RowSet>;
   /** One row, if it exists. */
