--- a/src/gateway/activationTask.ts
+++ b/src/gateway/activationTask.ts
@@ -9,6 +9,7 @@
 import { PeriodicTask } from "../common/supervisor.ts";
 import { isFew, mayRetire, turnToActivate, type ActiveNode } from "../serving/membership/activeSet.ts";
 import { Member, Roster, type PeerTable, type Standing } from "../serving/membership/peerTable.ts";
+import { beginning, formatPosition, type StorePosition } from "../serving/storePosition.ts";
 import type { PeerTask } from "./peerTask.ts";
 
 /**
@@ -57,8 +58,8 @@
   readonly standing: () => Standing;
   /** Revision of the newest change of which servers there are. */
   readonly presenceRevision: () => number;
-  /** The store's version of the newest change of quarantined requests. */
-  readonly quarantineVersion: () => number;
+  /** The store's position of the newest change of quarantined requests. */
+  readonly quarantinePosition: () => StorePosition;
   /** Time since any active node read the store, as far as is known, ms; infinite if none did. */
   readonly readAgeMs: () => number;
   /** Does the node hold the placement lease? */
@@ -204,8 +205,8 @@
   private tellListeners(): void {
     const now = performance.now();
     const roster = this.roster();
-    const { digest, version, fleetRevision, quarantineVersion } = roster;
-    const key = `${digest} ${version} ${fleetRevision} ${quarantineVersion}`;
+    const { digest, version, fleetRevision, quarantinePosition = beginning, storeEra } = roster;
+    const key = [digest, version, fleetRevision, formatPosition(quarantinePosition), storeEra].join(" ");
     if (key === this.toldKey) return;
     this.toldKey = key;
     for (const [ip, listener] of this.listeners) {
@@ -239,13 +240,14 @@
     const now = performance.now();
     const { table, readAgeMs } = this.options;
     const self = this.options.standing();
-    const { host, boot, ip, port, version } = self;
+    const { host, boot, ip, port, version, storeEra } = self;
     const fleetRevision = this.options.presenceRevision();
-    const quarantineVersion = this.options.quarantineVersion();
+    const quarantinePosition = this.options.quarantinePosition();
     const digest = `${table.digest(now)} ${String(this.activeNow)} ${String(self.ready)}`;
     const age = readAgeMs();
     const read = Number.isFinite(age) ? { readAgeMs: Math.round(age) } : {};
-    const known = { version, fleetRevision, quarantineVersion };
+    const era = storeEra === undefined ? {} : { storeEra };
+    const known = { version, fleetRevision, quarantinePosition, ...era };
     const head = { host, boot, ip, port, ...known, digest, ...read };
     const entries = table.alive(now).map(({ pulse, heardMs }) => ({
       standing: standingOf(pulse),
--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/fleetTask.ts
@@ -10,6 +10,7 @@
 import type { NoticeChange } from "../serving/serverNotices.ts";
 import type { PeerNews } from "./peerCalls.ts";
 import type { RowSet, Store } from "../serving/store.ts";
+import { beginning, formatPosition, isAfter, latest, StorePosition } from "../serving/storePosition.ts";
 import type { Serving } from "./serving.ts";
 import type { StoreLink } from "./storeLink.ts";
 
@@ -35,12 +36,13 @@
 
 /** What changed at the servers, for a peer that doesn't read the store. */
 const ChangesResult = Schema.Struct({
-  /** The store's version up to which it is known. */
-  asOf: Schema.Number,
+  /** The store's position up to which it is known, and the first one known of its era. */
+  asOf: StorePosition,
+  eraStart: StorePosition,
   revision: Schema.Number,
   complete: Schema.Boolean,
-  registrations: Schema.Array(Schema.Struct({ server: BackendServer, version: Schema.Number })),
-  gone: Schema.Array(Schema.Struct({ id: Schema.String, asOf: Schema.Number })),
+  registrations: Schema.Array(Schema.Struct({ server: BackendServer, position: StorePosition })),
+  gone: Schema.Array(Schema.Struct({ id: Schema.String, asOf: StorePosition })),
 });
 
 /** Options of a `FleetTask`. */
@@ -71,11 +73,11 @@
 
 /** Reads registrations at a steady pace while it is on this node to read. */
 export class FleetTask extends LoopTask {
-  private version: number | undefined;
+  private position: StorePosition | undefined;
   private lastTryMs = Number.NEGATIVE_INFINITY;
   private lastReadMs = Number.NEGATIVE_INFINITY;
-  /** The store's version up to which peers that read it told of changes. */
-  private heardAsOf = 0;
+  /** The store's position up to which peers that read it told of changes. */
+  private heardAsOf = beginning;
   /** The revision of each peer that was pulled last. */
   private readonly pulled = new Map<string, Pulled>();
   private readonly pulling = new Set<string>();
@@ -87,6 +89,10 @@
     options.link.returned.on(() => {
       options.serving.fleet.storeReturned(performance.now());
     });
+    options.store.eras.changed.on(() => {
+      this.position = undefined;
+      this.wake();
+    });
     options.serving.notices.changed.on((notice) => {
       this.onNotice(notice);
     });
@@ -153,8 +159,12 @@
   }
 
   private changesAfter(revision: number, scope: ChangeScope): typeof ChangesResult.Type {
-    const asOf = Math.max(this.version ?? 0, this.heardAsOf);
-    return { asOf, ...this.options.serving.fleet.changesAfter(revision, scope) };
+    const { eraStart } = this.options.serving.fleet;
+    return { asOf: this.knownUpTo, eraStart, ...this.options.serving.fleet.changesAfter(revision, scope) };
+  }
+
+  private get knownUpTo(): StorePosition {
+    return latest(this.position ?? beginning, this.heardAsOf);
   }
 
   protected override async follow(): Promise<void> {
@@ -179,22 +189,31 @@
   private async readOnce(): Promise<void> {
     this.lastTryMs = performance.now();
     const { store, link, table } = this.options;
-    const since = this.version;
+    const since = this.position;
     try {
       const set = await (since === undefined ? store.list(table) : store.changes(table, since, 0));
       link.succeeded();
       this.lastReadMs = performance.now();
-      this.version = set.version;
+      this.enterEra(set.position);
+      this.position = set.position;
       this.learn(set, since === undefined);
     } catch (error) {
       const failure = toFailure(error);
-      if (failure.kind === "history-lost")
-        this.options.serving.log.info({ event: "history-lost", after: since });
-      if (failure.kind === "history-lost") this.version = undefined;
+      if (failure.kind === "history-lost") this.position = undefined;
       else link.failed(failure);
     }
   }
 
+  /** What is read of a new era may be older than what is known. */
+  private enterEra(start: StorePosition): void {
+    const { serving, store } = this.options;
+    const { fleet, log } = serving;
+    const before = formatPosition(this.knownUpTo);
+    store.eras.note(start.era);
+    if (!fleet.enterEra(start, store.eras.sinceMs)) return;
+    log.warn({ event: "store-copy", before, start: formatPosition(start) });
+  }
+
   private learn(set: RowSet, complete: boolean): void {
     const { serving } = this.options;
     const registrations = set.rows.flatMap((row) => {
@@ -202,18 +221,19 @@
       decoded.ifLeft((failure) => {
         this.reject(row.key, failure);
       });
-      return decoded.map((server) => [{ server, version: row.version }]).orDefault([]);
+      return decoded.map((server) => [{ server, position: row.position }]).orDefault([]);
     });
     const now = performance.now();
     let changed = this.learnAll(registrations, now);
-    const gone = complete ? serving.fleet.missing(registrations, set.version) : set.removed;
-    changed = this.removeAll(gone, set.version, now) || changed;
+    const gone = complete ? serving.fleet.missing(registrations, set.position) : set.removed;
+    changed = this.removeAll(gone, set.position, now) || changed;
     if (changed) this.options.onChange();
   }
 
   private take(changes: typeof ChangesResult.Type): void {
     const now = performance.now();
     const { fleet, fleetChanged } = this.options.serving;
+    this.enterEra(changes.eraStart);
     let changed = this.learnAll(changes.registrations, now);
     if (changes.complete) {
       const gone = fleet.missing(changes.registrations, changes.asOf);
@@ -221,9 +241,9 @@
     }
     for (const { id, asOf } of changes.gone) changed = this.removeAll([id], asOf, now) || changed;
     if (changed) fleetChanged.fire(undefined);
-    this.heardAsOf = Math.max(this.heardAsOf, changes.asOf);
+    this.heardAsOf = latest(this.heardAsOf, changes.asOf);
     // The next read of the store goes on from here.
-    if (this.version !== undefined) this.version = Math.max(this.version, changes.asOf);
+    if (this.position !== undefined) this.position = latest(this.position, changes.asOf);
   }
 
   private learnAll(registrations: readonly Registration[], now: number): boolean {
@@ -244,12 +264,18 @@
   }
 
   /** A registration that says something else than the known one is passed over if that one is newer. */
-  private notePassedOver({ server, version }: Registration): void {
+  private notePassedOver({ server, position }: Registration): void {
     const { fleet, log, metrics } = this.options.serving;
-    const known = fleet.versionOf(server.id);
-    if (known === undefined || version >= known) return;
+    const known = fleet.positionOf(server.id);
+    if (known === undefined || !isAfter(known, position)) return;
     metrics.outdatedRegistrations.inc();
-    log.info({ event: "registration-outdated", server: server.id, leaving: server.leaving, version, known });
+    log.debug({
+      event: "registration-outdated",
+      server: server.id,
+      leaving: server.leaving,
+      position: formatPosition(position),
+      known: formatPosition(known),
+    });
   }
 
   /** What was learned of a server before it restarted doesn't hold for it now. */
@@ -268,7 +294,7 @@
     this.options.serving.log.warn({ event: "registration-rejected", server: key, detail: failure.message });
   }
 
-  private removeAll(ids: readonly string[], asOf: number, now: number): boolean {
+  private removeAll(ids: readonly string[], asOf: StorePosition, now: number): boolean {
     const { fleet, log } = this.options.serving;
     let changed = false;
     for (const id of ids) {
@@ -282,7 +308,10 @@
   /** Drops lapsed registrations, and what was kept for servers that are gone. */
   private tidy(): void {
     const { serving } = this.options;
-    serving.fleet.expire(performance.now());
+    if (serving.fleet.expire(performance.now())) {
+      serving.fleetChanged.fire(undefined);
+      this.options.onChange();
+    }
     const servers = serving.fleet.all();
     const known = new Set(servers.map((server) => server.id));
     serving.pool.retain(known);
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -124,7 +124,7 @@
       peers: this.peers,
       standing: () => this.standing(),
       presenceRevision: () => this.serving.fleet.presenceRevision,
-      quarantineVersion: () => this.quarantine.version,
+      quarantinePosition: () => this.quarantine.position,
       readAgeMs: () => this.reading.freshestReadMs,
       holdsLease: () => this.lease.holding,
       handOver: () => this.lease.handOver(),
@@ -238,6 +238,7 @@
       ...this.quarantine.handlers,
     });
     this.peers.heard.on((pulse) => {
+      this.hearEra(pulse);
       if (pulse.paces !== undefined) this.serving.paces.hear(pulse.ip, pulse.paces);
       if (pulse.coming !== undefined) this.serving.modelWaits.announce(pulse.coming, performance.now());
       void this.configuration.hear(pulse);
@@ -247,6 +248,7 @@
         void this.fleet.hear(pulse, this.activation.active ? "all" : "presence");
     });
     this.activation.heard.on((roster) => {
+      this.hearEra(roster);
       void this.configuration.hear(roster);
       void this.quarantine.hear(roster);
       void this.fleet.hear(roster, "presence");
@@ -281,7 +283,9 @@
     });
     store.eras.changed.on(({ from, to }) => {
       this.serving.metrics.storeEra.set(to);
-      if (from !== undefined) log.warn({ event: "store-era-changed", from, to });
+      if (from === undefined) return;
+      log.warn({ event: "store-era-changed", from, to });
+      this.peers.tell();
     });
     this.lease.changed.on(() => {
       this.peers.tell();
@@ -337,6 +341,11 @@
     this.serving.pool.dispose();
   }
 
+  /** A node that the store turns away hears from its peers that the store came back from a copy. */
+  private hearEra({ storeEra }: PeerNews): void {
+    if (storeEra !== undefined) this.options.platform.store.eras.note(storeEra);
+  }
+
   /** Only an active node takes part in the lease; one that stands by shouldn't wake for it. */
   private followActivation(): void {
     for (const task of [this.lease, this.placement]) {
@@ -396,6 +405,7 @@
     const { settings } = this.options;
     const token = this.lease.heldToken;
     const { readAgeMs } = this.fleet;
+    const { current: storeEra } = this.options.platform.store.eras;
     return {
       ...memberOf(settings),
       host: settings.host,
@@ -407,6 +417,7 @@
       ...(Number.isFinite(readAgeMs) ? { readAgeMs: Math.round(readAgeMs) } : {}),
       fleetRevision: this.serving.fleet.revision,
       ...(token === undefined ? {} : { token }),
+      ...(storeEra === undefined ? {} : { storeEra }),
     };
   }
 
@@ -414,7 +425,7 @@
     return {
       ...this.standing(),
       active: this.activation.active,
-      quarantineVersion: this.quarantine.version,
+      quarantinePosition: this.quarantine.position,
       ...(this.lease.heldToken === undefined ? {} : { coming: this.placement.expected() }),
       paces: this.serving.paces.mine(),
     };
--- a/src/gateway/leaseTask.ts
+++ b/src/gateway/leaseTask.ts
@@ -17,6 +17,7 @@
   type Candidate,
 } from "../serving/leaseRules.ts";
 import type { RowSet, Store } from "../serving/store.ts";
+import { absentAt, beginning, type StorePosition } from "../serving/storePosition.ts";
 import type { GatewayMetrics } from "./gatewayMetrics.ts";
 import type { StoreLink } from "./storeLink.ts";
 
@@ -65,7 +66,9 @@
   private held: Held | undefined;
   private readonly clock = new StoreClock();
   private readonly clocks = new ClockWatch();
-  private row: { value: LeaseRow; version: number } | undefined;
+  private row: { value: LeaseRow; position: StorePosition } | undefined;
+  /** Of the last answer of the store. */
+  private readAt = beginning;
   private rowKnown = false;
   private renewedMs = 0;
   private unheardSinceMs: number | undefined;
@@ -139,7 +142,7 @@
     const value = { ...this.row.value, untilMs: Math.ceil(this.clock.at(performance.now())), ordered };
     try {
       await this.options.store.commit([
-        { table, key, value: JSON.stringify(value), expected: this.row.version },
+        { table, key, value: JSON.stringify(value), expected: this.row.position },
       ]);
       this.options.log.info({ event: "lease-released", token: value.token });
     } catch (error) {
@@ -215,13 +218,14 @@
     this.options.link.succeeded();
     this.clock.learn(set.nowMs, sentMs);
     this.rowKnown = true;
+    this.readAt = set.position;
     const found = set.rows.find((row) => row.key === key);
     this.row = undefined;
     if (found === undefined) return;
     decodeEither(LeaseRow, JSON.parse(found.value))
       .ifLeft((failure) => this.options.log.error({ event: "lease-row-rejected", detail: failure.message }))
       .ifRight((value) => {
-        this.row = { value, version: found.version };
+        this.row = { value, position: found.position };
       });
   }
 
@@ -236,7 +240,7 @@
       token,
       untilMs: Math.ceil(this.clock.at(sentMs) + leaseTtlMs),
     };
-    const expected = this.row?.version ?? 0;
+    const expected = this.row?.position ?? absentAt(this.readAt);
     const previous = this.row?.value;
     this.renewedMs = sentMs;
     try {
@@ -245,7 +249,7 @@
       });
       this.options.link.succeeded();
       this.clock.learn(receipt.nowMs, sentMs);
-      this.row = { value, version: receipt.version };
+      this.row = { value, position: receipt.position };
       if (this.clocks.frozeSince(readClocks())) {
         this.lose("host stood still");
         return;
--- a/src/gateway/peerCalls.ts
+++ b/src/gateway/peerCalls.ts
@@ -8,6 +8,7 @@
 import type { Task } from "../common/supervisor.ts";
 import type { Endpoint } from "../serving/hostSettings.ts";
 import type { PeerAddress } from "../serving/membership/peerTable.ts";
+import type { StorePosition } from "../serving/storePosition.ts";
 
 /** Time limit of one call, ms; a silent connection is given up and the next call opens a new one. */
 const callTimeoutMs = 500;
@@ -20,8 +21,10 @@
   readonly version: number;
   /** Of the newest change of servers that it tells of. */
   readonly fleetRevision: number;
-  /** The store's version of the newest change of quarantined requests that it knows. */
-  readonly quarantineVersion?: number;
+  /** The store's position of the newest change of quarantined requests that it knows. */
+  readonly quarantinePosition?: StorePosition;
+  /** The newest era of the store that it knows. */
+  readonly storeEra?: number;
 }
 
 /** Serves and makes calls between nodes. */
--- a/src/gateway/quarantineTask.ts
+++ b/src/gateway/quarantineTask.ts
@@ -10,6 +10,7 @@
 import type { Handler } from "../common/rpc.ts";
 import type { Quarantine, QuarantineChange } from "../serving/quarantine/quarantine.ts";
 import type { Row, RowChange, RowSet } from "../serving/store.ts";
+import { absentAt, beginning, isAfter, latest, StorePosition } from "../serving/storePosition.ts";
 import type { GatewayMetrics } from "./gatewayMetrics.ts";
 import type { PeerNews } from "./peerCalls.ts";
 import { TableTask, type TableTaskOptions } from "./tableTask.ts";
@@ -38,14 +39,14 @@
 const HeldEntry = Schema.Struct({
   leftMs: Schema.Number,
   forMs: Schema.Number,
-  version: Schema.Number,
+  position: StorePosition,
   ended: Schema.optionalKey(Schema.Array(Schema.String)),
 });
 
 /** All holds that the store is known to have, for a peer. */
 const HeldResult = Schema.Struct({
-  /** The store's version of the newest change of holds. */
-  version: Schema.Number,
+  /** The store's position of the newest change of holds. */
+  position: StorePosition,
   held: Schema.Record(Schema.String, HeldEntry),
 });
 
@@ -60,13 +61,15 @@
 
 /** Owns what is told and saved. */
 export class QuarantineTask extends TableTask {
-  private known = 0;
+  private known = beginning;
+  /** Of the last answer of the store. */
+  private readAt = beginning;
   /** The store's clock less this node's steady one, ms. */
   private clockOffsetMs: number | undefined;
   private pulling = false;
   private saving = false;
-  /** Rows to remove, with the version that they have. */
-  private readonly released = new Map<string, number>();
+  /** Rows to remove, with the position that they have. */
+  private readonly released = new Map<string, StorePosition>();
   private readonly disposables = new DisposableStore();
   private watching: NodeJS.Timeout | undefined;
 
@@ -74,8 +77,8 @@
     super({ name: "quarantine", table, waitMs, idleMs }, options);
   }
 
-  /** The store's version of the newest change of holds that is known here; 0 if none is. */
-  get version(): number {
+  /** The store's position of the newest change of holds that is known here. */
+  get position(): StorePosition {
     return this.known;
   }
 
@@ -107,7 +110,7 @@
 
   /** A peer may know of newer holds. */
   async hear(peer: PeerNews): Promise<void> {
-    if ((peer.quarantineVersion ?? 0) <= this.known || this.pulling) return;
+    if (!isAfter(peer.quarantinePosition ?? beginning, this.known) || this.pulling) return;
     this.pulling = true;
     try {
       this.takeAll(decode(HeldResult, await this.options.ask(peer, "quarantine.get", {})));
@@ -131,10 +134,11 @@
   protected override take(set: RowSet, whole: boolean): void {
     const { quarantine } = this.options;
     this.clockOffsetMs = set.nowMs - performance.now();
+    this.readAt = set.position;
     for (const row of set.rows) this.takeRow(row);
     for (const fingerprint of set.removed) quarantine.release(fingerprint, performance.now());
-    if (set.removed.length > 0) this.known = Math.max(this.known, set.version);
-    if (whole) this.releaseMissing(new Set(set.rows.map(({ key }) => key)), set.version);
+    if (set.removed.length > 0) this.known = latest(this.known, set.position);
+    if (whole) this.releaseMissing(new Set(set.rows.map(({ key }) => key)), set.position);
     this.watch();
   }
 
@@ -144,25 +148,26 @@
     this.options.log.debug({ event: "quarantine-not-read", kind: failure.kind, detail: failure.message });
   }
 
-  private takeRow({ key, value, version }: Row): void {
+  private takeRow({ key, value, position }: Row): void {
     decodeEither(HeldRow, parseJson(value))
       .ifLeft((failure) => {
         this.options.log.warn({ event: "quarantine-row-rejected", row: key, detail: failure.message });
       })
       .ifRight(({ untilMs, forMs, ended }) => {
         const hold = { untilMs: untilMs - (this.clockOffsetMs ?? 0), forMs, ended };
-        this.options.quarantine.learn(key, hold, version, performance.now());
-        this.known = Math.max(this.known, version);
+        this.options.quarantine.learn(key, hold, position, performance.now());
+        this.known = latest(this.known, position);
       });
   }
 
-  /** Holds that the store had and has no more, as of its version `asOf`. */
-  private releaseMissing(present: ReadonlySet<string>, asOf: number): void {
+  /** Holds that the store had and has no more, as of its position `asOf`. */
+  private releaseMissing(present: ReadonlySet<string>, asOf: StorePosition): void {
     const { quarantine } = this.options;
-    for (const [fingerprint, { version }] of quarantine.holds.saved()) {
-      if (present.has(fingerprint) || version > asOf) continue;
-      quarantine.release(fingerprint, performance.now());
-      this.known = Math.max(this.known, asOf);
+    const now = performance.now();
+    for (const [fingerprint] of quarantine.holds.writtenBy(asOf)) {
+      if (present.has(fingerprint)) continue;
+      quarantine.release(fingerprint, now);
+      this.known = latest(this.known, asOf);
     }
   }
 
@@ -170,19 +175,19 @@
     const now = performance.now();
     const held = this.options.quarantine.holds
       .saved()
-      .map(([fingerprint, { untilMs, forMs, version, ended }]): [string, typeof HeldEntry.Type] => [
+      .map(([fingerprint, { untilMs, forMs, row, ended }]): [string, typeof HeldEntry.Type] => [
         fingerprint,
-        { leftMs: untilMs - now, forMs, version, ...endedOf(ended) },
+        { leftMs: untilMs - now, forMs, position: row ?? beginning, ...endedOf(ended) },
       ]);
-    return { version: this.known, held: Object.fromEntries(held) };
+    return { position: this.known, held: Object.fromEntries(held) };
   }
 
-  private takeAll({ version, held }: typeof HeldResult.Type): void {
+  private takeAll({ position, held }: typeof HeldResult.Type): void {
     const now = performance.now();
-    for (const [fingerprint, { leftMs, forMs, version: rowVersion, ended }] of Object.entries(held))
-      this.options.quarantine.learn(fingerprint, { untilMs: now + leftMs, forMs, ended }, rowVersion, now);
-    this.releaseMissing(new Set(Object.keys(held)), version);
-    this.known = Math.max(this.known, version);
+    for (const [fingerprint, { leftMs, forMs, position: row, ended }] of Object.entries(held))
+      this.options.quarantine.learn(fingerprint, { untilMs: now + leftMs, forMs, ended }, row, now);
+    this.releaseMissing(new Set(Object.keys(held)), position);
+    this.known = latest(this.known, position);
     this.watch();
   }
 
@@ -198,13 +203,13 @@
     }, tidyMs);
   }
 
-  private onChange({ fingerprint, kind, own, version }: QuarantineChange): void {
+  private onChange({ fingerprint, kind, own, row }: QuarantineChange): void {
     const { log, quarantine, metrics } = this.options;
     if (kind !== "forgotten") log.warn({ event: changeEvents[kind], fingerprint, own });
     metrics.quarantined.set(quarantine.holds.inForce(performance.now()));
     this.watch();
     if (!own) return;
-    if (kind !== "held" && version > 0) this.released.set(fingerprint, version);
+    if (kind !== "held" && row !== undefined) this.released.set(fingerprint, row);
     void this.save();
   }
 
@@ -231,11 +236,11 @@
 
   private changesToSave(offsetMs: number): RowChange[] {
     const unsaved = this.options.quarantine.holds.unsaved(performance.now());
-    const held = unsaved.map(([key, { untilMs, forMs, version, ended }]) => ({
+    const held = unsaved.map(([key, { untilMs, forMs, row, ended }]) => ({
       table,
       key,
       value: JSON.stringify({ untilMs: Math.round(untilMs + offsetMs), forMs, ...endedOf(ended) }),
-      expected: version,
+      expected: row ?? absentAt(this.readAt),
     }));
     const removed = [...this.released].map(([key, expected]) => ({ table, key, expected }));
     return [...held, ...removed].slice(0, mostChanges);
--- a/src/gateway/tableTask.ts
+++ b/src/gateway/tableTask.ts
@@ -2,6 +2,7 @@
 import { LoopTask } from "../common/loopTask.ts";
 import { toFailure, type Failure } from "../common/errors.ts";
 import type { RowSet, Store } from "../serving/store.ts";
+import type { StorePosition } from "../serving/storePosition.ts";
 
 /** Pause after a failed call, ms. */
 const retryMs = 250;
@@ -40,16 +41,16 @@
   }
 
   protected override async follow(): Promise<void> {
-    let version: number | undefined;
+    let position: StorePosition | undefined;
     while (!this.stopped) {
       if (!this.reading.reads() && !this.lacking) {
         // What changed meanwhile is read whole when it is on this node again.
-        version = undefined;
+        position = undefined;
         const { active, standby } = this.follows.idleMs;
         await this.pause(this.reading.active() ? active : standby);
         continue;
       }
-      version = await this.readOnce(version);
+      position = await this.readOnce(position);
     }
   }
 
@@ -65,16 +66,16 @@
   /** The store answered, or didn't. */
   protected abstract noteCall(failure: Failure | undefined): void;
 
-  /** Gives back the version to go on from. */
-  private async readOnce(version: number | undefined): Promise<number | undefined> {
+  /** Gives back the position to go on from. */
+  private async readOnce(after: StorePosition | undefined): Promise<StorePosition | undefined> {
     const { store } = this.reading;
     const { table, waitMs } = this.follows;
     try {
-      const whole = version === undefined;
-      const set = await (whole ? this.readWhole() : store.changes(table, version, waitMs));
+      const whole = after === undefined;
+      const set = await (whole ? this.readWhole() : store.changes(table, after, waitMs));
       this.noteCall(undefined);
       this.take(set, whole);
-      return set.version;
+      return set.position;
     } catch (error) {
       const failure = toFailure(error);
       const lost = failure.kind === "history-lost";
--- a/src/serving/eraWatch.ts
+++ b/src/serving/eraWatch.ts
@@ -13,17 +13,24 @@
   /** Fired before anything that was read in the new era is used. */
   readonly changed = new Emitter<EraChange>();
   private known: number | undefined;
+  private knownSinceMs = Number.NEGATIVE_INFINITY;
 
   /** Undefined until the first answer or word of a peer. */
   get current(): number | undefined {
     return this.known;
   }
 
+  /** When this node came to know of the era, on the steady clock, ms. */
+  get sinceMs(): number {
+    return this.knownSinceMs;
+  }
+
   /** Takes an era that an answer or a peer names; false if a later one is known. */
   note(era: number): boolean {
     const from = this.known;
     if (from !== undefined && era <= from) return era === from;
     this.known = era;
+    this.knownSinceMs = performance.now();
     this.changed.fire({ from, to: era });
     return true;
   }
--- a/src/serving/fleet.ts
+++ b/src/serving/fleet.ts
@@ -4,6 +4,7 @@
  */
 import { holds, startedAfter, type BackendServer, type Resident } from "./backendServer.ts";
 import { ServerNotices } from "./serverNotices.ts";
+import { beginning, isAfter, type StorePosition } from "./storePosition.ts";
 
 /**
  * After the store was out of reach, registrations that lapsed meanwhile are back within two seconds if
@@ -11,6 +12,12 @@
  */
 const lapsedGraceMs = 2_200;
 
+/**
+ * A server that is known to be gone isn't believed to be back for this long, ms, because a copy of the store names it: the
+ * store drops the entry of a server that is silent for three heartbeats.
+ */
+const goneHoldsMs = 6_000;
+
 /**
  * How long a change by an order goes before what registrations say, ms: one may be a heartbeat of 1.2 s and
  * a read of 0.65 s old, and was made from a state some hundred ms old.
@@ -34,7 +41,7 @@
 export interface Registration {
   readonly server: BackendServer;
   /** Of the store's row. */
-  readonly version: number;
+  readonly position: StorePosition;
 }
 
 /** Servers remembered as gone: ids aren't used again, and nodes that missed a removal learn of it in seconds. */
@@ -53,28 +60,38 @@
   /** All servers are named, so that one that isn't is gone. */
   readonly complete: boolean;
   readonly registrations: readonly Registration[];
-  /** Servers that are gone, each with the store's version that says so. */
-  readonly gone: readonly { readonly id: string; readonly asOf: number }[];
+  /** Servers that are gone, each with the store's position that says so. */
+  readonly gone: readonly { readonly id: string; readonly asOf: StorePosition }[];
 }
 
 interface Entry {
   /** As registered, and with the changes since. */
   registered: BackendServer;
   server: BackendServer;
-  version: number;
+  position: StorePosition;
   /** The revision at which it last changed, by scope. */
   readonly changedAt: Record<ChangeScope, number>;
   /** The newest change of each model and adapter. */
   readonly changes: Map<string, { change: Residency; untilMs: number }>;
 }
 
+/** The era of the store as this node came to know it. */
+interface Era {
+  /** The first position known of it: what lies before may be from the copy. */
+  readonly start: StorePosition;
+  readonly sinceMs: number;
+}
+
 /** The backend servers known to this node. */
 export class Fleet {
   private readonly entries = new Map<string, Entry>();
-  /** Removed while the store was away, when they count as gone, ms, and the store's version that says so. */
-  private readonly lapsed = new Map<string, { untilMs: number; asOf: number }>();
-  /** Servers that are gone, the store's version that says so, and the revision at which they went. */
-  private readonly gone = new Map<string, { asOf: number; revision: number }>();
+  /** Removed while the store was away, when they count as gone, ms, and the store's position that says so. */
+  private readonly lapsed = new Map<string, { untilMs: number; asOf: StorePosition }>();
+  /** Servers that are gone, the store's position that says so, and the revision at which they went. */
+  private readonly gone = new Map<string, { asOf: StorePosition; revision: number }>();
+  /** Registrations that may be from before what is known, and until when, ms. */
+  private readonly doubtful = new Map<string, { registration: Registration; untilMs: number }>();
+  private era: Era = { start: beginning, sinceMs: Number.NEGATIVE_INFINITY };
   /** The newest revision at which a server went that isn't remembered any more. */
   private forgottenRevision = 0;
   private graceUntil = 0;
@@ -99,41 +116,62 @@
     return this.presenceCount;
   }
 
+  /** The first position known of the store's era. */
+  get eraStart(): StorePosition {
+    return this.era.start;
+  }
+
+  /**
+   * The store came back from a copy, known here since `sinceMs`; `start` is the first position known of its era. Servers that
+   * it lacks are written again within seconds if they live, as after an outage.
+   */
+  enterEra(start: StorePosition, sinceMs: number): boolean {
+    if (start.era <= this.era.start.era) return false;
+    this.era = { start, sinceMs };
+    this.doubtful.clear();
+    this.storeReturned(sinceMs);
+    return true;
+  }
+
   /** Takes a registration; true if it says anything new beside being newer. */
-  learn({ server, version }: Registration, nowMs: number): boolean {
+  learn(registration: Registration, nowMs: number): boolean {
+    const { server, position } = registration;
+    const gone = this.gone.get(server.id);
     // Guards "a server that left is sent requests again": a node that the store turned away still has the
-    // registration and tells it to its peers. One that came back has a newer version than its removal.
-    if (version <= (this.gone.get(server.id)?.asOf ?? 0)) return false;
-    this.gone.delete(server.id);
-    this.lapsed.delete(server.id);
+    // registration and tells it to its peers. One that came back has a newer position than its removal.
+    if (gone !== undefined && !isAfter(position, gone.asOf)) return false;
     const entry = this.entries.get(server.id);
     // Guards "requests go to an engine that restarted empty": its last word from before the restart may be written
     // after the first from after it, so the start decides between them and not the order of arrival.
     if (entry !== undefined && startedAfter(entry.registered, server)) return false;
+    // Registrations may come out of order: an older one must not bring back a server that is leaving.
+    if (entry !== undefined && !startedAfter(server, entry.registered) && !isAfter(position, entry.position))
+      return false;
+    this.lapsed.delete(server.id);
+    const trustedMs = this.trustedMs(registration);
+    if (nowMs < trustedMs) {
+      if (server.leaving && entry !== undefined) return this.noteLeaving(entry, registration, nowMs);
+      this.doubtful.set(server.id, { registration, untilMs: trustedMs });
+      return false;
+    }
+    this.gone.delete(server.id);
+    this.doubtful.delete(server.id);
     if (entry === undefined || startedAfter(server, entry.registered)) {
       const revision = this.nextRevision("presence");
       const changedAt = { all: revision, presence: revision };
-      this.entries.set(server.id, { registered: server, server, version, changedAt, changes: new Map() });
+      this.entries.set(server.id, { registered: server, server, position, changedAt, changes: new Map() });
       this.availableNow.clear();
       return true;
     }
-    // Registrations may come out of order: an older one must not bring back a server that is leaving.
-    if (version <= entry.version) return false;
-    entry.version = version;
-    const registered = { ...server, leaving: server.leaving || entry.registered.leaving };
-    const changed = JSON.stringify(registered) !== JSON.stringify(entry.registered);
-    if (changed) this.noteChange(entry, registered);
-    entry.registered = registered;
-    this.refresh(entry, nowMs);
-    return changed;
+    entry.position = position;
+    return this.replace(entry, { ...server, leaving: server.leaving || entry.registered.leaving }, nowMs);
   }
 
-  /** Servers known here that are not among all registrations as of the store's version `asOf`. */
-  missing(registrations: readonly Registration[], asOf: number): string[] {
+  /** Servers known here that are not among all registrations as of the store's position `asOf`. */
+  missing(registrations: readonly Registration[], asOf: StorePosition): string[] {
     const seen = new Set(registrations.map((registration) => registration.server.id));
-    return [...this.entries]
-      .filter(([id, entry]) => !seen.has(id) && entry.version <= asOf)
-      .map(([id]) => id);
+    const known = [...this.entries].filter(([, entry]) => !isAfter(entry.position, asOf)).map(([id]) => id);
+    return [...new Set([...known, ...this.doubtful.keys()])].filter((id) => !seen.has(id));
   }
 
   /** Every registration. */
@@ -157,11 +195,13 @@
     };
   }
 
-  /** A registration was removed, as of the store's version `asOf`; true if it is gone at once. */
-  remove(id: string, asOf: number, nowMs: number): boolean {
+  /** A registration was removed, as of the store's position `asOf`; true if it is gone at once. */
+  remove(id: string, asOf: StorePosition, nowMs: number): boolean {
+    const doubt = this.doubtful.get(id);
+    if (doubt !== undefined && !isAfter(doubt.registration.position, asOf)) this.doubtful.delete(id);
     const entry = this.entries.get(id);
     // A peer that lags behind may tell of a removal though the server is registered again.
-    if (entry === undefined || entry.version > asOf) return false;
+    if (entry === undefined || isAfter(entry.position, asOf)) return false;
     if (nowMs < this.graceUntil) {
       this.lapsed.set(id, { untilMs: this.graceUntil, asOf });
       return false;
@@ -171,21 +211,57 @@
 
   /** The store is back after it was out of reach: removals are not final for a while. */
   storeReturned(nowMs: number): void {
-    this.graceUntil = nowMs + lapsedGraceMs;
+    this.graceUntil = Math.max(this.graceUntil, nowMs + lapsedGraceMs);
   }
 
-  /** Drops lapsed registrations whose grace is over; true if there were any. */
+  /** Drops lapsed registrations whose grace is over, and takes doubtful ones that stand; true if anything changed. */
   expire(nowMs: number): boolean {
-    let dropped = false;
+    let changed = false;
     for (const [id, { untilMs, asOf }] of this.lapsed) {
       if (nowMs < untilMs) continue;
       this.lapsed.delete(id);
-      if (this.drop(id, asOf)) dropped = true;
+      if (this.drop(id, asOf)) changed = true;
+    }
+    for (const [id, { registration, untilMs }] of this.doubtful) {
+      if (nowMs < untilMs) continue;
+      this.doubtful.delete(id);
+      if (this.learn(registration, nowMs)) changed = true;
     }
-    return dropped;
+    return changed;
+  }
+
+  /**
+   * Until when a registration is not believed over what is known, ms. Guards "a server that left is sent requests again
+   * as the store came back from a copy": the copy shows it as it was.
+   */
+  private trustedMs({ server, position }: Registration): number {
+    const { start, sinceMs } = this.era;
+    const entry = this.entries.get(server.id);
+    if (position.era !== start.era || position.version > start.version) return Number.NEGATIVE_INFINITY;
+    if (entry !== undefined && startedAfter(server, entry.registered)) return Number.NEGATIVE_INFINITY;
+    const known = entry?.position ?? this.gone.get(server.id)?.asOf;
+    if (known === undefined || known.era === position.era) return Number.NEGATIVE_INFINITY;
+    return sinceMs + (entry === undefined ? goneHoldsMs : lapsedGraceMs);
+  }
+
+  /** A server that said that it leaves still does, whatever else of its registration is from before what is known. */
+  private noteLeaving(entry: Entry, { server, position }: Registration, nowMs: number): boolean {
+    const { goneInMs } = server;
+    entry.position = position;
+    const leaving = { ...entry.registered, leaving: true };
+    return this.replace(entry, goneInMs === undefined ? leaving : { ...leaving, goneInMs }, nowMs);
+  }
+
+  /** True if the registration differs from the one before. */
+  private replace(entry: Entry, registered: BackendServer, nowMs: number): boolean {
+    const changed = JSON.stringify(registered) !== JSON.stringify(entry.registered);
+    if (changed) this.noteChange(entry, registered);
+    entry.registered = registered;
+    this.refresh(entry, nowMs);
+    return changed;
   }
 
-  private drop(id: string, asOf: number): boolean {
+  private drop(id: string, asOf: StorePosition): boolean {
     this.gone.set(id, { asOf, revision: this.nextRevision("presence") });
     this.forgetOldestGone();
     this.availableNow.clear();
@@ -235,9 +311,9 @@
     this.apply({ serverId, startedAtMs, model, adapter, present: false }, nowMs);
   }
 
-  /** The store's version of the registration in force; undefined where none is known. */
-  versionOf(id: string): number | undefined {
-    return this.entries.get(id)?.version;
+  /** Of the registration in force; undefined where none is known. */
+  positionOf(id: string): StorePosition | undefined {
+    return this.entries.get(id)?.position;
   }
 
   get(id: string): BackendServer | undefined {
@@ -277,8 +353,8 @@
   }
 }
 
-function registrationOf({ registered, version }: Entry): Registration {
-  return { server: registered, version };
+function registrationOf({ registered, position }: Entry): Registration {
+  return { server: registered, position };
 }
 
 /** The part of a server whose changes are worth telling within the scope, to compare by. */
--- a/src/serving/membership/peerTable.ts
+++ b/src/serving/membership/peerTable.ts
@@ -5,6 +5,7 @@
 import * as crypto from "node:crypto";
 import * as Schema from "effect/Schema";
 import type { Sharers } from "../retryBudget.ts";
+import { StorePosition } from "../storePosition.ts";
 import { ownerOf } from "./owner.ts";
 import { isCrowded, isFew, likelyActive, type ActiveNode, type Candidate } from "./activeSet.ts";
 
@@ -43,6 +44,8 @@
   fleetRevision: Schema.Number,
   /** Its fencing token while it holds the placement lease. */
   token: Schema.optionalKey(Schema.Number),
+  /** The newest era of the store that it knows. */
+  storeEra: Schema.optionalKey(Schema.Number),
 };
 
 /** How an active node stands. */
@@ -57,8 +60,8 @@
   active: Schema.Boolean,
   /** Told by the holder: models on their way by demand key, and the time until they should be there, ms. */
   coming: Schema.optionalKey(Schema.Record(Schema.String, Schema.Number)),
-  /** The store's version of the newest change of quarantined requests that it knows. */
-  quarantineVersion: Schema.optionalKey(Schema.Number),
+  /** The store's position of the newest change of quarantined requests that it knows. */
+  quarantinePosition: Schema.optionalKey(StorePosition),
   /** What it has learned of models' paces: pace and observations by kind. */
   paces: Schema.optionalKey(Schema.Record(Schema.String, Schema.Tuple([Schema.Number, Schema.Number]))),
   /** Only told to the holder of the placement lease, as nobody else uses it. */
@@ -78,8 +81,10 @@
   version: Schema.Number,
   /** Of the newest change of which servers there are. */
   fleetRevision: Schema.Number,
-  /** The store's version of the newest change of quarantined requests that it knows. */
-  quarantineVersion: Schema.optionalKey(Schema.Number),
+  /** The store's position of the newest change of quarantined requests that it knows. */
+  quarantinePosition: Schema.optionalKey(StorePosition),
+  /** The newest era of the store that it knows. */
+  storeEra: Schema.optionalKey(Schema.Number),
   /** Time since any active node read the store, as far as is known, ms. */
   readAgeMs: Schema.optionalKey(Schema.Number),
   /** Changes with the entries. */
@@ -186,8 +191,12 @@
 
   /** Nodes that may exist: listed ones, those heard of, and this one. */
   get listed(): readonly Candidate[] {
-    const heard = [...this.peers.values()].map(({ pulse }): [string, Candidate] => [pulse.ip, pulse]);
-    return [...new Map([...heard, ...this.nodes, [this.self.ip, this.self] as const]).values()];
+    return [...new Map<string, Candidate>([...this.others(), [this.self.ip, this.self]]).values()];
+  }
+
+  /** The same as rows of the store's list. */
+  members(self: Member): Member[] {
+    return [...new Map([...this.others(), [self.ip, self]]).values()];
   }
 
   /** Active nodes heard from lately. */
@@ -280,6 +289,12 @@
     return found;
   }
 
+  /** Listed nodes and those heard of. */
+  private others(): [string, Member][] {
+    const heard = [...this.peers.values()].map(({ pulse }): [string, Member] => [pulse.ip, pulse]);
+    return [...heard, ...this.nodes];
+  }
+
   /**
    * Is the word older than a restart of its node that is known? Guards "a restarted node is taken for dead": its time of
    * day may have been set back, so a later start looks like an earlier one. Its earlier life is silent by then.
--- a/src/serving/quarantine/holds.ts
+++ b/src/serving/quarantine/holds.ts
@@ -3,6 +3,7 @@
  * mended meanwhile (a new version of the server); the first server that ends under the request then holds it again, for
  * twice as long. So even a request that comes for ever ends only a few servers.
  */
+import { isAfter, latest, type StorePosition } from "../storePosition.ts";
 
 /** First time a request is held back, ms: longer than callers repeat by themselves. */
 const firstHoldMs = 600_000;
@@ -25,9 +26,10 @@
   readonly ended?: readonly string[] | undefined;
 }
 
-/** A hold with the store's version of its row; 0 if it has none. */
+/** A hold, and where the store has its row. */
 export interface SavedHold extends Hold {
-  readonly version: number;
+  /** Undefined if the store has none. */
+  readonly row: StorePosition | undefined;
 }
 
 interface Entry extends SavedHold {
@@ -71,7 +73,15 @@
    * that no peer reaches, ends servers of its own": what they counted is lost or told to nobody; this lies in the store.
    */
   watch(fingerprint: string, ended: readonly string[], own: boolean, nowMs: number): void {
-    const entry = { untilMs: nowMs, forMs: watchMs, ended, sinceMs: nowMs, own, version: 0, saved: false };
+    const entry = {
+      untilMs: nowMs,
+      forMs: watchMs,
+      ended,
+      sinceMs: nowMs,
+      own,
+      row: undefined,
+      saved: false,
+    };
     this.set(fingerprint, entry);
   }
 
@@ -79,29 +89,30 @@
   hold(fingerprint: string, own: boolean, nowMs: number): number {
     const known = this.entries.get(fingerprint);
     const forMs = known === undefined ? firstHoldMs : Math.min(longestHoldMs, known.forMs * 2);
-    const version = known?.version ?? 0;
-    this.set(fingerprint, { untilMs: nowMs + forMs, forMs, sinceMs: nowMs, own, version, saved: false });
+    const row = known?.row;
+    this.set(fingerprint, { untilMs: nowMs + forMs, forMs, sinceMs: nowMs, own, row, saved: false });
     return forMs;
   }
 
-  /** Another node says that the request is held back; with the version of the store's row, if it has one. */
+  /** Another node says that the request is held back; with the position of the store's row, if it has one. */
   learn(
     fingerprint: string,
     { untilMs, forMs, ended }: Hold,
-    version: number | undefined,
+    row: StorePosition | undefined,
     nowMs: number,
   ): void {
     const known = this.entries.get(fingerprint);
-    const newest = Math.max(known?.version ?? 0, version ?? 0);
+    const newest =
+      known?.row === undefined || row === undefined ? (row ?? known?.row) : latest(known.row, row);
     // Guards "a hold ends early": word of the hold before may come after that of the next, which is longer.
     if (known !== undefined && known.forMs > forMs) {
-      this.set(fingerprint, { ...known, version: newest });
+      this.set(fingerprint, { ...known, row: newest });
       return;
     }
     // What the store has is another hold than this one, unless they are equally long.
     const same = known?.forMs === forMs ? known : { sinceMs: nowMs, own: false, saved: false };
-    const entry = { untilMs, forMs, ended, sinceMs: same.sinceMs, own: same.own, version: newest };
-    this.set(fingerprint, { ...entry, saved: same.saved || version !== undefined });
+    const entry = { untilMs, forMs, ended, sinceMs: same.sinceMs, own: same.own, row: newest };
+    this.set(fingerprint, { ...entry, saved: same.saved || row !== undefined });
   }
 
   /** Lets the request go for good. Gives back the hold that it had. */
@@ -118,6 +129,13 @@
     );
   }
 
+  /** Holds whose rows were written by `asOf` in the store's history. */
+  writtenBy(asOf: StorePosition): [string, StorePosition][] {
+    return [...this.entries].flatMap(([fingerprint, { row }]): [string, StorePosition][] =>
+      row === undefined || isAfter(row, asOf) ? [] : [[fingerprint, row]],
+    );
+  }
+
   /** Holds that the store is known to have. */
   saved(): [string, SavedHold][] {
     return [...this.entries].filter(([, { saved }]) => saved);
--- a/src/serving/quarantine/quarantine.ts
+++ b/src/serving/quarantine/quarantine.ts
@@ -9,6 +9,7 @@
 import * as Schema from "effect/Schema";
 import { Emitter } from "../../common/emitter.ts";
 import { Holds, type Hold } from "./holds.ts";
+import type { StorePosition } from "../storePosition.ts";
 import { RecentSuccesses } from "./recentSuccesses.ts";
 import { Suspects } from "./suspects.ts";
 
@@ -49,8 +50,8 @@
   readonly kind: "held" | "released" | "forgotten";
   /** This node decided it, rather than heard of it. */
   readonly own: boolean;
-  /** The store's version of the row that it had; 0 if it had none. */
-  readonly version: number;
+  /** The store's row that it had, if any. */
+  readonly row: StorePosition | undefined;
 }
 
 /** What a node knows of requests under which servers end. */
@@ -143,22 +144,22 @@
     return isEmpty(news) ? undefined : news;
   }
 
-  /** The store, or a node that read it, has the hold in a row of this version. */
-  learn(fingerprint: string, hold: Hold, version: number | undefined, nowMs: number): void {
+  /** The store, or a node that read it, has the hold in a row at this position. */
+  learn(fingerprint: string, hold: Hold, row: StorePosition | undefined, nowMs: number): void {
     // One that was served here lately is held back for ends that had another cause.
     if (this.recentSuccesses.has(fingerprint, nowMs)) {
       this.tellSurvived(fingerprint);
-      this.changed.fire({ fingerprint, kind: "forgotten", own: true, version: version ?? 0 });
+      this.changed.fire({ fingerprint, kind: "forgotten", own: true, row });
       return;
     }
     const before = this.leftMs(fingerprint, nowMs) > 0;
     for (const incarnation of hold.ended ?? []) this.suspects.add(fingerprint, incarnation, nowMs);
-    this.holds.learn(fingerprint, hold, version, nowMs);
+    this.holds.learn(fingerprint, hold, row, nowMs);
     // Ends seen here and those that others' watch names may be three together.
     if (this.leftMs(fingerprint, nowMs) === 0 && this.suspects.endsUnder(fingerprint) >= mostEnded)
       this.hold(fingerprint, true, nowMs);
     if (!before && this.leftMs(fingerprint, nowMs) > 0)
-      this.changed.fire({ fingerprint, kind: "held", own: false, version: 0 });
+      this.changed.fire({ fingerprint, kind: "held", own: false, row: undefined });
   }
 
   /** The request is let through again: its row is gone, as it was served or an operator removed it. */
@@ -192,7 +193,7 @@
   private hold(fingerprint: string, own: boolean, nowMs: number): void {
     const forMs = this.holds.hold(fingerprint, own, nowMs);
     if (own) this.news.held[fingerprint] = { leftMs: forMs, forMs };
-    this.changed.fire({ fingerprint, kind: "held", own, version: 0 });
+    this.changed.fire({ fingerprint, kind: "held", own, row: undefined });
   }
 
   /** The incarnation lives: requests under which hardly any other ended are let go. */
@@ -210,7 +211,7 @@
     const hold = this.holds.release(fingerprint);
     if (hold === undefined) return;
     const kind = hold.untilMs > nowMs ? "released" : "forgotten";
-    this.changed.fire({ fingerprint, kind, own, version: hold.version });
+    this.changed.fire({ fingerprint, kind, own, row: hold.row });
   }
 }
 
--- /dev/null
+++ b/src/serving/storeCalls.ts
@@ -0,0 +1,37 @@
+/** The calls of the store as they are made: versions are numbers, each answer names its era. */
+import type { StoreCallOptions } from "./store.ts";
+
+/** Part of every answer. */
+interface Answer {
+  readonly era: number;
+  /** Newest version in the store. */
+  readonly version: number;
+  /** The store's steady clock, ms. */
+  readonly nowMs: number;
+}
+
+/** Rows of one table, as of one moment. */
+export interface RowsAnswer extends Answer {
+  readonly rows: readonly { readonly key: string; readonly value: string; readonly version: number }[];
+  /** Keys dropped since the version asked for; only in answers about changes. */
+  readonly removed: readonly string[];
+}
+
+/** The acknowledgement of a commit. */
+export type CommitAnswer = Answer;
+
+/** A row to write (or, with no value, to remove) if its version still is `expected` (0: absent). */
+export interface CommitEntry {
+  readonly table: string;
+  readonly key: string;
+  readonly value?: string | undefined;
+  readonly expected?: number | undefined;
+}
+
+/** Makes the calls; rejects as `Store` does. */
+export interface StoreCalls {
+  list(table: string, options?: StoreCallOptions): Promise<RowsAnswer>;
+  get(table: string, key: string, options?: StoreCallOptions): Promise<RowsAnswer>;
+  changes(table: string, version: number, waitMs: number): Promise<RowsAnswer>;
+  commit(entries: readonly CommitEntry[], options?: StoreCallOptions): Promise<CommitAnswer>;
+}
