--- a/src/gateway/quarantineTask.ts
+++ b/src/gateway/quarantineTask.ts
@@ -160,12 +160,20 @@
       });
   }
 
-  /** Holds that the store had and has no more, as of its position `asOf`. */
+  /**
+   * Holds that the store had and has no more, as of its position `asOf`. One written before the store came back from a copy
+   * is lost with it, not released.
+   */
   private releaseMissing(present: ReadonlySet<string>, asOf: StorePosition): void {
-    const { quarantine } = this.options;
+    const { quarantine, reads, log } = this.options;
     const now = performance.now();
-    for (const [fingerprint] of quarantine.holds.writtenBy(asOf)) {
+    for (const [fingerprint, row] of quarantine.holds.writtenBy(asOf)) {
       if (present.has(fingerprint)) continue;
+      if (row.era < asOf.era) {
+        log.info({ event: "quarantine-row-lost", fingerprint });
+        quarantine.holds.lose(fingerprint, reads(), now);
+        continue;
+      }
       quarantine.release(fingerprint, now);
       this.known = latest(this.known, asOf);
     }
--- a/test/gateway/quarantineTask.spec.ts
+++ b/test/gateway/quarantineTask.spec.ts
@@ -147,4 +147,61 @@
     await until(() => store.row(table, "p") !== undefined);
     expect(a.holds("bad")).to.equal(false);
   });
+
+  describe("after the store came back from a copy", () => {
+    /** Hosts of which the first two read, all with a hold that the store has. */
+    async function startHolding(count: number): Promise<Host[]> {
+      const hosts = await Promise.all(Array.from({ length: count }, (_, i) => start(`h${i}`)));
+      for (const host of hosts.slice(0, 2)) host.reads = true;
+      await until(() => hosts.slice(0, 2).every(({ link }) => link.calls > 0), 2_000);
+      hosts[0]?.holdBack("p");
+      await until(() => hosts.slice(0, 2).every((host) => host.holds("p") && host.task.position.version > 0));
+      await hearAll(hosts);
+      return hosts;
+    }
+
+    async function hearAll(hosts: readonly Host[]): Promise<void> {
+      const [reader] = hosts;
+      if (reader !== undefined) for (const host of hosts) await host.hear(reader);
+    }
+
+    for (const count of [1, 8, 60])
+      it(`should still be in force, and be written again once, with ${count} nodes`, async () => {
+        const copy = store.copy();
+        const hosts = await startHolding(count);
+        store.goBackTo(copy);
+        for (const host of hosts) host.link.eras.note(store.era);
+        const before = hosts.reduce((sum, { link }) => sum + link.commits, 0);
+        await until(() => store.row(table, "p") !== undefined, 3_000);
+        await hearAll(hosts);
+        await new Promise((resolve) => setTimeout(resolve, 2_500));
+        await hearAll(hosts);
+        const commits = hosts.reduce((sum, { link }) => sum + link.commits, 0) - before;
+        expect(commits).to.be.at.most(2);
+        expect(hosts.filter((host) => !host.holds("p"))).to.deep.equal([]);
+        expect(hosts.filter(({ task }) => task.position.era !== store.era)).to.deep.equal([]);
+      });
+
+    it("should be written again though the nodes that read the store are lost", async () => {
+      const copy = store.copy();
+      const [first, second, third] = await startHolding(3);
+      if (first === undefined || second === undefined || third === undefined) expect.fail();
+      store.goBackTo(copy);
+      await Promise.all([first.task.dispose(), second.task.dispose()]);
+      third.reads = true;
+      await until(() => store.row(table, "p") !== undefined, 4_000);
+      expect(third.holds("p")).to.equal(true);
+    });
+
+    it("should end again where the copy brings back one that was served after all", async () => {
+      const [host] = await startHolding(1);
+      if (host === undefined) expect.fail();
+      const copy = store.copy();
+      host.quarantine.survived("p", performance.now());
+      await until(() => store.row(table, "p") === undefined, 3_000);
+      store.goBackTo(copy);
+      await until(() => store.era === host.link.eras.current && store.row(table, "p") === undefined, 6_000);
+      expect(host.holds("p")).to.equal(false);
+    });
+  });
 });
