--- a/src/gateway/leaseTask.ts
+++ b/src/gateway/leaseTask.ts
@@ -7,17 +7,19 @@
 import { ClockWatch, readClocks } from "../serving/clockWatch.ts";
 import {
   distanceMs,
+  isOfEra,
   isSame,
   LeaseRow,
   leaseRenewMs,
   leaseTtlMs,
+  nextToken,
   StoreClock,
   waitToTake,
   Yield,
   type Candidate,
 } from "../serving/leaseRules.ts";
 import type { RowSet, Store } from "../serving/store.ts";
-import { absentAt, beginning, type StorePosition } from "../serving/storePosition.ts";
+import { absentAt, type StorePosition } from "../serving/storePosition.ts";
 import type { GatewayMetrics } from "./gatewayMetrics.ts";
 import type { StoreLink } from "./storeLink.ts";
 
@@ -53,6 +55,12 @@
   readonly tellYield: (message: Yield) => void;
 }
 
+interface ReadRow {
+  /** Of the row, or of its absence. */
+  readonly position: StorePosition;
+  readonly value: LeaseRow | undefined;
+}
+
 interface Held {
   readonly token: number;
   /** No order is sent past this, on the steady clock, ms. */
@@ -66,10 +74,10 @@
   private held: Held | undefined;
   private readonly clock = new StoreClock();
   private readonly clocks = new ClockWatch();
-  private row: { value: LeaseRow; position: StorePosition } | undefined;
-  /** Of the last answer of the store. */
-  private readAt = beginning;
-  private rowKnown = false;
+  /** The row as it was read or written last, if there is one; undefined while it isn't known. */
+  private read: ReadRow | undefined;
+  /** While it lasts, this node held the lease last, whatever the store has lost: until when, ms. */
+  private heldLastUntilMs = Number.NEGATIVE_INFINITY;
   private renewedMs = 0;
   private unheardSinceMs: number | undefined;
   private nextLookMs = 0;
@@ -86,6 +94,9 @@
 
   constructor(private readonly options: LeaseTaskOptions) {
     super("lease", tickMs, options.log);
+    options.store.eras.changed.on(() => {
+      this.onEra();
+    });
   }
 
   /** The fencing token, while an order may be sent to the engine right now. */
@@ -134,22 +145,25 @@
 
   /** Stops ordering and lets a successor in as early as the bound allows. */
   async handOver(): Promise<void> {
-    if (this.held === undefined || this.row === undefined || this.handingOver) return;
+    if (this.held === undefined || this.handingOver) return;
     this.handingOver = true;
+    this.heldLastUntilMs = Number.NEGATIVE_INFINITY;
+    if (this.read?.value !== undefined) await this.writeRelease(this.read.position, this.read.value);
+    this.lose("released");
+    this.handingOver = false;
+  }
+
+  private async writeRelease(expected: StorePosition, row: LeaseRow): Promise<void> {
     const ordered = Object.fromEntries(
       [...this.lastOrders()].map(([id, ms]) => [id, Math.ceil(this.clock.at(ms))]),
     );
-    const value = { ...this.row.value, untilMs: Math.ceil(this.clock.at(performance.now())), ordered };
+    const value = { ...row, untilMs: Math.ceil(this.clock.at(performance.now())), ordered };
     try {
-      await this.options.store.commit([
-        { table, key, value: JSON.stringify(value), expected: this.row.position },
-      ]);
+      await this.options.store.commit([{ table, key, value: JSON.stringify(value), expected }]);
       this.options.log.info({ event: "lease-released", token: value.token });
     } catch (error) {
       this.options.log.warn({ event: "lease-release-failed", detail: toFailure(error).message });
     }
-    this.lose("released");
-    this.handingOver = false;
   }
 
   override async step(): Promise<void> {
@@ -157,11 +171,29 @@
     if (this.stopping || this.handingOver) return;
     const now = performance.now();
     if (this.held !== undefined && now > this.held.untilMs) this.lose("not renewed in time");
-    if (this.held !== undefined) {
-      if (now - this.renewedMs >= leaseRenewMs) await this.write(this.held.token);
+    if (this.held === undefined) {
+      await this.maybeTake(now);
       return;
     }
-    await this.maybeTake(now);
+    if (this.read === undefined && now >= this.nextLookMs) await this.settle();
+    await this.renew(now);
+  }
+
+  private async renew(now: number): Promise<void> {
+    if (this.held === undefined || this.read === undefined) return;
+    const { value, position } = this.read;
+    if (!isOfEra(value, position.era)) await this.write(this.read, nextToken(value, position.era));
+    else if (now - this.renewedMs >= leaseRenewMs) await this.write(this.read, this.held.token);
+  }
+
+  /**
+   * The store came back from a copy: its row may be of another holder, and another node may wait for the lease by now.
+   * A holder renews at once, under a token of the new era.
+   */
+  private onEra(): void {
+    this.read = undefined;
+    this.nextLookMs = 0;
+    this.yielded = undefined;
   }
 
   /**
@@ -170,8 +202,9 @@
    */
   private checkClocks(): void {
     if (!this.clocks.frozeSince(readClocks())) return;
-    this.rowKnown = false;
+    this.read = undefined;
     this.nextLookMs = 0;
+    this.heldLastUntilMs = Number.NEGATIVE_INFINITY;
     if (this.held !== undefined) this.lose("host stood still");
   }
 
@@ -181,9 +214,9 @@
    */
   private async lookAtStart(): Promise<void> {
     this.lookedAtStart = true;
-    await this.read();
-    if (this.row === undefined || !isSame(this.row.value, this.options.self)) return;
-    this.unheardSinceMs = Number.NEGATIVE_INFINITY;
+    const found = await this.look();
+    if (found?.value === undefined || !isSame(found.value, this.options.self)) return;
+    if (isOfEra(found.value, found.position.era)) this.unheardSinceMs = Number.NEGATIVE_INFINITY;
   }
 
   private async maybeTake(now: number): Promise<void> {
@@ -194,86 +227,112 @@
     this.unheardSinceMs ??= now + Math.random() * spreadMs;
     if (!this.lookedAtStart) await this.lookAtStart();
     if (now - this.unheardSinceMs < suspectMs || now < this.nextLookMs) return;
-    await this.read();
-    if (!this.rowKnown) return;
-    const { self, leaseMs } = this.options;
-    const wait = waitToTake(this.row?.value, self, this.clock.at(performance.now()), leaseMs);
-    if (wait > 0 && this.yielded?.message.token !== this.row?.value.token) {
+    const found = await this.look();
+    if (found === undefined) return;
+    const wait = this.waitFor(found);
+    if (wait > 0 && !this.isYielded(found)) {
       this.nextLookMs = performance.now() + wait + Math.random() * spreadMs;
       return;
     }
-    await this.write((this.row?.value.token ?? 0) + 1);
+    await this.write(found, nextToken(found.value, found.position.era));
+  }
+
+  /** Did the holder that the row names give the lease up? A row of an earlier era may not name the last one. */
+  private isYielded({ position: { era }, value }: ReadRow): boolean {
+    return value !== undefined && isOfEra(value, era) && this.yielded?.message.token === value.token;
+  }
+
+  private waitFor({ position: { era }, value }: ReadRow): number {
+    const now = performance.now();
+    const view = {
+      row: value,
+      era,
+      eraAgeMs: now - this.options.store.eras.sinceMs,
+      heldLast: now < this.heldLastUntilMs,
+      storeNowMs: this.clock.at(now),
+    };
+    return waitToTake(view, this.options.self, this.options.leaseMs);
   }
 
-  private async read(): Promise<void> {
+  /** Reads the row; undefined if the store doesn't answer, whatever was read before. */
+  private async look(): Promise<ReadRow | undefined> {
     const sentMs = performance.now();
+    this.read = undefined;
     try {
       this.learn(await this.options.store.get(table, key), sentMs);
     } catch (error) {
       this.failed(error);
     }
+    return this.read;
   }
 
   private learn(set: RowSet, sentMs: number): void {
     this.options.link.succeeded();
     this.clock.learn(set.nowMs, sentMs);
-    this.rowKnown = true;
-    this.readAt = set.position;
     const found = set.rows.find((row) => row.key === key);
-    this.row = undefined;
-    if (found === undefined) return;
+    if (found === undefined) {
+      this.read = { position: absentAt(set.position), value: undefined };
+      return;
+    }
     decodeEither(LeaseRow, JSON.parse(found.value))
       .ifLeft((failure) => this.options.log.error({ event: "lease-row-rejected", detail: failure.message }))
       .ifRight((value) => {
-        this.row = { value, position: found.position };
+        this.read = { position: found.position, value };
       });
   }
 
-  /** Takes or renews the lease with `token`. */
-  private async write(token: number): Promise<void> {
+  /** Takes or renews the lease with `token`, on the row as it was read. */
+  private async write({ position, value: previous }: ReadRow, token: number): Promise<void> {
     const { store, self, log } = this.options;
     // A renewal needs the clock; it was learned when the row was read before taking the lease.
     const sentMs = performance.now();
+    const { era } = position;
     const value = {
       holder: self.host,
       ip: self.ip,
       token,
       untilMs: Math.ceil(this.clock.at(sentMs) + leaseTtlMs),
+      ...(era === 0 ? {} : { era }),
     };
-    const expected = this.row?.position ?? absentAt(this.readAt);
-    const previous = this.row?.value;
     this.renewedMs = sentMs;
     try {
-      const receipt = await store.commit([{ table, key, value: JSON.stringify(value), expected }], {
+      const receipt = await store.commit([{ table, key, value: JSON.stringify(value), expected: position }], {
         timeoutMs: writeTimeoutMs,
       });
       this.options.link.succeeded();
       this.clock.learn(receipt.nowMs, sentMs);
-      this.row = { value, position: receipt.position };
+      this.read = { position: receipt.position, value };
       if (this.clocks.frozeSince(readClocks())) {
         this.lose("host stood still");
         return;
       }
-      this.hold({ token, untilMs: sentMs + leaseTtlMs }, previous);
+      this.hold({ token, untilMs: sentMs + leaseTtlMs }, previous, era);
     } catch (error) {
       const failure = this.failed(error);
-      log.info({ event: "lease-write-failed", token, kind: failure });
-      if (this.held !== undefined && failure !== "conflict" && this.options.storeServesPeers())
-        this.giveWay();
-      await this.settleUnknown();
+      log.info({ event: "lease-write-failed", token, era, kind: failure });
+      if (failure !== "conflict") this.giveWayToServed();
+      await this.settle();
     }
   }
 
-  /** A write that failed may have been carried out: what the row says counts. */
-  private async settleUnknown(): Promise<void> {
-    this.rowKnown = false;
-    await this.read();
-    if (!this.rowKnown) return;
-    const { self } = this.options;
-    if (this.held !== undefined && (this.row === undefined || !isSame(this.row.value, self))) {
-      this.lose("taken by another node");
-    }
+  /** A write that failed may have been carried out, or another node may hold the lease: what the row says counts. */
+  private async settle(): Promise<void> {
+    const found = await this.look();
     this.nextLookMs = performance.now() + spreadMs * Math.random();
+    if (found === undefined) {
+      this.giveWayToServed();
+      return;
+    }
+    const { value, position } = found;
+    if (!isOfEra(value, position.era)) return;
+    if (value !== undefined && isSame(value, this.options.self)) return;
+    this.heldLastUntilMs = Number.NEGATIVE_INFINITY;
+    this.lose("taken by another node");
+  }
+
+  /** The store answers others, so one of them can take over. */
+  private giveWayToServed(): void {
+    if (this.options.storeServesPeers()) this.giveWay();
   }
 
   /** Gives the lease up without the store: a peer that reaches it can take over at once. */
@@ -282,6 +341,7 @@
     const now = performance.now();
     const { token } = this.held;
     this.lose("store out of reach");
+    this.heldLastUntilMs = Number.NEGATIVE_INFINITY;
     const orderedAgoMs = Object.fromEntries(
       [...this.lastOrders()].map(([id, ms]) => [id, Math.floor(now - ms)]),
     );
@@ -315,12 +375,14 @@
     }
   }
 
-  private hold(held: Held, previous: LeaseRow | undefined): void {
+  private hold(held: Held, previous: LeaseRow | undefined, era: number): void {
     const before = this.held;
     this.held = held;
+    this.heldLastUntilMs = held.untilMs + distanceMs(this.options.leaseMs);
+    if (before?.token === held.token) return;
+    this.options.log.info({ event: "lease-taken", token: held.token, era, before: before?.token });
     if (before !== undefined) return;
     this.inherit(previous);
-    this.options.log.info({ event: "lease-taken", token: held.token });
     this.options.metrics.leaseHeld.set(1);
     this.changed.fire(true);
   }
--- a/src/serving/leaseRules.ts
+++ b/src/serving/leaseRules.ts
@@ -3,6 +3,10 @@
  * the moment until which it may send orders. Answers holders that die, freeze, or are cut off while their
  * last order may still be on its way: a successor waits until none can be sent any more, and then the
  * time for which two holders must not take turns.
+ *
+ * A store that comes back from a copy may have lost the row of the last holder. A row of an era before says nothing of who
+ * held the lease since, so a successor waits as long as that holder could have kept it: no renewal of an era before was
+ * sent after this node first heard of the new one. The last holder itself may go on, as all others wait.
  */
 import * as Schema from "effect/Schema";
 
@@ -15,6 +19,8 @@
   token: Schema.Number,
   /** The holder sends no order after this, ms on the store's clock. */
   untilMs: Schema.Number,
+  /** The era of the store in which it was written; absent in the first one. */
+  era: Schema.optionalKey(Schema.Number),
   /**
    * Set when the holder gave the lease up: when it last ordered each engine, ms on the store's clock. A
    * successor needn't wait, but keeps its distance at each engine.
@@ -51,17 +57,41 @@
 /** A decoded yield. */
 export type Yield = typeof Yield.Type;
 
-/** Time until `candidate` may take the lease, ms on the store's clock; 0 if now. */
-export function waitToTake(
-  row: LeaseRow | undefined,
-  candidate: Candidate,
-  storeNowMs: number,
-  leaseMs: number,
-): number {
+/** What a candidate knows of the lease. */
+export interface LeaseView {
+  readonly row: LeaseRow | undefined;
+  /** The era in which the row was read, and the time for which this node has known of it, ms. */
+  readonly era: number;
+  readonly eraAgeMs: number;
+  /** The candidate held the lease last, and so lately that nobody can have taken it in an era that is lost. */
+  readonly heldLast: boolean;
+  readonly storeNowMs: number;
+}
+
+/** Does the row tell who held the lease last, rather than come from a copy? */
+export function isOfEra(row: LeaseRow | undefined, era: number): boolean {
+  return era === 0 || row?.era === era;
+}
+
+/** Time until `candidate` may take the lease, ms; 0 if now. */
+export function waitToTake(view: LeaseView, candidate: Candidate, leaseMs: number): number {
+  const { row, era, eraAgeMs, heldLast, storeNowMs } = view;
+  if (!isOfEra(row, era)) return heldLast ? 0 : Math.max(0, leaseTtlMs + distanceMs(leaseMs) - eraAgeMs);
   if (row === undefined || row.ordered !== undefined || isSame(row, candidate)) return 0;
   return Math.max(0, row.untilMs + distanceMs(leaseMs) - storeNowMs);
 }
 
+/** Tokens given out in one era, at most; more than its seconds in a century. */
+const tokensPerEra = 2 ** 32;
+
+/**
+ * The token of the next holder. Guards "a token is given out twice": those given out in seconds that the store lost are
+ * not in the row, so each era has tokens of its own, above those of all before.
+ */
+export function nextToken(row: LeaseRow | undefined, era: number): number {
+  return Math.max(row?.token ?? 0, era * tokensPerEra) + 1;
+}
+
 /** Is this the same host, perhaps after a restart? */
 export function isSame(row: LeaseRow, candidate: Candidate): boolean {
   return row.holder === candidate.host && row.ip === candidate.ip;
