--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -167,7 +167,13 @@
       ceilingWindowMs: settings.ceilingWindowS * 1000,
       ceilingOverage: settings.ceilingOverage,
     });
-    this.member = new MemberTask({ store, log, peers: this.table, self: memberOf(settings) });
+    this.member = new MemberTask({
+      store,
+      log,
+      peers: this.table,
+      self: memberOf(settings),
+      reads: () => this.reading.due,
+    });
     const runLocks = new RunLockTask({
       log,
       self: settings.peers,
--- a/src/gateway/memberTask.ts
+++ b/src/gateway/memberTask.ts
@@ -1,10 +1,11 @@
 /** Enters this node in the store's list of gateway nodes, and learns the others from it. */
 import { decodeEither } from "../common/decode.ts";
+import type { Disposable } from "../common/disposables.ts";
 import { toFailure } from "../common/errors.ts";
 import type { Log } from "../common/log.ts";
 import { PeriodicTask } from "../common/supervisor.ts";
 import { Member, type PeerTable } from "../serving/membership/peerTable.ts";
-import type { Store } from "../serving/store.ts";
+import type { RowChange, Store } from "../serving/store.ts";
 
 const table = "parsleynotch_nodes";
 /** Pause between tries until the node is entered, ms. */
@@ -13,12 +14,22 @@
 /** A node that couldn't read the list for this long goes by what it hears from peers, ms. */
 const unlistedMs = 2_000;
 
+/**
+ * Nodes that look after the list once the store came back from a copy do so within this time, ms, so that one writes what is
+ * missing and the others find it.
+ */
+const spreadMs = 1_500;
+/** Rows written in one commit. */
+const mostRows = 50;
+
 /** Options of a `MemberTask`. */
 export interface MemberTaskOptions {
   readonly store: Store;
   readonly log: Log;
   readonly peers: PeerTable;
   readonly self: Member;
+  /** Is it on this node to read the store for all? */
+  readonly reads: () => boolean;
 }
 
 /**
@@ -29,9 +40,17 @@
   private entered = false;
   private listed = false;
   private readonly startedMs = performance.now();
+  /** When to look for rows that the store lost, ms. */
+  private restoreAtMs = Number.POSITIVE_INFINITY;
+  private readonly listening: Disposable;
 
   constructor(private readonly options: MemberTaskOptions) {
     super("member", periodMs, options.log);
+    this.listening = options.store.eras.changed.on(({ from }) => {
+      if (from === undefined || !this.listed) return;
+      this.restoreAtMs = performance.now() + Math.random() * spreadMs;
+      void this.resume();
+    });
   }
 
   /** Are the other nodes known, or is the store out of reach for so long that this one decides without? */
@@ -41,6 +60,7 @@
 
   /** Leaves the list; a row that stays behind does no harm, as nobody hears the node. */
   async leave(): Promise<void> {
+    await this.listening.dispose();
     try {
       await this.options.store.commit([{ table, key: this.options.self.ip }]);
     } catch (error) {
@@ -48,11 +68,35 @@
     }
   }
 
+  override async dispose(): Promise<void> {
+    await this.listening.dispose();
+    await super.dispose();
+  }
+
   protected override async step(): Promise<void> {
+    if (this.listed) await this.restore();
+    else await this.enter();
+  }
+
+  /** Writes the rows of nodes that a copy of the store lacks, for all nodes. */
+  private async restore(): Promise<void> {
+    const { store, peers, log, reads } = this.options;
+    if (performance.now() < this.restoreAtMs) return;
+    if (reads()) {
+      const present = new Set((await store.list(table)).rows.map(({ key }) => key));
+      const lost = peers.members(this.options.self).filter(({ ip }) => !present.has(ip));
+      for (let i = 0; i < lost.length; i += mostRows)
+        await store.commit(lost.slice(i, i + mostRows).map((member) => rowOf(member)));
+      log.info({ event: "members-restored", nodes: lost.length });
+    }
+    this.restoreAtMs = Number.POSITIVE_INFINITY;
+    this.pause();
+  }
+
+  private async enter(): Promise<void> {
     const { store, self, log, peers } = this.options;
     if (!this.entered) {
-      const { ip, port, zone, strength } = self;
-      await store.commit([{ table, key: ip, value: JSON.stringify({ ip, port, zone, strength }) }]);
+      await store.commit([rowOf(self)]);
       this.entered = true;
     }
     const { rows } = await store.list(table);
@@ -68,3 +112,7 @@
     log.info({ event: "member-entered", nodes: rows.length });
   }
 }
+
+function rowOf({ ip, port, zone, strength }: Member): RowChange {
+  return { table, key: ip, value: JSON.stringify({ ip, port, zone, strength }) };
+}
