--- a/src/gateway/engineDesk.ts
+++ b/src/gateway/engineDesk.ts
@@ -122,6 +122,12 @@
     return this.modelOrders > 0 || underWay(this.coming) || underWay(this.dropping);
   }
 
+  /** What the engine said may not be all that it was ordered: it is asked again before the next order. */
+  doubt(): void {
+    this.reported = undefined;
+    this.askFirst = true;
+  }
+
   /** The model whose place is kept here. */
   get roomFor(): string | undefined {
     if (this.room === undefined || performance.now() - this.room.sinceMs > roomKeptMs) return undefined;
@@ -321,10 +327,13 @@
     return this.sequence !== planned;
   }
 
-  /** The last report, until registrations made after it have arrived. */
+  /**
+   * The last report, until a registration arrives that must have been made after it. Guards "an engine is overfilled": what
+   * an earlier holder loaded is in no registration yet, however long that takes to come.
+   */
   private lately(): { readonly models: readonly string[]; readonly adapters: readonly string[] } {
     const { reported } = this;
-    if (reported === undefined || performance.now() - reported.atMs > registrationAgeMs) return nothing;
+    if (reported === undefined || this.registeredMs - reported.atMs > registrationAgeMs) return nothing;
     return {
       models: reported.models.filter((model) => !this.droppedSince(model, reported.atMs)),
       adapters: reported.adapters.filter(
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -162,6 +162,7 @@
       serving: this.serving,
       engines: platform.engines,
       lease: this.lease,
+      eras: store.eras,
       peers: this.peers,
       table: this.table,
       ceilingWindowMs: settings.ceilingWindowS * 1000,
--- a/src/gateway/placementTask.ts
+++ b/src/gateway/placementTask.ts
@@ -5,6 +5,7 @@
 import { PeriodicTask } from "../common/supervisor.ts";
 import { planAdapter, type AdapterEngine, type AdapterMove } from "../serving/adapterPlan.ts";
 import { holds, type BackendServer } from "../serving/backendServer.ts";
+import type { EraWatch } from "../serving/eraWatch.ts";
 import type { EngineLimits, Model } from "../serving/configuration.ts";
 import type { Residency } from "../serving/fleet.ts";
 import { LoadCeiling } from "../serving/loadCeiling.ts";
@@ -58,6 +59,7 @@
   readonly serving: Serving;
   readonly engines: Engines;
   readonly lease: LeaseTask;
+  readonly eras: EraWatch;
   readonly peers: PeerTask;
   readonly table: PeerTable;
   readonly ceilingWindowMs: number;
@@ -91,6 +93,9 @@
       this.desks.clear();
       this.demand.startAnew();
     });
+    options.eras.changed.on(() => {
+      for (const desk of this.desks.values()) desk.doubt();
+    });
   }
 
   wanted(): void {
--- a/test/gateway/engineDesk.spec.ts
+++ b/test/gateway/engineDesk.spec.ts
@@ -73,6 +73,31 @@
     expect(desk.adapters).to.have.members(["m/a1", "m/a2", "m/a3"]);
   });
 
+  it("should count what the engine reports until a registration that was made after it arrives", async () => {
+    // Registrations may stay away for longer than usual; the new holder then went by one from before an outage.
+    desk.learn(engine(holding("a1")));
+    engines.state = { ...engines.state, residents: holding("a1", "a2") };
+    await desk.ask();
+    await new Promise((resolve) => setTimeout(resolve, 1_000));
+    desk.learn(engine(holding("a1")));
+    await new Promise((resolve) => setTimeout(resolve, 1_800));
+    expect(desk.adapters).to.have.members(["m/a1", "m/a2"]);
+    desk.learn(engine(holding("a1")));
+    expect(desk.adapters).to.have.members(["m/a1"]);
+  });
+
+  it("should not count as verified once the store came back from a copy, until the engine is asked again", async () => {
+    // What is known of its orders may be of a history that is lost.
+    await desk.ask();
+    desk.doubt();
+    expect(desk.verified).to.equal(false);
+    engines.state = { ...engines.state, residents: holding("a1"), sequence: 3 };
+    await desk.ask();
+    await desk.order({ action: "load", model: "m", adapter: "a2", reason: "waiting" });
+    expect(engines.orders[0]).to.include({ expectedSequence: 3 });
+    expect(desk.adapters).to.have.members(["m/a1", "m/a2"]);
+  });
+
   it("should be busy from the moment an order is given, not only once it is answered", async () => {
     // A round of placement starts while the order of the round before is unanswered. It gave the same unload
     // again, three times over, and each was accepted.
