--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/fleetTask.ts
@@ -242,8 +242,6 @@
     for (const { id, asOf } of changes.gone) changed = this.removeAll([id], asOf, now) || changed;
     if (changed) fleetChanged.fire(undefined);
     this.heardAsOf = latest(this.heardAsOf, changes.asOf);
-    // The next read of the store goes on from here.
-    if (this.position !== undefined) this.position = latest(this.position, changes.asOf);
   }
 
   private learnAll(registrations: readonly Registration[], now: number): boolean {
--- /dev/null
+++ b/test/gateway/fleetTask.spec.ts
@@ -0,0 +1,80 @@
+import { expect } from "chai";
+import * as purify from "purify-ts";
+import * as requestHeaders from "../../platform/requestHeaders.ts";
+import { createLog } from "../../src/common/log.ts";
+import { FleetTask } from "../../src/gateway/fleetTask.ts";
+import { createServing, type Serving } from "../../src/gateway/serving.ts";
+import { StoreLink } from "../../src/gateway/storeLink.ts";
+import type { BackendServer } from "../../src/serving/backendServer.ts";
+import { until } from "../fixtures/gateways.ts";
+import { MemoryStore } from "../fixtures/memoryStore.ts";
+
+const engine = (more: Partial<BackendServer> = {}): BackendServer => ({
+  id: "e1",
+  service: "s",
+  address: "10.0.0.1:80",
+  zone: "a",
+  slots: 8,
+  leaving: false,
+  residents: [],
+  atHand: [],
+  engine: true,
+  ...more,
+});
+
+/** One node's view of the servers, without the rest of the node. */
+class Host {
+  readonly serving: Serving;
+  readonly task: FleetTask;
+  /** Is it on this node to read the store? */
+  reads = true;
+  peer: Host | undefined;
+
+  constructor(store: MemoryStore) {
+    const log = createLog("fleet-test");
+    const codec = requestHeaders;
+    this.serving = createServing({ host: "h", zone: "a", drainMs: 2_000, log, codec, nodes: () => 2 });
+    this.task = new FleetTask({
+      store: store.link(),
+      link: new StoreLink(log, this.serving.metrics),
+      serving: this.serving,
+      table: "servers",
+      decode: (_id, text) => purify.Right(JSON.parse(text) as BackendServer),
+      reads: () => this.reads,
+      active: () => true,
+      ask: async (_peer, method, params) => this.peer?.task.handlers[method]?.(params),
+      onChange: () => undefined,
+      tellLeaving: () => undefined,
+    });
+  }
+
+  async hear(peer: Host): Promise<void> {
+    this.peer = peer;
+    const news = { host: "p", ip: "10.0.0.2", port: 1, boot: 1, version: 1 };
+    await this.task.hear({ ...news, fleetRevision: peer.serving.fleet.revision }, "all");
+  }
+}
+
+describe("what a node knows of the servers", () => {
+  it("should include what peers don't tell, once it is on the node to read again", async () => {
+    // Peers leave out weights at hand. The node took their position for its own and never read these changes.
+    const store = new MemoryStore();
+    const [reader, other] = [new Host(store), new Host(store)];
+    const write = (server: BackendServer): void => {
+      store.put("servers", server.id, JSON.stringify(server));
+    };
+    write(engine());
+    for (const host of [reader, other]) await host.task.start();
+    await until(() => other.serving.fleet.get("e1") !== undefined);
+    other.reads = false;
+    await other.hear(reader);
+    write(engine({ atHand: ["m"] }));
+    write(engine({ id: "e2" }));
+    await until(() => reader.serving.fleet.get("e2") !== undefined);
+    await other.hear(reader);
+    expect(other.serving.fleet.get("e2")?.id).to.equal("e2");
+    other.reads = true;
+    await until(() => other.serving.fleet.get("e1")?.atHand.includes("m") ?? false, 2_000);
+    for (const host of [reader, other]) await host.task.dispose();
+  });
+});
