--- a/src/gateway/engineDesk.ts
+++ b/src/gateway/engineDesk.ts
@@ -159,8 +159,11 @@
 
   /** Adapters that may take a place, as MODEL/NAME. */
   get adapters(): string[] {
-    const resident = this.registered.residents.flatMap((r) => r.adapters.map((a) => `${r.model}/${a}`));
-    const all = new Set([...resident, ...this.lately().adapters, ...this.comingAdapters.keys()]);
+    const all = new Set([
+      ...adaptersOf(this.registered),
+      ...this.lately().adapters,
+      ...this.comingAdapters.keys(),
+    ]);
     return [...all].filter((name) => !this.goneAdapters.has(name));
   }
 
@@ -226,6 +229,7 @@
 
   /** Takes what the engine's registration says; the models whose load it shows to be done. */
   learn(server: BackendServer): string[] {
+    if (server === this.registered) this.settleAdapters(adaptersOf(server));
     if (server === this.registered || startedAfter(this.registered, server)) return [];
     if (startedAfter(server, this.registered)) this.restarted();
     this.registered = server;
@@ -233,7 +237,7 @@
     const held = new Set(server.residents.map((resident) => resident.model));
     const arrived = [...held].filter((model) => this.coming.delete(model));
     for (const model of [...this.dropping.keys()]) if (!held.has(model)) this.dropping.delete(model);
-    const adapters = new Set(server.residents.flatMap((r) => r.adapters.map((a) => `${r.model}/${a}`)));
+    const adapters = adaptersOf(server);
     this.settleAdapters(adapters);
     for (const name of [...this.goneAdapters]) if (!adapters.has(name)) this.goneAdapters.delete(name);
     for (const name of [...this.leavingAdapters]) if (!adapters.has(name)) this.leavingAdapters.delete(name);
@@ -293,7 +297,7 @@
     const moved = report.sequence > this.sequence;
     const upToDate = performance.now() - this.lastOrderMs > reportLagMs;
     this.sequence = upToDate ? report.sequence : Math.max(this.sequence, report.sequence);
-    const adapters = report.residents.flatMap((r) => r.adapters.map((a) => `${r.model}/${a}`));
+    const adapters = adaptersOf(report);
     const models = report.residents.map((r) => r.model);
     // While an order is under way the report doesn't show what it brings, so it can't be built on.
     if (report.busy) return;
@@ -437,6 +441,11 @@
   }
 }
 
+/** Adapters in memory, as MODEL/NAME. */
+function adaptersOf({ residents }: Pick<BackendServer, "residents">): Set<string> {
+  return new Set(residents.flatMap((r) => r.adapters.map((adapter) => `${r.model}/${adapter}`)));
+}
+
 function ageMs(sinceMs: number | undefined): number | undefined {
   return sinceMs === undefined ? undefined : Math.round(performance.now() - sinceMs);
 }
--- a/test/gateway/engineDesk.spec.ts
+++ b/test/gateway/engineDesk.spec.ts
@@ -145,6 +145,20 @@
     expect(desk.adapters).to.deep.equal(["m/a1"]);
   });
 
+  it("should let adapters make way that came together, though no registration follows the one that shows them", async () => {
+    // An engine writes nothing while nothing changes there. Its places stayed taken until the end of the day.
+    for (const adapter of ["a1", "a2"]) {
+      desk.reserveAdapter(`m/${adapter}`);
+      await desk.order({ action: "load", model: "m", adapter, reason: "waiting" });
+    }
+    const registered = engine(holding("a1", "a2"));
+    desk.learn(registered);
+    expect(desk.evictableAdapters).to.deep.equal([]);
+    await new Promise((resolve) => setTimeout(resolve, 2_600));
+    desk.learn(registered);
+    expect(desk.evictableAdapters).to.deep.equal(["m/a1", "m/a2"]);
+  });
+
   it("should not send an order that was planned before a late one took its place", async () => {
     // An order for an adapter is left unanswered and carried out seconds later. Meanwhile its place is counted as
     // free and given to another adapter; the count of orders is read again just before that one is sent, so the
