--- a/src/gateway/engineDesk.ts
+++ b/src/gateway/engineDesk.ts
@@ -123,7 +123,7 @@
   }
 
   /** What the engine said may not be all that it was ordered: it is asked again before the next order. */
-  doubt(): void {
+  invalidateReport(): void {
     this.reported = undefined;
     this.askFirst = true;
   }
--- a/src/gateway/leaseTask.ts
+++ b/src/gateway/leaseTask.ts
@@ -75,7 +75,7 @@
   private readonly clock = new StoreClock();
   private readonly clocks = new ClockWatch();
   /** The row as it was read or written last, if there is one; undefined while it isn't known. */
-  private read: ReadRow | undefined;
+  private lastRead: ReadRow | undefined;
   /** While it lasts, this node held the lease last, whatever the store has lost: until when, ms. */
   private heldLastUntilMs = Number.NEGATIVE_INFINITY;
   private renewedMs = 0;
@@ -148,7 +148,8 @@
     if (this.held === undefined || this.handingOver) return;
     this.handingOver = true;
     this.heldLastUntilMs = Number.NEGATIVE_INFINITY;
-    if (this.read?.value !== undefined) await this.writeRelease(this.read.position, this.read.value);
+    if (this.lastRead?.value !== undefined)
+      await this.writeRelease(this.lastRead.position, this.lastRead.value);
     this.lose("released");
     this.handingOver = false;
   }
@@ -175,15 +176,15 @@
       await this.maybeTake(now);
       return;
     }
-    if (this.read === undefined && now >= this.nextLookMs) await this.settle();
+    if (this.lastRead === undefined && now >= this.nextLookMs) await this.settle();
     await this.renew(now);
   }
 
   private async renew(now: number): Promise<void> {
-    if (this.held === undefined || this.read === undefined) return;
-    const { value, position } = this.read;
-    if (!isOfEra(value, position.era)) await this.write(this.read, nextToken(value, position.era));
-    else if (now - this.renewedMs >= leaseRenewMs) await this.write(this.read, this.held.token);
+    if (this.held === undefined || this.lastRead === undefined) return;
+    const { value, position } = this.lastRead;
+    if (!isOfEra(value, position.era)) await this.write(this.lastRead, nextToken(value, position.era));
+    else if (now - this.renewedMs >= leaseRenewMs) await this.write(this.lastRead, this.held.token);
   }
 
   /**
@@ -191,7 +192,7 @@
    * A holder renews at once, under a token of the new era.
    */
   private onEra(): void {
-    this.read = undefined;
+    this.lastRead = undefined;
     this.nextLookMs = 0;
     this.yielded = undefined;
   }
@@ -202,7 +203,7 @@
    */
   private checkClocks(): void {
     if (!this.clocks.frozeSince(readClocks())) return;
-    this.read = undefined;
+    this.lastRead = undefined;
     this.nextLookMs = 0;
     this.heldLastUntilMs = Number.NEGATIVE_INFINITY;
     if (this.held !== undefined) this.lose("host stood still");
@@ -257,13 +258,13 @@
   /** Reads the row; undefined if the store doesn't answer, whatever was read before. */
   private async look(): Promise<ReadRow | undefined> {
     const sentMs = performance.now();
-    this.read = undefined;
+    this.lastRead = undefined;
     try {
       this.learn(await this.options.store.get(table, key), sentMs);
     } catch (error) {
       this.failed(error);
     }
-    return this.read;
+    return this.lastRead;
   }
 
   private learn(set: RowSet, sentMs: number): void {
@@ -271,13 +272,13 @@
     this.clock.learn(set.nowMs, sentMs);
     const found = set.rows.find((row) => row.key === key);
     if (found === undefined) {
-      this.read = { position: absentAt(set.position), value: undefined };
+      this.lastRead = { position: absentAt(set.position), value: undefined };
       return;
     }
     decodeEither(LeaseRow, JSON.parse(found.value))
       .ifLeft((failure) => this.options.log.error({ event: "lease-row-rejected", detail: failure.message }))
       .ifRight((value) => {
-        this.read = { position: found.position, value };
+        this.lastRead = { position: found.position, value };
       });
   }
 
@@ -301,7 +302,7 @@
       });
       this.options.link.succeeded();
       this.clock.learn(receipt.nowMs, sentMs);
-      this.read = { position: receipt.position, value };
+      this.lastRead = { position: receipt.position, value };
       if (this.clocks.frozeSince(readClocks())) {
         this.lose("host stood still");
         return;
--- a/src/gateway/placementTask.ts
+++ b/src/gateway/placementTask.ts
@@ -94,7 +94,7 @@
       this.demand.startAnew();
     });
     options.eras.changed.on(() => {
-      for (const desk of this.desks.values()) desk.doubt();
+      for (const desk of this.desks.values()) desk.invalidateReport();
     });
   }
 
--- a/src/gateway/quarantineTask.ts
+++ b/src/gateway/quarantineTask.ts
@@ -171,7 +171,7 @@
       if (present.has(fingerprint)) continue;
       if (row.era < asOf.era) {
         log.info({ event: "quarantine-row-lost", fingerprint });
-        quarantine.holds.lose(fingerprint, reads(), now);
+        quarantine.holds.markUnsaved(fingerprint, reads(), now);
         continue;
       }
       quarantine.release(fingerprint, now);
--- a/src/serving/fleet.ts
+++ b/src/serving/fleet.ts
@@ -148,10 +148,10 @@
     if (entry !== undefined && !startedAfter(server, entry.registered) && !isAfter(position, entry.position))
       return false;
     this.lapsed.delete(server.id);
-    const trustedMs = this.trustedMs(registration);
-    if (nowMs < trustedMs) {
+    const trustedFromMs = this.trustedFromMs(registration);
+    if (nowMs < trustedFromMs) {
       if (server.leaving && entry !== undefined) return this.noteLeaving(entry, registration, nowMs);
-      this.doubtful.set(server.id, { registration, untilMs: trustedMs });
+      this.doubtful.set(server.id, { registration, untilMs: trustedFromMs });
       return false;
     }
     this.gone.delete(server.id);
@@ -234,10 +234,10 @@
    * Until when a registration is not believed over what is known, ms. Guards "a server that left is sent requests again
    * as the store came back from a copy": the copy shows it as it was.
    */
-  private trustedMs({ server, position }: Registration): number {
+  private trustedFromMs({ server, position }: Registration): number {
     const { start, sinceMs } = this.era;
     const entry = this.entries.get(server.id);
-    if (position.era !== start.era || position.version > start.version) return Number.NEGATIVE_INFINITY;
+    if (position.era !== start.era || isAfter(position, start)) return Number.NEGATIVE_INFINITY;
     if (entry !== undefined && startedAfter(server, entry.registered)) return Number.NEGATIVE_INFINITY;
     const known = entry?.position ?? this.gone.get(server.id)?.asOf;
     if (known === undefined || known.era === position.era) return Number.NEGATIVE_INFINITY;
--- a/src/serving/quarantine/holds.ts
+++ b/src/serving/quarantine/holds.ts
@@ -133,7 +133,7 @@
    * The store came back from a copy that lacks the row: it has to be written again, by this node first if `own`, else by
    * whichever node finds that none did.
    */
-  lose(fingerprint: string, own: boolean, nowMs: number): void {
+  markUnsaved(fingerprint: string, own: boolean, nowMs: number): void {
     const known = this.entries.get(fingerprint);
     if (known === undefined) return;
     this.set(fingerprint, { ...known, row: undefined, saved: false, own, sinceMs: nowMs });
