--- a/src/gateway/leaseTask.ts
+++ b/src/gateway/leaseTask.ts
@@ -19,7 +19,7 @@
   type Candidate,
 } from "../serving/leaseRules.ts";
 import type { RowSet, Store } from "../serving/store.ts";
-import { absentAt, type StorePosition } from "../serving/storePosition.ts";
+import { absentAt, formatPosition, type StorePosition } from "../serving/storePosition.ts";
 import type { GatewayMetrics } from "./gatewayMetrics.ts";
 import type { StoreLink } from "./storeLink.ts";
 
@@ -76,6 +76,9 @@
   private readonly clocks = new ClockWatch();
   /** The row as it was read or written last, if there is one; undefined while it isn't known. */
   private lastRead: ReadRow | undefined;
+  /** Since when the row has been known to be as it is, ms. */
+  private unchangedSinceMs = Number.NEGATIVE_INFINITY;
+  private unchangedRow = "";
   /** While it lasts, this node held the lease last, whatever the store has lost: until when, ms. */
   private heldLastUntilMs = Number.NEGATIVE_INFINITY;
   private renewedMs = 0;
@@ -249,6 +252,7 @@
       row: value,
       era,
       eraAgeMs: now - this.options.store.eras.sinceMs,
+      unchangedMs: now - this.unchangedSinceMs,
       heldLast: now < this.heldLastUntilMs,
       storeNowMs: this.clock.at(now),
     };
@@ -271,6 +275,7 @@
     this.options.link.succeeded();
     this.clock.learn(set.nowMs, sentMs);
     const found = set.rows.find((row) => row.key === key);
+    this.noteChange(found?.position ?? absentAt(set.position));
     if (found === undefined) {
       this.lastRead = { position: absentAt(set.position), value: undefined };
       return;
@@ -282,6 +287,13 @@
       });
   }
 
+  private noteChange(position: StorePosition): void {
+    const row = formatPosition(position);
+    if (row === this.unchangedRow) return;
+    this.unchangedRow = row;
+    this.unchangedSinceMs = performance.now();
+  }
+
   /** Takes or renews the lease with `token`, on the row as it was read. */
   private async write({ position, value: previous }: ReadRow, token: number): Promise<void> {
     const { store, self, log } = this.options;
--- a/src/serving/leaseRules.ts
+++ b/src/serving/leaseRules.ts
@@ -34,6 +34,11 @@
 export const leaseTtlMs = 2_000;
 /** Period of renewal, ms. */
 export const leaseRenewMs = 800;
+/**
+ * A write of an earlier era may be carried out late and replace the holder's row, if its condition holds by chance. The
+ * holder has found out and written it again after this time, ms.
+ */
+const rewriteMs = 2 * leaseRenewMs;
 /** How long after another holder's last order to an engine a successor may order it, ms. */
 export function distanceMs(leaseMs: number): number {
   return leaseMs + handoverSlackMs;
@@ -63,6 +68,8 @@
   /** The era in which the row was read, and the time for which this node has known of it, ms. */
   readonly era: number;
   readonly eraAgeMs: number;
+  /** Time for which the candidate has known the row as it is, ms. */
+  readonly unchangedMs: number;
   /** The candidate held the lease last, and so lately that nobody can have taken it in an era that is lost. */
   readonly heldLast: boolean;
   readonly storeNowMs: number;
@@ -75,8 +82,11 @@
 
 /** Time until `candidate` may take the lease, ms; 0 if now. */
 export function waitToTake(view: LeaseView, candidate: Candidate, leaseMs: number): number {
-  const { row, era, eraAgeMs, heldLast, storeNowMs } = view;
-  if (!isOfEra(row, era)) return heldLast ? 0 : Math.max(0, leaseTtlMs + distanceMs(leaseMs) - eraAgeMs);
+  const { row, era, eraAgeMs, unchangedMs, heldLast, storeNowMs } = view;
+  if (!isOfEra(row, era)) {
+    const lastOrderMs = leaseTtlMs + distanceMs(leaseMs) - eraAgeMs;
+    return heldLast ? 0 : Math.max(0, lastOrderMs, rewriteMs - unchangedMs);
+  }
   if (row === undefined || row.ordered !== undefined || isSame(row, candidate)) return 0;
   return Math.max(0, row.untilMs + distanceMs(leaseMs) - storeNowMs);
 }
--- a/test/serving/leaseRules.spec.ts
+++ b/test/serving/leaseRules.spec.ts
@@ -15,6 +15,7 @@
   era: 0,
   eraAgeMs: 60_000,
   heldLast: false,
+  unchangedMs: 60_000,
   storeNowMs,
   ...more,
 });
@@ -60,6 +61,11 @@
       expect(waitToTake(copied(0, { row: { ...row, ordered: {}, era: 1 } }), other, 3_000)).to.equal(5_300);
     });
 
+    it("should let nobody in while a holder may still write again what a late write of an earlier era replaced", () => {
+      expect(waitToTake(copied(60_000, { unchangedMs: 0 }), other, 3_000)).to.equal(1_600);
+      expect(waitToTake(copied(60_000, { unchangedMs: 1_600 }), other, 3_000)).to.equal(0);
+    });
+
     it("should let the last holder go on at once", () => {
       expect(waitToTake(copied(0, { heldLast: true }), other, 3_000)).to.equal(0);
     });
