--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/fleetTask.ts
@@ -56,6 +56,8 @@
   readonly reads: () => boolean;
   /** Does this node take callers, rather than stand by? */
   readonly active: () => boolean;
+  /** Did the store answer a peer lately? */
+  readonly servedToPeers: () => boolean;
   /** Calls a peer. */
   readonly ask: (peer: PeerNews, method: string, params: unknown) => Promise<unknown>;
   /** What was read differs from what peers were told. */
@@ -76,6 +78,8 @@
   private position: StorePosition | undefined;
   private lastTryMs = Number.NEGATIVE_INFINITY;
   private lastReadMs = Number.NEGATIVE_INFINITY;
+  /** When the store was last known to answer no peer, ms. */
+  private unservedMs = Number.NEGATIVE_INFINITY;
   /** The store's position up to which peers that read it told of changes. */
   private heardAsOf = beginning;
   /** The revision of each peer that was pulled last. */
@@ -87,7 +91,7 @@
   constructor(private readonly options: FleetTaskOptions) {
     super("fleet");
     options.link.returned.on(() => {
-      options.serving.fleet.storeReturned(performance.now());
+      this.onReturn();
     });
     options.store.eras.changed.on(() => {
       this.position = undefined;
@@ -150,6 +154,15 @@
     }
   }
 
+  /**
+   * Registrations may have lapsed while the store was away. Guards "a server that left is sent requests": where the store
+   * turned away this node alone, none has lapsed, and removals are final.
+   */
+  private onReturn(): void {
+    const now = performance.now();
+    this.options.serving.fleet.storeReturned(Math.min(now, this.unservedMs + this.periodMs));
+  }
+
   private onNotice({ incarnation, ...notice }: NoticeChange): void {
     const { serving, tellLeaving } = this.options;
     serving.log.info({ event: "server-notice", server: incarnation, ...notice });
@@ -170,6 +183,7 @@
   protected override async follow(): Promise<void> {
     while (!this.stopped) {
       const startedMs = performance.now();
+      if (!this.options.servedToPeers()) this.unservedMs = startedMs;
       if (this.options.reads() || this.shouldProbe(startedMs)) await this.readOnce();
       this.tidy();
       const pause = Math.max(50, this.periodMs - (performance.now() - startedMs));
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -212,6 +212,7 @@
       decode: platform.decodeServer,
       reads,
       active: () => this.activation.active,
+      servedToPeers: () => this.reading.servedToPeers,
       ask,
       onChange: () => {
         this.peers.tell();
--- a/test/gateway/fleetTask.spec.ts
+++ b/test/gateway/fleetTask.spec.ts
@@ -32,6 +32,7 @@
       decode: (_id, text) => purify.Right(JSON.parse(text) as BackendServer),
       reads: () => this.reads,
       active: () => true,
+      servedToPeers: () => true,
       ask: async (_peer, method, params) => this.peer?.task.handlers[method]?.(params),
       onChange: () => undefined,
       tellLeaving: () => undefined,
--- a/test/gateway/nodes.spec.ts
+++ b/test/gateway/nodes.spec.ts
@@ -10,6 +10,7 @@
   engineService,
   GatewayWorld,
   holdsLease,
+  metricsOf,
   route,
   statusOf,
   until,
@@ -99,6 +100,26 @@
     await until(async () => (await statusOf(b)) === 503, 2_000);
   });
 
+  it("should send nothing to a server that is removed right after the store serves the node again", async () => {
+    // The store had turned away this node alone, so that no registration can have lapsed for want of a store.
+    const other = await BackendStandIn.start("i-1", answerOk);
+    for (const each of [server, other]) world.register(each.registration("s"));
+    world.configure(configuration(1, [route()]));
+    const [a, b] = [await world.startNode(), await world.startNode()];
+    await until(async () => (await statusOf(a)) === 200 && (await statusOf(b)) === 200);
+    b.link.cut = true;
+    await new Promise((resolve) => setTimeout(resolve, 2_000));
+    b.link.cut = false;
+    const reachable = /^parsleynotch_store_reachable 1$/m;
+    await until(async () => reachable.test(await metricsOf(b)), 4_000);
+    world.store.remove("servers", "i-0");
+    await new Promise((resolve) => setTimeout(resolve, 1_200));
+    const before = server.arrivals.length;
+    for (let i = 0; i < 40; i += 1) await statusOf(b);
+    expect(server.arrivals.length - before).to.equal(0);
+    await other.stop();
+  });
+
   it("should start with what its peers know while the store is away", async () => {
     // Every process is restarted during an outage of the store: a node without a configuration refuses everybody.
     world.register(server.registration("s"));
