--- a/src/gateway/quarantineTask.ts
+++ b/src/gateway/quarantineTask.ts
@@ -168,12 +168,12 @@
     const { quarantine, reads, log } = this.options;
     const now = performance.now();
     for (const [fingerprint, row] of quarantine.holds.writtenBy(asOf)) {
-      if (present.has(fingerprint)) continue;
-      if (row.era < asOf.era) {
-        log.info({ event: "quarantine-row-lost", fingerprint });
-        quarantine.holds.markUnsaved(fingerprint, reads(), now);
-        continue;
-      }
+      if (present.has(fingerprint) || row.era === asOf.era) continue;
+      log.info({ event: "quarantine-row-lost", fingerprint });
+      quarantine.holds.markUnsaved(fingerprint, reads(), now);
+    }
+    for (const [fingerprint, { row }] of quarantine.holds.saved()) {
+      if (present.has(fingerprint) || row === undefined || isAfter(row, asOf)) continue;
       quarantine.release(fingerprint, now);
       this.known = latest(this.known, asOf);
     }
--- a/test/gateway/quarantineTask.spec.ts
+++ b/test/gateway/quarantineTask.spec.ts
@@ -119,6 +119,19 @@
     expect([b.holds("p"), b.holds("q"), c.holds("p"), c.holds("q")]).to.deep.equal([true, true, true, true]);
   });
 
+  it("should not end, while it is still to be saved, as the row of the watch before it is gone", async () => {
+    // Another node forgot the watch; this one has heard of the hold meanwhile.
+    const [a, b] = [await start("a"), await start("b")];
+    a.quarantine.learn("p", { untilMs: 0, forMs: 300_000 }, { era: 0, version: 1 }, performance.now());
+    const hold = { untilMs: performance.now() + 600_000, forMs: 600_000 };
+    a.quarantine.learn("p", hold, undefined, performance.now());
+    store.put("other", "row", "");
+    b.holdBack("q");
+    await until(() => b.task.position.version > 0);
+    await a.hear(b);
+    expect([a.holds("p"), a.holds("q")]).to.deep.equal([true, true]);
+  });
+
   it("should end where an operator removes the row", async () => {
     const [a, b] = [await start("a"), await start("b")];
     b.reads = true;
