--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/fleetTask.ts
@@ -80,7 +80,7 @@
   private lastReadMs = Number.NEGATIVE_INFINITY;
   /** When the store was last known to answer no peer, ms. */
   private unservedMs = Number.NEGATIVE_INFINITY;
-  /** The store's position up to which peers that read it told of changes. */
+  /** The store's position up to which peers that read it told of changes, or this node read in an earlier era. */
   private heardAsOf = beginning;
   /** The revision of each peer that was pulled last. */
   private readonly pulled = new Map<string, Pulled>();
@@ -94,6 +94,7 @@
       this.onReturn();
     });
     options.store.eras.changed.on(() => {
+      this.heardAsOf = this.knownUpTo;
       this.position = undefined;
       this.wake();
     });
@@ -222,10 +223,9 @@
   private enterEra(start: StorePosition): void {
     const { serving, store } = this.options;
     const { fleet, log } = serving;
-    const before = formatPosition(this.knownUpTo);
     store.eras.note(start.era);
     if (!fleet.enterEra(start, store.eras.sinceMs)) return;
-    log.warn({ event: "store-copy", before, start: formatPosition(start) });
+    log.warn({ event: "store-copy", before: formatPosition(this.knownUpTo), start: formatPosition(start) });
   }
 
   private learn(set: RowSet, complete: boolean): void {
@@ -275,7 +275,7 @@
     return changed;
   }
 
-  /** A registration that says something else than the known one is passed over if that one is newer. */
+  /** Counts a registration that is older than the known one and so is passed over. */
   private notePassedOver({ server, position }: Registration): void {
     const { fleet, log, metrics } = this.options.serving;
     const known = fleet.positionOf(server.id);
--- a/src/serving/eraWatch.ts
+++ b/src/serving/eraWatch.ts
@@ -25,13 +25,12 @@
     return this.knownSinceMs;
   }
 
-  /** Takes an era that an answer or a peer names; false if a later one is known. */
-  note(era: number): boolean {
+  /** Takes an era that an answer or a peer names; one that isn't later than the known one changes nothing. */
+  note(era: number): void {
     const from = this.known;
-    if (from !== undefined && era <= from) return era === from;
+    if (from !== undefined && era <= from) return;
     this.known = era;
     this.knownSinceMs = performance.now();
     this.changed.fire({ from, to: era });
-    return true;
   }
 }
--- a/src/serving/leaseRules.ts
+++ b/src/serving/leaseRules.ts
@@ -91,7 +91,7 @@
   return Math.max(0, row.untilMs + distanceMs(leaseMs) - storeNowMs);
 }
 
-/** Tokens given out in one era, at most; more than its seconds in a century. */
+/** Tokens given out in one era, at most. */
 const tokensPerEra = 2 ** 32;
 
 /**
