--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -17,6 +17,8 @@
 
 /** Sends beyond a route's own attempts that servers refused without running, so that it still ends. */
 const refusedSends = 3;
+/** A request that may have lain unread for longer than this was read late, ms. */
+const readLateMs = 100;
 /** Time kept to write the final answer before the caller's time is over, ms. */
 const answerMarginMs = 40;
 
@@ -38,6 +40,8 @@
   private readonly serving: Serving;
   private readonly caller: CallerConnection;
   private readonly arrivedMs = performance.now();
+  /** How long the request may have lain unread, ms. */
+  private readonly unreadMs: number;
   private facts!: RequestFacts;
   private route!: Route;
   private service!: Service;
@@ -62,6 +66,8 @@
   constructor(private readonly options: ExchangeOptions) {
     this.serving = options.serving;
     this.caller = options.caller;
+    this.unreadMs = this.serving.watermark.lagMs;
+    this.serving.metrics.readLag.observe(this.unreadMs / 1000);
   }
 
   /** Runs to the final answer; never rejects. */
@@ -376,6 +382,7 @@
       tookMs: Math.round(performance.now() - this.arrivedMs),
       outcome,
       detail,
+      ...(this.unreadMs > readLateMs ? { readLateMs: Math.round(this.unreadMs) } : {}),
     };
     if (outcome === "ok" || outcome === "status-200") this.serving.log.debug(line);
     else this.serving.log.info(line);
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -24,6 +24,10 @@
   readonly firstByte = this.histogram("first_byte_seconds", "Arrival to first byte", ["kind", "service"]);
   /** Time a request waited on this node before it was sent, s. */
   readonly queued = this.histogram("queued_seconds", "Arrival to first send", ["service"]);
+  /** How long a request may have lain unread when it was read, s. */
+  readonly readLag = this.histogram("read_lag_seconds", "Arrival to reading, at most", []);
+  /** 1 while this node has more to do than its processor time allows. */
+  readonly overloaded = this.gauge("overloaded", "1 while this node has more to do than it can");
   /** Version of the configuration in force. */
   readonly configVersion = this.gauge("config_version", "Version of the configuration in force");
   /** 1 while this node holds the placement lease. */
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -264,6 +264,7 @@
     this.supervisor = new Supervisor(
       "gateway",
       [
+        this.serving.watermark,
         ...this.controlServers(),
         this.calls,
         this.configuration,
@@ -286,6 +287,9 @@
       ],
       log,
     );
+    this.serving.watermark.turned.on(({ tookMs, endMs }) => {
+      if (this.serving.overload.note(tookMs, endMs)) this.tellOverload();
+    });
     platform.engines.heard.on(({ target: { serverId: id, startedAtMs }, notice }) => {
       this.serving.notices.hearAside({ id, startedAtMs }, notice, performance.now());
     });
@@ -354,6 +358,13 @@
     if (storeEra !== undefined) this.options.platform.store.eras.note(storeEra);
   }
 
+  private tellOverload(): void {
+    const { overload, metrics } = this.serving;
+    metrics.overloaded.set(overload.overloaded ? 1 : 0);
+    const event = overload.overloaded ? "overloaded" : "overload-ended";
+    this.options.log.warn({ event, inFlight: this.callers.busy, busy: this.busy() });
+  }
+
   /** Only an active node takes part in the lease; one that stands by shouldn't wake for it. */
   private followActivation(): void {
     for (const task of [this.lease, this.placement]) {
--- a/src/gateway/serving.ts
+++ b/src/gateway/serving.ts
@@ -1,6 +1,7 @@
 /** What the parts of a gateway node share: the beliefs that decide about requests, and who to tell of changes. */
 import type { Log } from "../common/log.ts";
 import { Emitter } from "../common/emitter.ts";
+import { ReadWatermark } from "../common/readWatermark.ts";
 import { DemandMeter } from "../serving/demandMeter.ts";
 import type { HeaderCodec } from "../serving/exchange.ts";
 import { EngineSpeed } from "../serving/engineSpeed.ts";
@@ -9,6 +10,7 @@
 import { ModelWaits } from "../serving/modelWait.ts";
 import { ModelPaces } from "../serving/modelPace.ts";
 import { Outliers } from "../serving/outliers.ts";
+import { OverloadDetector } from "../serving/overload.ts";
 import { Quarantine } from "../serving/quarantine/quarantine.ts";
 import { PermitIssuer } from "../serving/permits/permitIssuer.ts";
 import { Permits } from "../serving/permits/permits.ts";
@@ -111,6 +113,9 @@
   readonly speed: EngineSpeed;
   readonly pool: UpstreamPool;
   readonly metrics: GatewayMetrics;
+  /** How far this process has read what arrived at its sockets. */
+  readonly watermark: ReadWatermark;
+  readonly overload: OverloadDetector;
 }
 
 /** What differs between nodes. */
@@ -144,6 +149,8 @@
     speed: new EngineSpeed(),
     pool: new UpstreamPool(),
     metrics: new GatewayMetrics(),
+    watermark: new ReadWatermark(),
+    overload: new OverloadDetector(),
   };
 }
 
