--- a/src/common/readWatermark.ts
+++ b/src/common/readWatermark.ts
@@ -8,6 +8,8 @@
 
 /** Period of marks, ms: a process that keeps up lags by about as much. */
 const periodMs = 25;
+/** Time for which waiting connections are accepted before anything else is done; after it the process is swamped, ms. */
+const longestDrainMs = 200;
 /** Smaller gaps between the steady clock and the time of day are drift, ms. */
 const frozenMs = 300;
 
@@ -31,6 +33,10 @@
   private mark = readMark();
   private timer: NodeJS.Timeout | undefined;
   private stopped = false;
+  /** Connections accepted since the start. */
+  private accepts = 0;
+  private draining: Promise<void> | undefined;
+  private isSwamped = false;
 
   start(): Promise<void> {
     this.mark = readMark();
@@ -59,17 +65,61 @@
     return frozen > frozenMs ? steadyMs + frozen : steadyMs;
   }
 
+  /** A connection was accepted: others may still wait, as a turn of the event loop accepts one from each listener. */
+  noteAccepted(): void {
+    this.accepts += 1;
+  }
+
+  /** Do more connections wait to be accepted than the process can serve? New ones are better closed at once. */
+  get swamped(): boolean {
+    return this.isSwamped;
+  }
+
+  /** Resolves once what has arrived by now is read, connections that waited to be accepted included. */
+  caughtUp(): Promise<void> {
+    this.draining ??= inputRead().then(() => this.drained());
+    return this.draining;
+  }
+
+  private drained(): Promise<void> {
+    const latestMs = performance.now() + longestDrainMs;
+    return new Promise((resolve) => {
+      const onTurn = (): void => {
+        this.isSwamped = performance.now() > latestMs;
+      };
+      this.afterDrain(onTurn, () => {
+        this.draining = undefined;
+        this.isSwamped = false;
+        resolve();
+      });
+    });
+  }
+
+  /** Calls `drained` after a turn in which the sockets were polled and nothing was accepted, `onTurn` after each before. */
+  private afterDrain(onTurn: () => void, drained: () => void): void {
+    const { accepts } = this;
+    setImmediate(() => {
+      if (this.accepts === accepts) {
+        drained();
+        return;
+      }
+      onTurn();
+      this.afterDrain(onTurn, drained);
+    });
+  }
+
   private schedule(): void {
     this.timer = setTimeout(() => {
       const mark = readMark();
       // Immediates run after the sockets were polled, which happens after the mark.
-      setImmediate(() => {
+      const drained = (): void => {
         if (this.stopped) return;
         this.mark = mark;
         this.schedule();
         const endMs = performance.now();
         this.turned.fire({ tookMs: endMs - mark.steadyMs, endMs });
-      });
+      };
+      this.afterDrain(() => undefined, drained);
     }, periodMs);
   }
 }
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -1,5 +1,6 @@
 /** The HTTP server that callers connect to. */
 import * as http from "node:http";
+import type * as net from "node:net";
 import { bind, close } from "../common/http.ts";
 import type { Task } from "../common/supervisor.ts";
 import type { CallerLimits } from "../serving/configuration.ts";
@@ -36,6 +37,12 @@
   readonly sharers: () => Sharers;
 }
 
+/** When a connection was accepted, and what had been read by then, ms. */
+interface Accepted {
+  readonly atMs: number;
+  readonly watermarkMs: number;
+}
+
 /** Accepts requests and runs an exchange for each. */
 export class CallerServer implements Task {
   readonly name = "callers";
@@ -43,11 +50,15 @@
   private readonly budgets = new Map<string, RetryBudget>();
   private stopping: { readonly sinceMs: number; readonly endMs: number } | undefined;
   private readonly exchanges = new Set<Exchange>();
+  private readonly accepted = new WeakMap<net.Socket, Accepted>();
 
   constructor(private readonly options: CallerServerOptions) {
     this.server = http.createServer({ maxHeaderSize: maxHeadBytes, noDelay: true }, (req, res) => {
       void this.handle(req, res);
     });
+    this.server.prependListener("connection", (socket: net.Socket) => {
+      this.accept(socket);
+    });
     this.server.on("checkContinue", (req: http.IncomingMessage, res: http.ServerResponse) => {
       res.writeContinue();
       void this.handle(req, res);
@@ -91,7 +102,11 @@
 
   private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const { serving, placer, runLocks } = this.options;
-    const caller = new CallerConnection(req, res, serving.codec, () => this.stopping !== undefined);
+    const caller = new CallerConnection({
+      ...{ req, res, codec: serving.codec },
+      arrivedMs: this.earliestArrivalMs(req.socket),
+      closing: () => this.stopping !== undefined,
+    });
     const exchange = new Exchange({
       serving,
       placer,
@@ -112,6 +127,29 @@
     }
   }
 
+  /**
+   * Notes a new connection, or closes it unread where more connections wait than the node can serve: its caller can go to
+   * another node at once, and an answer to each would take the time of those that can be served.
+   */
+  private accept(socket: net.Socket): void {
+    const { watermark, metrics } = this.options.serving;
+    watermark.noteAccepted();
+    this.accepted.set(socket, { atMs: performance.now(), watermarkMs: watermark.ms });
+    if (!watermark.swamped) return;
+    metrics.closedUnread.inc();
+    socket.destroy();
+  }
+
+  /**
+   * The earliest moment at which what was just read may have arrived. Data that came with a new connection is read a turn
+   * of the event loop after the connection was accepted.
+   */
+  private earliestArrivalMs(socket: net.Socket): number {
+    const watermarkMs = this.options.serving.watermark.ms;
+    const accepted = this.accepted.get(socket);
+    return accepted === undefined || accepted.atMs <= watermarkMs ? watermarkMs : accepted.watermarkMs;
+  }
+
   private budgetFor(service: string): RetryBudget {
     const known = this.budgets.get(service);
     if (known !== undefined) return known;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -39,8 +39,8 @@
 export class Exchange {
   private readonly serving: Serving;
   private readonly caller: CallerConnection;
-  private readonly arrivedMs = performance.now();
-  /** How long the request may have lain unread, ms. */
+  /** The earliest moment at which the request may have arrived, and for how long it may have lain unread, ms. */
+  private readonly arrivedMs: number;
   private readonly unreadMs: number;
   private facts!: RequestFacts;
   private route!: Route;
@@ -66,7 +66,8 @@
   constructor(private readonly options: ExchangeOptions) {
     this.serving = options.serving;
     this.caller = options.caller;
-    this.unreadMs = this.serving.watermark.lagMs;
+    this.arrivedMs = this.caller.arrivedMs;
+    this.unreadMs = performance.now() - this.arrivedMs;
     this.serving.metrics.readLag.observe(this.unreadMs / 1000);
   }
 
@@ -168,6 +169,12 @@
       }
       if (this.isHeldBack()) return;
       if (chosen === undefined) {
+      // The caller may have left since the sockets were last read.
+      await this.serving.watermark.caughtUp();
+      if (this.caller.left) {
+        this.ended("caller-left");
+        return;
+      }
         if (this.wait.refusal !== "") this.lastFailure = this.wait.refusal;
         this.giveUp();
         return;
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -20,6 +20,14 @@
   ]);
   /** Orders to engines, by action and outcome. */
   readonly orders = this.counter("orders_total", "Orders to engines", ["action", "outcome"]);
+  /** Requests refused as this node had too much to do, by service. */
+  readonly shed = this.counter("shed_requests_total", "Requests refused by an overloaded node", ["service"]);
+  /** Connections closed unread as too many waited to be accepted. */
+  readonly closedUnread = this.counter(
+    "closed_unread_total",
+    "Connections closed before a request was read",
+    [],
+  );
   /** Time to the first byte for callers, s. */
   readonly firstByte = this.histogram("first_byte_seconds", "Arrival to first byte", ["kind", "service"]);
   /** Time a request waited on this node before it was sent, s. */
--- a/src/gateway/serverWait.ts
+++ b/src/gateway/serverWait.ts
@@ -63,7 +63,10 @@
     this.candidates = new ServerCandidates(options);
   }
 
-  /** The best server, as soon as there is one; undefined once waiting can't help any more. */
+  /**
+   * The best server, as soon as there is one; undefined once waiting can't help any more. After each wait the sockets are
+   * read first: the caller may have left meanwhile.
+   */
   async next(progress: Progress): Promise<Chosen | undefined> {
     const key = demandKey(this.options.service.name, this.candidates.scope);
     const { waiting } = this.options.serving;
@@ -76,12 +79,14 @@
           if (!counted) waiting.add(key);
           counted = true;
           if (!(await this.serverMayCome(progress))) return undefined;
+          await this.options.serving.watermark.caughtUp();
           continue;
         }
         const admission = this.admission(chosen, progress);
         if (admission === "send") {
           if (!this.options.mayRun()) {
             await this.options.awaitLock();
+            await this.options.serving.watermark.caughtUp();
             continue;
           }
           this.candidates.tried.add(chosen.server.id);
@@ -91,6 +96,7 @@
         }
         if (admission === "refuse") return undefined;
         await new Promise((resolve) => setTimeout(resolve, turnMs));
+        await this.options.serving.watermark.caughtUp();
       }
     } finally {
       if (counted) waiting.remove(key);
