--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -5,6 +5,7 @@
 import type { RequestFacts } from "../serving/exchange.ts";
 import { patienceOf, type Patience } from "../serving/patience.ts";
 import type { RetryBudget } from "../serving/retryBudget.ts";
+import { isShed } from "../serving/overload.ts";
 import { firstByteLimitMs, pauseLimitMs } from "../serving/sendRules.ts";
 import type { Chosen } from "../serving/serverChoice.ts";
 import { Attempt, type AttemptOutcome, type WholeAnswer } from "./attempt.ts";
@@ -19,6 +20,8 @@
 const refusedSends = 3;
 /** A request that may have lain unread for longer than this was read late, ms. */
 const readLateMs = 100;
+/** An overloaded node asks callers to return after this time and up to twice as much, s. */
+const overloadRetryS = 0.3;
 /** Time kept to write the final answer before the caller's time is over, ms. */
 const answerMarginMs = 40;
 
@@ -42,6 +45,8 @@
   /** The earliest moment at which the request may have arrived, and for how long it may have lain unread, ms. */
   private readonly arrivedMs: number;
   private readonly unreadMs: number;
+  /** Since when the request has waited for this node alone, ms: a body may take its caller a while. */
+  private waitingSinceMs: number;
   private facts!: RequestFacts;
   private route!: Route;
   private service!: Service;
@@ -50,8 +55,8 @@
   private body: Buffer | undefined;
   private quarantine!: QuarantineCheck;
   private record!: SendRecord;
-  /** When a caller whose request is held back should return, s. */
-  private heldForS: number | undefined;
+  /** When the caller should return, s; known where the request is refused whatever servers there are. */
+  private returnAfterS: number | undefined;
   private sends = 0;
   /** Sends whose server may have run the request. */
   private ran = 0;
@@ -68,6 +73,7 @@
     this.caller = options.caller;
     this.arrivedMs = this.caller.arrivedMs;
     this.unreadMs = performance.now() - this.arrivedMs;
+    this.waitingSinceMs = this.arrivedMs;
     this.serving.metrics.readLag.observe(this.unreadMs / 1000);
   }
 
@@ -110,6 +116,7 @@
     this.route = route;
     this.service = service;
     this.patience = patienceOf(route, this.facts.deadlineMs, this.arrivedMs);
+    if (this.isShed()) throw this.overloaded();
     if (this.options.refuseAll() || (route.kind === "stream" && this.options.refuseStreams())) {
       throw new Failure("draining", "this node is stopping; use another address");
     }
@@ -138,7 +145,9 @@
     const body = await this.caller.body(limit);
     const { headers } = this.caller.req;
     const framed = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
-    return framed ? body : undefined;
+    if (!framed) return undefined;
+    this.waitingSinceMs = Math.max(this.arrivedMs, this.serving.watermark.ms);
+    return body;
   }
 
   private countDemand(): void {
@@ -161,7 +170,14 @@
 
   private async serve(): Promise<void> {
     for (;;) {
+      // The caller may have left since the sockets were last read.
+      await this.serving.watermark.caughtUp();
+      if (this.caller.left) {
+        this.ended("caller-left");
+        return;
+      }
       if (this.isHeldBack()) return;
+      if (this.sends === 0 && this.isShed()) throw this.overloaded();
       const chosen = await this.wait.next({ sends: this.sends, ran: this.ran });
       if (this.caller.left) {
         this.ended("caller-left");
@@ -184,6 +200,23 @@
     }
   }
 
+  /** Has the request waited for so long that this node no longer begins it? */
+  private isShed(): boolean {
+    const { firstByteByMs } = this.patience;
+    return isShed({
+      ageMs: performance.now() - this.waitingSinceMs,
+      patienceMs: firstByteByMs - this.arrivedMs,
+      targetMs: this.route.targetMs,
+      overloaded: this.serving.overload.overloaded,
+    });
+  }
+
+  private overloaded(): Failure {
+    this.returnAfterS = overloadRetryS * (1 + Math.random());
+    this.serving.metrics.shed.inc({ service: this.service.name });
+    return new Failure("overloaded", "not run: this node has more requests than it can serve; use another");
+  }
+
   /**
    * Refuses a request under which servers end, before each send: also the next one of a request that was cut, and of a
    * stream that is resumed. Guards "one request ends server after server": each attempt was taken for a new request,
@@ -193,7 +226,7 @@
     const { leftMs } = this.quarantine;
     if (leftMs <= 0) return false;
     this.lastFailure = "held back, as servers ended while they ran it";
-    this.heldForS = leftMs / 1000;
+    this.returnAfterS = leftMs / 1000;
     if (this.ran > 0) this.giveUp();
     else this.refuse(new Failure("quarantined", `not run: ${this.lastFailure}`));
     return true;
@@ -363,7 +396,7 @@
 
   /** When a refused caller should come back, s; it may have been refused before a server was looked for. */
   private get retryAfterS(): number {
-    return this.heldForS ?? (this.wait as ServerWait | undefined)?.retryAfterS ?? soonS;
+    return this.returnAfterS ?? (this.wait as ServerWait | undefined)?.retryAfterS ?? soonS;
   }
 
   private refuse(failure: Failure): void {
