--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -10,6 +10,7 @@
 import type { HeaderCodec } from "../serving/exchange.ts";
 import { formatEndpoint, type HostSettings } from "../serving/hostSettings.ts";
 import { LoadsMessage } from "../serving/loadBoard.ts";
+import { chooseAddresses } from "../serving/membership/directory.ts";
 import type { Engines } from "../serving/orders.ts";
 import {
   PeerTable,
@@ -413,11 +414,10 @@
 
   /** Addresses of nodes that take callers. */
   private addresses(): string[] {
-    const peers = this.table.alive(performance.now()).filter((peer) => peer.pulse.ready);
-    const addresses = peers.map((peer) => peer.pulse.callers);
-    if ((this.ready && this.activation.active) || addresses.length === 0)
-      addresses.push(formatEndpoint(this.options.settings.callers));
-    return addresses;
+    const peers = this.table.alive(performance.now()).map(({ pulse }) => pulse);
+    const nodes = peers.filter(({ ready }) => ready);
+    if ((this.ready && this.activation.active) || nodes.length === 0) nodes.push(this.standing());
+    return chooseAddresses(nodes, Math.random);
   }
 
   private standing(): Standing {
@@ -431,7 +431,8 @@
       boot: this.boot,
       callers: formatEndpoint(settings.callers),
       ready: this.ready,
-      busy: this.busy(),
+      // A node that is behind has no processor time to spare, whatever it used.
+      busy: this.serving.overload.overloaded ? 1 : this.busy(),
       version: this.serving.configuration.current?.version ?? 0,
       ...(Number.isFinite(readAgeMs) ? { readAgeMs: Math.round(readAgeMs) } : {}),
       fleetRevision: this.serving.fleet.revision,
