--- a/src/serving/membership/activeSet.ts
+++ b/src/serving/membership/activeSet.ts
@@ -12,6 +12,8 @@
 const leastActive = 12;
 /** More nodes are wanted where the active ones use more than this part of their processor time. */
 const crowdedPart = 0.5;
+/** Part of their processor time that active nodes are to use once those wanted besides are active. */
+const targetPart = 0.35;
 /** One retires only if those that stay would use less than this part, so that none comes and goes by turns. */
 const easyPart = 0.25;
 
@@ -38,20 +40,34 @@
 }
 
 /**
- * Is there a place for a node that stands by? Then how many others are to take theirs before it; undefined if all
- * places are taken.
+ * Is a node that stands by wanted? Then how many turns are to pass before it steps in, as nodes before it may be dead;
+ * undefined if it isn't wanted. All that are wanted step in at the same turn, without word of each other.
  */
 export function turnToActivate({ self, active, listed }: MembershipView): number | undefined {
-  const inZone = active.filter((node) => node.zone === self.zone);
-  const empty = leastInZone(self, active, listed) - inZone.length;
-  const places = Math.max(empty, isCrowded(inZone) ? 1 : 0);
   if (isFew(listed)) return 0;
-  if (places <= 0) return undefined;
-  const known = new Set(active.map((node) => node.ip));
-  const ahead = listed.filter(
-    (node) => node.zone === self.zone && !known.has(node.ip) && comesBefore(node, self),
-  );
-  return Math.max(0, ahead.length - (places - 1));
+  const inZone = active.filter((node) => node.zone === self.zone);
+  const least = leastInZone(self, active, listed);
+  if (inZone.length >= least && !isCrowded(inZone)) return undefined;
+  const known = new Set([self, ...active].map((node) => node.ip));
+  const others = listed.filter((node) => node.zone === self.zone && !known.has(node.ip));
+  const waiting = [...others, self].sort((a, b) => (comesBefore(a, b) ? -1 : 1));
+  return Math.floor(waiting.indexOf(self) / placesFor(inZone, waiting, least));
+}
+
+/**
+ * How many of those that wait, in their order, have to become active to bring the active ones' use down to the target.
+ * Saturated nodes are asked for an unknown amount more than they use; the target more than doubles their strength.
+ */
+function placesFor(inZone: readonly ActiveNode[], waiting: readonly Candidate[], least: number): number {
+  const wanted = isCrowded(inZone) ? used(inZone) / targetPart : 0;
+  let reached = strength(inZone);
+  let places = 0;
+  for (const node of waiting) {
+    if (inZone.length + places >= least && reached >= wanted) break;
+    reached += node.strength;
+    places += 1;
+  }
+  return places;
 }
 
 /** May an active node retire to stand by? */
