--- a/src/gateway/activationTask.ts
+++ b/src/gateway/activationTask.ts
@@ -7,7 +7,7 @@
 import { Emitter } from "../common/emitter.ts";
 import type { Log } from "../common/log.ts";
 import { PeriodicTask } from "../common/supervisor.ts";
-import { isFew, mayRetire, turnToActivate, type ActiveNode } from "../serving/membership/activeSet.ts";
+import { isFew, turnToActivate, turnToRetire, type ActiveNode } from "../serving/membership/activeSet.ts";
 import { Member, Roster, type PeerTable, type Standing } from "../serving/membership/peerTable.ts";
 import { beginning, formatPosition, type StorePosition } from "../serving/storePosition.ts";
 import type { PeerTask } from "./peerTask.ts";
@@ -36,8 +36,12 @@
 const turnMs = 700;
 /** Nodes ahead that are waited for: with hundreds in a zone most of them dead, one still takes over in seconds. */
 const mostTurns = 6;
-/** A surplus node retires when it is one for this long, ms: after a start all hear of each other within a second. */
+/**
+ * A surplus node retires when it is one for this long, ms, and as much longer for each other node whose turn comes before:
+ * after a start all hear of each other within a second.
+ */
 const surplusMs = 1_500;
+const retireTurnMs = 1_000;
 
 const AskParams = Schema.Struct({ node: Member, digest: Schema.String });
 
@@ -131,7 +135,9 @@
     const { table } = this.options;
     const view = { self: this.options.standing(), active: table.active(now), listed: table.listed };
     if (this.activeNow) {
-      if (this.dueFor(mayRetire(view), now) >= surplusMs) this.retire(view.active);
+      const turn = turnToRetire(view);
+      const dueMs = this.dueFor(turn !== undefined, now);
+      if (turn !== undefined && dueMs >= surplusMs + turn * retireTurnMs) this.retire(view.active);
       return;
     }
     const turn = turnToActivate(view);
--- a/src/serving/membership/activeSet.ts
+++ b/src/serving/membership/activeSet.ts
@@ -25,9 +25,12 @@
   readonly strength: number;
 }
 
-/** An active node, with the part of its processor time that it uses. */
+/** An active node, with the part of its processor time that it uses, from 0 to 1. */
 export interface ActiveNode extends Candidate {
+  /** Over a short window: scale out goes by it. */
   readonly busy: number;
+  /** Over a long window, if known: scale in goes by it as well. */
+  readonly steadyBusy?: number | undefined;
 }
 
 /** What a node knows when it decides. */
@@ -70,13 +73,17 @@
   return places;
 }
 
-/** May an active node retire to stand by? */
-export function mayRetire({ self, active, listed }: MembershipView): boolean {
-  if (isFew(listed)) return false;
+/**
+ * May an active node retire to stand by? Then how many others of its zone are to retire before it; undefined if it has to
+ * stay. The nodes before it alone must be able to carry the load, so they still can if several retire at once.
+ */
+export function turnToRetire({ self, active, listed }: MembershipView): number | undefined {
+  if (isFew(listed)) return undefined;
   const inZone = active.filter((node) => node.zone === self.zone);
   const ahead = inZone.filter((node) => comesBefore(node, self));
-  if (ahead.length < leastInZone(self, active, listed)) return false;
-  return used([...inZone, self]) < easyPart * strength(inZone);
+  if (ahead.length < leastInZone(self, active, listed)) return undefined;
+  if (used([...inZone, self].map(peak)) >= easyPart * strength(ahead)) return undefined;
+  return inZone.length - ahead.length;
 }
 
 /** The nodes of each zone that come first, some more than need to be active: those to look for at a start. */
@@ -104,6 +111,11 @@
   return used(nodes) > crowdedPart * strength(nodes);
 }
 
+/** The node with the larger of its uses over the two windows. */
+function peak(node: ActiveNode): ActiveNode {
+  return { ...node, busy: Math.max(node.busy, node.steadyBusy ?? 0) };
+}
+
 function used(nodes: readonly ActiveNode[]): number {
   return nodes.reduce((sum, node) => sum + node.busy * node.strength, 0);
 }
--- a/test/serving/activeSet.spec.ts
+++ b/test/serving/activeSet.spec.ts
@@ -1,5 +1,10 @@
 import { expect } from "chai";
-import { turnToActivate, type ActiveNode, type Candidate } from "../../src/serving/membership/activeSet.ts";
+import {
+  turnToActivate,
+  turnToRetire,
+  type ActiveNode,
+  type Candidate,
+} from "../../src/serving/membership/activeSet.ts";
 
 const zones = ["a", "b", "c"];
 const most = 1.35;
@@ -103,3 +108,57 @@
     expect(cores / strengthOf(chosen)).to.be.below(0.5);
   });
 });
+
+describe("scale in of the active set", () => {
+  const listed = fleetOf(66);
+
+  /** Who retires in one turn when all decide at the same moment, none knowing of the others' decisions. */
+  const leaving = (active: readonly ActiveNode[], turns = 0): ActiveNode[] =>
+    active.filter((self) => {
+      const others = active.filter((node) => node !== self);
+      const turn = turnToRetire({ self, active: others, listed });
+      return turn !== undefined && turn <= turns;
+    });
+
+  /** Lets nodes retire turn by turn until none does; gives the sizes. */
+  function shrink(size: number, cores: number): number[] {
+    const sizes = [size];
+    for (let chosen = listed.slice(0, size); ; sizes.push(chosen.length)) {
+      const gone = new Set(leaving(under(chosen, cores)).map(({ ip }) => ip));
+      if (gone.size === 0) return sizes;
+      chosen = chosen.filter(({ ip }) => !gone.has(ip));
+    }
+  }
+
+  it("should go one node a zone at a time, the last in order first", () => {
+    const active = under(listed.slice(0, 30), 0);
+    expect(leaving(active)).to.deep.equal(active.slice(27));
+  });
+
+  it("should end at twelve when the load ends", () => {
+    expect(shrink(30, 0)).to.deep.equal([30, 27, 24, 21, 18, 15, 12]);
+  });
+
+  it("should end before more nodes would be wanted again", () => {
+    const cores = 0.2 * strengthOf(listed.slice(0, 24));
+    const size = shrink(45, cores).at(-1) ?? 0;
+    expect(size).to.be.within(18, 24);
+    expect(cores / strengthOf(listed.slice(0, size))).to.be.below(0.26);
+    expect(stepIn({ listed, active: under(listed.slice(0, size), cores) })).to.deep.equal([]);
+  });
+
+  it("should leave enough even if all whose use allows it retired together", () => {
+    const cores = 0.2 * strengthOf(listed.slice(0, 24));
+    const active = under(listed.slice(0, 45), cores);
+    const stay = active.length - leaving(active, 66).length;
+    expect(cores / strengthOf(active.slice(0, stay))).to.be.below(0.26);
+  });
+
+  it("should not follow a pause between bursts", () => {
+    // Bursts of a second came every few seconds. Nodes retired in each pause and became active in each burst.
+    const paused = under(listed.slice(0, 30), 0).map((node) => ({ ...node, steadyBusy: 0.3 }));
+    expect(leaving(paused)).to.deep.equal([]);
+    const bursting = under(listed.slice(0, 30), 0.3 * strengthOf(listed.slice(0, 30)));
+    expect(leaving(bursting.map((node) => ({ ...node, steadyBusy: 0.1 })))).to.deep.equal([]);
+  });
+});
