--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -85,7 +85,7 @@
   private readonly member: MemberTask;
   private readonly activation: ActivationTask;
   private readonly reading: ReadingDuty;
-  private readonly busy: () => number;
+  private readonly utilization = new Utilization();
   private readonly placement: PlacementTask;
   private readonly quarantine: QuarantineTask;
   private readonly callers: CallerServer;
@@ -96,8 +96,6 @@
   constructor(private readonly options: GatewayNodeOptions) {
     const { settings, platform, log } = options;
     this.table = new PeerTable(settings);
-    const utilization = new Utilization();
-    this.busy = options.busy ?? ((): number => utilization.value);
     this.serving = createServing({
       host: settings.host,
       zone: settings.zone,
@@ -303,7 +301,8 @@
     this.lease.changed.on(() => {
       this.peers.tell();
     });
-    this.activation.changed.on(() => {
+    this.activation.changed.on((active) => {
+      if (active) this.utilization.restart();
       this.followActivation();
     });
     this.serving.configuration.changed.on((table) => {
@@ -363,7 +362,7 @@
     const { overload, metrics } = this.serving;
     metrics.overloaded.set(overload.overloaded ? 1 : 0);
     const event = overload.overloaded ? "overloaded" : "overload-ended";
-    this.options.log.warn({ event, inFlight: this.callers.busy, busy: this.busy() });
+    this.options.log.warn({ event, inFlight: this.callers.busy, busy: this.utilization.recent });
   }
 
   /** Only an active node takes part in the lease; one that stands by shouldn't wake for it. */
@@ -421,7 +420,7 @@
   }
 
   private standing(): Standing {
-    const { settings } = this.options;
+    const { settings, busy } = this.options;
     const token = this.lease.heldToken;
     const { readAgeMs } = this.fleet;
     const { current: storeEra } = this.options.platform.store.eras;
@@ -432,7 +431,8 @@
       callers: formatEndpoint(settings.callers),
       ready: this.ready,
       // A node that is behind has no processor time to spare, whatever it used.
-      busy: this.serving.overload.overloaded ? 1 : this.busy(),
+      busy: this.serving.overload.overloaded ? 1 : (busy?.() ?? this.utilization.recent),
+      steadyBusy: busy?.() ?? this.utilization.steady,
       version: this.serving.configuration.current?.version ?? 0,
       ...(Number.isFinite(readAgeMs) ? { readAgeMs: Math.round(readAgeMs) } : {}),
       fleetRevision: this.serving.fleet.revision,
--- a/src/serving/membership/peerTable.ts
+++ b/src/serving/membership/peerTable.ts
@@ -33,9 +33,11 @@
   /** Where callers reach it, IP:PORT. */
   callers: Schema.String,
   ready: Schema.Boolean,
-  /** Processor cores that it may use, and the part of them that it uses. */
+  /** Processor cores that it may use, and the part of them that it used lately. */
   strength: Schema.Number,
   busy: Schema.Number,
+  /** The part that it used over several seconds. */
+  steadyBusy: Schema.optionalKey(Schema.Number),
   /** Version of its configuration; 0 without one. */
   version: Schema.Number,
   /** Time since it last read the registrations from the store, ms; absent if the store doesn't answer it. */
