--- a/src/gateway/activationTask.ts
+++ b/src/gateway/activationTask.ts
@@ -8,7 +8,13 @@
 import type { Log } from "../common/log.ts";
 import { PeriodicTask } from "../common/supervisor.ts";
 import { isFew, turnToActivate, turnToRetire, type ActiveNode } from "../serving/membership/activeSet.ts";
-import { Member, Roster, type PeerTable, type Standing } from "../serving/membership/peerTable.ts";
+import {
+  Member,
+  Roster,
+  RosterStanding,
+  type PeerTable,
+  type Standing,
+} from "../serving/membership/peerTable.ts";
 import { beginning, formatPosition, type StorePosition } from "../serving/storePosition.ts";
 import type { PeerTask } from "./peerTask.ts";
 
@@ -45,6 +51,9 @@
 
 const AskParams = Schema.Struct({ node: Member, digest: Schema.String });
 
+/** Leaves out what only a pulse holds. */
+const encodeStanding = Schema.encodeSync(RosterStanding);
+
 /** A node that stands by and asked lately. */
 interface Listener {
   readonly node: Member;
@@ -57,7 +66,7 @@
 export interface ActivationTaskOptions {
   readonly log: Log;
   readonly table: PeerTable;
-  readonly peers: PeerTask;
+  readonly peers: Pick<PeerTask, "handle" | "heard" | "tellEveryone" | "tellOne">;
   /** This node as its peers see it. */
   readonly standing: () => Standing;
   /** Revision of the newest change of which servers there are. */
@@ -210,21 +219,21 @@
   /** Tells those that stand by what changed since they were told. */
   private tellListeners(): void {
     const now = performance.now();
-    const roster = this.roster();
+    const roster = this.roster(now);
     const { digest, version, fleetRevision, quarantinePosition = beginning, storeEra } = roster;
     const key = [digest, version, fleetRevision, formatPosition(quarantinePosition), storeEra].join(" ");
     if (key === this.toldKey) return;
     this.toldKey = key;
     for (const [ip, listener] of this.listeners) {
       if (now - listener.askedMs >= listenerMs) this.listeners.delete(ip);
-      else this.tellListener(listener, roster);
+      else this.tellListener(listener, roster, now);
     }
   }
 
-  private tellListener(listener: Listener, roster: Roster): void {
-    const { entries, ...brief } = roster;
-    const known = listener.digest === roster.digest || entries === undefined;
-    this.options.peers.tellOne("roster", known ? brief : roster, listener.node);
+  private tellListener(listener: Listener, roster: Roster, now: number): void {
+    const known = listener.digest === roster.digest;
+    const told = known ? roster : { ...roster, entries: this.entries(now) };
+    this.options.peers.tellOne("roster", told, listener.node);
     listener.digest = roster.digest;
   }
 
@@ -236,14 +245,15 @@
       .ifRight(({ node, digest }) => {
         // One that started later than this node is missing from the list that it read.
         this.options.table.meet(node);
-        const listener = { node, askedMs: performance.now(), digest };
+        const now = performance.now();
+        const listener = { node, askedMs: now, digest };
         this.listeners.set(node.ip, listener);
-        this.tellListener(listener, this.roster());
+        this.tellListener(listener, this.roster(now), now);
       });
   }
 
-  private roster(): Roster {
-    const now = performance.now();
+  /** The roster without entries. */
+  private roster(now: number): Roster {
     const { table, readAgeMs } = this.options;
     const self = this.options.standing();
     const { host, boot, ip, port, version, storeEra } = self;
@@ -254,13 +264,16 @@
     const read = Number.isFinite(age) ? { readAgeMs: Math.round(age) } : {};
     const era = storeEra === undefined ? {} : { storeEra };
     const known = { version, fleetRevision, quarantinePosition, ...era };
-    const head = { host, boot, ip, port, ...known, digest, ...read };
-    const entries = table.alive(now).map(({ pulse, heardMs }) => ({
-      standing: standingOf(pulse),
+    return { host, boot, ip, port, ...known, digest, ...read };
+  }
+
+  private entries(now: number): Roster["entries"] {
+    const entries = this.options.table.alive(now).map(({ pulse, heardMs }) => ({
+      standing: encodeStanding(pulse),
       ageMs: Math.round(now - heardMs),
     }));
-    if (this.activeNow) entries.push({ standing: self, ageMs: 0 });
-    return { ...head, entries };
+    if (this.activeNow) entries.push({ standing: encodeStanding(this.options.standing()), ageMs: 0 });
+    return entries;
   }
 
   private onRoster(params: unknown): void {
@@ -293,14 +306,3 @@
     );
   }
 }
-
-/** A pulse holds more than the standing that rosters name. */
-function standingOf(pulse: Standing): Standing {
-  const { host, boot, ip, port, zone, callers, ready, strength, busy, version, fleetRevision } = pulse;
-  const { token, readAgeMs } = pulse;
-  return {
-    ...{ host, boot, ip, port, zone, callers, ready, strength, busy, version, fleetRevision },
-    ...(token === undefined ? {} : { token }),
-    ...(readAgeMs === undefined ? {} : { readAgeMs }),
-  };
-}
--- a/src/serving/membership/peerTable.ts
+++ b/src/serving/membership/peerTable.ts
@@ -23,7 +23,7 @@
 /** Decoded demand of a node. */
 export type Asked = typeof Asked.Type;
 
-const standing = {
+const rosterStanding = {
   host: Schema.String,
   /** Grows with each start of the node's process. */
   boot: Schema.Number,
@@ -36,8 +36,6 @@
   /** Processor cores that it may use, and the part of them that it used lately. */
   strength: Schema.Number,
   busy: Schema.Number,
-  /** The part that it used over several seconds. */
-  steadyBusy: Schema.optionalKey(Schema.Number),
   /** Version of its configuration; 0 without one. */
   version: Schema.Number,
   /** Time since it last read the registrations from the store, ms; absent if the store doesn't answer it. */
@@ -46,6 +44,15 @@
   fleetRevision: Schema.Number,
   /** Its fencing token while it holds the placement lease. */
   token: Schema.optionalKey(Schema.Number),
+};
+
+/** How an active node stands, as nodes that stand by need to know it. */
+export const RosterStanding = Schema.Struct(rosterStanding);
+
+const standing = {
+  ...rosterStanding,
+  /** The part of its processor cores that it used over several seconds. */
+  steadyBusy: Schema.optionalKey(Schema.Number),
   /** The newest era of the store that it knows. */
   storeEra: Schema.optionalKey(Schema.Number),
 };
@@ -92,7 +99,9 @@
   /** Changes with the entries. */
   digest: Schema.String,
   /** Each with the time since it was heard, ms; absent if the asking node has them already. */
-  entries: Schema.optionalKey(Schema.Array(Schema.Struct({ standing: Standing, ageMs: Schema.Number }))),
+  entries: Schema.optionalKey(
+    Schema.Array(Schema.Struct({ standing: RosterStanding, ageMs: Schema.Number })),
+  ),
 });
 /** A decoded roster. */
 export type Roster = typeof Roster.Type;
@@ -203,10 +212,10 @@
 
   /** Active nodes heard from lately. */
   alive(nowMs: number): Peer[] {
-    const told = new Set([...this.rosters.values()].flatMap((named) => [...named]));
-    return [...this.peers.values()].filter(
-      ({ pulse, heardMs }) => nowMs - heardMs < (told.has(pulse.ip) ? untoldMs : silentMs),
-    );
+    return [...this.peers.values()].filter(({ pulse, heardMs }) => {
+      const ageMs = nowMs - heardMs;
+      return ageMs < silentMs || (ageMs < untoldMs && this.isTold(pulse.ip));
+    });
   }
 
   /** The same, as membership decides by them. */
@@ -291,6 +300,11 @@
     return found;
   }
 
+  /** Does another node tell of it? */
+  private isTold(ip: string): boolean {
+    return [...this.rosters.values()].some((named) => named.has(ip));
+  }
+
   /** Listed nodes and those heard of. */
   private others(): [string, Member][] {
     const heard = [...this.peers.values()].map(({ pulse }): [string, Member] => [pulse.ip, pulse]);
