--- a/src/gateway/activationTask.ts
+++ b/src/gateway/activationTask.ts
@@ -28,6 +28,11 @@
  * so; changes are told without a question.
  */
 const askMs = 1_200;
+/**
+ * The same of an active node, ms: it hears the others by itself, but those that became active at the same moment are known
+ * only to a third.
+ */
+const activeAskMs = 4_800;
 /** Active nodes that one standing by asks in turn: with one lost, the other still tells it of changes. */
 const anchorCount = 2;
 /** Questions in a row that an active node may leave unanswered, as datagrams are lost; then it counts as dead. */
@@ -133,8 +138,10 @@
   }
 
   protected override step(): Promise<void> {
-    if (this.activeNow) this.tellListeners();
-    else this.askAnchor();
+    if (this.activeNow) {
+      this.tellListeners();
+      this.askForStrangers();
+    } else this.askAnchor();
     if (!this.stopping && this.options.listKnown()) this.decide();
     return Promise.resolve();
   }
@@ -183,6 +190,8 @@
     this.options.table.forgetRosters();
     this.digests.clear();
     this.listeners.clear();
+    this.askedMs = Number.NEGATIVE_INFINITY;
+    this.unanswered = undefined;
     this.options.log.info({ event: active ? "activated" : "retired", others: others.length });
     this.options.peers.tellEveryone();
     this.changed.fire(active);
@@ -207,6 +216,20 @@
       peers.tellOne("roster.ask", { node, digest: this.digests.get(peer.ip) ?? "" }, peer);
   }
 
+  private askForStrangers(): void {
+    const now = performance.now();
+    const { table, peers } = this.options;
+    if (now - this.askedMs < activeAskMs || isFew(table.listed)) return;
+    const anchors = table.anchors(now);
+    this.rounds += 1;
+    this.askedMs = now;
+    const anchor = anchors[this.rounds % Math.max(1, anchors.length)];
+    if (anchor === undefined) return;
+    const { ip, port, zone, strength } = this.options.standing();
+    const node = { ip, port, zone, strength };
+    peers.tellOne("roster.ask", { node, digest: this.digests.get(anchor.ip) ?? "" }, anchor);
+  }
+
   private noteUnanswered(ip: string): void {
     const count = (this.unansweredCounts.get(ip) ?? 0) + 1;
     this.unansweredCounts.set(ip, count);
@@ -247,7 +270,8 @@
         this.options.table.meet(node);
         const now = performance.now();
         const listener = { node, askedMs: now, digest };
-        this.listeners.set(node.ip, listener);
+        const hearsPulses = this.options.table.alive(now).some(({ pulse }) => pulse.ip === node.ip);
+        if (!hearsPulses) this.listeners.set(node.ip, listener);
         this.tellListener(listener, this.roster(now), now);
       });
   }
@@ -277,17 +301,31 @@
   }
 
   private onRoster(params: unknown): void {
-    if (this.activeNow) return;
     decodeEither(Roster, params)
       .ifLeft((failure) => {
         this.options.log.warn({ event: "peer-message-rejected", detail: failure.message });
       })
       .ifRight((roster) => {
+        if (this.activeNow) {
+          this.meetStrangers(roster);
+          return;
+        }
         this.take(roster);
         this.heard.fire(roster);
       });
   }
 
+  /** Tells active nodes that this active one doesn't hear of itself, so that they tell it as well. */
+  private meetStrangers({ ip, digest, entries = [] }: Roster): void {
+    const now = performance.now();
+    const { table, peers } = this.options;
+    if (entries.length > 0) this.digests.set(ip, digest);
+    const known = new Set([this.options.standing(), ...table.active(now)].map((node) => node.ip));
+    const strangers = entries.filter(({ standing }) => !known.has(standing.ip));
+    for (const { standing } of strangers) table.seek(standing, now);
+    if (strangers.length > 0) peers.tellEveryone();
+  }
+
   private take(roster: Roster): void {
     const now = performance.now();
     const { table } = this.options;
--- a/src/serving/membership/peerTable.ts
+++ b/src/serving/membership/peerTable.ts
@@ -185,7 +185,7 @@
   /** Learns of a node that may be active. */
   seek(address: PeerAddress, nowMs: number): void {
     if (address.ip === this.self.ip) return;
-    if (!this.sought.has(address.ip)) this.sought.set(address.ip, { address, sinceMs: nowMs });
+    this.sought.set(address.ip, { address: { ip: address.ip, port: address.port }, sinceMs: nowMs });
   }
 
   /** Learns all nodes that the store lists. */
--- /dev/null
+++ b/test/gateway/activationTask.spec.ts
@@ -0,0 +1,167 @@
+import { Emitter } from "../../src/common/emitter.ts";
+import { createLog } from "../../src/common/log.ts";
+import { ActivationTask } from "../../src/gateway/activationTask.ts";
+import { PeerTable, type Pulse, type Standing } from "../../src/serving/membership/peerTable.ts";
+import { beginning } from "../../src/serving/storePosition.ts";
+
+const pulseMs = 300;
+const everyoneEvery = 4;
+const size = 66;
+
+const ipOf = (i: number): string => `10.${(i % 3) + 1}.0.${Math.floor(i / 3) + 100}`;
+
+/** Nodes that exchange messages in memory, as `PeerTask` does over datagrams. */
+class Fleet {
+  readonly nodes: SimulatedNode[] = [];
+  /** Use of a node's processor time. */
+  busyOf: (node: SimulatedNode) => number = () => 0;
+
+  async start(): Promise<void> {
+    for (let i = 0; i < size; i += 1) this.nodes.push(new SimulatedNode(this, i));
+    for (const node of this.nodes)
+      node.table.list(
+        this.nodes.map(({ member }) => member),
+        performance.now(),
+      );
+    await Promise.all(this.nodes.map((node) => node.start()));
+  }
+
+  get active(): SimulatedNode[] {
+    return this.nodes.filter((node) => node.task.active);
+  }
+
+  /** The active nodes share so many cores of load by their strength. */
+  load(cores: number): void {
+    this.busyOf = () => Math.min(1, cores / this.strength(this.active));
+  }
+
+  strength(nodes: readonly SimulatedNode[]): number {
+    return nodes.reduce((sum, { member }) => sum + member.strength, 0);
+  }
+
+  /** Nodes that don't know just the other active ones as active. */
+  get misled(): SimulatedNode[] {
+    const now = performance.now();
+    return this.active.filter((node) => {
+      const others = this.active.filter((other) => other !== node).map(({ member }) => member.ip);
+      const known = node.table.alive(now).map(({ pulse }) => pulse.ip);
+      return others.length !== known.length || others.some((ip) => !known.includes(ip));
+    });
+  }
+
+  send(method: string, params: unknown, ip: string): void {
+    const text = JSON.stringify(params);
+    setTimeout(() => this.nodes.find(({ member }) => member.ip === ip)?.receive(method, JSON.parse(text)), 1);
+  }
+
+  async dispose(): Promise<void> {
+    await Promise.all(this.nodes.map((node) => node.dispose()));
+  }
+}
+
+class SimulatedNode {
+  readonly member;
+  readonly table: PeerTable;
+  readonly task: ActivationTask;
+  private readonly handlers = new Map<string, (params: unknown) => unknown>();
+  private readonly heard = new Emitter<Pulse>();
+  private timer: NodeJS.Timeout | undefined;
+  private rounds = 0;
+
+  constructor(
+    private readonly fleet: Fleet,
+    i: number,
+  ) {
+    this.member = {
+      ip: ipOf(i),
+      port: 1,
+      zone: "abc"[i % 3] ?? "",
+      strength: 1.35 - (1.03 * i) / (size - 1),
+    };
+    this.table = new PeerTable(this.member);
+    this.task = new ActivationTask({
+      log: createLog("activation-test"),
+      table: this.table,
+      peers: {
+        heard: this.heard,
+        handle: (method, handler) => this.handlers.set(method, handler),
+        tellOne: (method, params, { ip }) => {
+          fleet.send(method, params, ip);
+        },
+        tellEveryone: () => {
+          this.tell(true);
+        },
+      },
+      standing: () => this.standing(),
+      presenceRevision: () => 0,
+      quarantinePosition: () => beginning,
+      readAgeMs: () => 0,
+      holdsLease: () => false,
+      handOver: () => Promise.resolve(),
+      listKnown: () => true,
+    });
+  }
+
+  async start(): Promise<void> {
+    await this.task.start();
+    this.timer = setInterval(() => {
+      this.rounds += 1;
+      if (this.task.active) this.tell(this.rounds % everyoneEvery === 1);
+    }, pulseMs);
+  }
+
+  receive(method: string, params: unknown): void {
+    if (method !== "pulse") this.handlers.get(method)?.(params);
+    else if (this.table.hear(params as Pulse, performance.now())) this.heard.fire(params as Pulse);
+  }
+
+  async dispose(): Promise<void> {
+    clearInterval(this.timer);
+    await this.task.dispose();
+  }
+
+  private tell(everyone: boolean): void {
+    const pulse = { ...this.standing(), active: this.task.active };
+    for (const { ip } of this.table.audience(performance.now(), everyone))
+      this.fleet.send("pulse", pulse, ip);
+  }
+
+  private standing(): Standing {
+    const { ip } = this.member;
+    return {
+      ...this.member,
+      ...{ host: ip, boot: 1, callers: `${ip}:80`, ready: true, version: 1, fleetRevision: 0 },
+      busy: this.task.active ? this.fleet.busyOf(this) : 0,
+    };
+  }
+}
+
+const pause = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
+
+async function until(holds: () => boolean, limitMs: number): Promise<number> {
+  const startMs = performance.now();
+  while (!holds()) {
+    if (performance.now() - startMs > limitMs) throw new Error(`not after ${limitMs} ms`);
+    await pause(20);
+  }
+  return performance.now() - startMs;
+}
+
+describe("activation of many nodes", () => {
+  let fleet: Fleet;
+
+  beforeEach(async () => {
+    fleet = new Fleet();
+    await fleet.start();
+    await until(() => fleet.active.length === 12 && fleet.misled.length === 0, 8_000);
+    await pause(1_500);
+  });
+
+  afterEach(() => fleet.dispose());
+
+  it("should let nodes that become active together know each other", async () => {
+    fleet.load(fleet.strength(fleet.active));
+    await until(() => fleet.active.length >= 40, 2_500);
+    await until(() => fleet.misled.length === 0, 2_000);
+  });
+});
