--- a/src/cli/gatewayCommand.ts
+++ b/src/cli/gatewayCommand.ts
@@ -1,9 +1,7 @@
 /** `parsleynotch gateway`: the gateway node of one host on the users' platform. */
 import * as commander from "commander";
-import { connectPlatform, readSettingsFile, settingsVariable } from "../../platform/index.ts";
-import { unwrap } from "../common/decode.ts";
-import { createHostLog } from "../common/hostLog.ts";
-import { GatewayNode } from "../gateway/gatewayNode.ts";
+import { settingsVariable } from "../../platform/index.ts";
+import { runGateway } from "./runGateway.ts";
 
 /** Makes the subcommand. */
 export function gatewayCommand(): commander.Command {
@@ -15,18 +13,6 @@
         .makeOptionMandatory(),
     )
     .action(async ({ settings: path }: { settings: string }) => {
-      const settings = unwrap(readSettingsFile(path));
-      const hostLog = createHostLog("gateway");
-      const node = new GatewayNode({ settings, platform: connectPlatform(settings), log: hostLog.log });
-      process.once("SIGTERM", () => {
-        void node.stop().finally(() => {
-          hostLog.flush();
-          process.exit(0);
-        });
-      });
-      process.on("SIGHUP", () => {
-        hostLog.log.info({ event: "reload", note: "settings are read at start; routes come from the store" });
-      });
-      await node.start();
+      await runGateway(path);
     });
 }
--- /dev/null
+++ b/src/cli/reportFailures.ts
@@ -0,0 +1,15 @@
+/** Failures of a command: logged, told on standard error, and given as the exit code. */
+import { toFailure } from "../common/errors.ts";
+import { createLog } from "../common/log.ts";
+
+/** Runs a command; never rejects. */
+export async function reportFailures(run: () => Promise<void>): Promise<void> {
+  try {
+    await run();
+  } catch (error) {
+    const failure = toFailure(error);
+    createLog("cli").error({ event: "failed", kind: failure.kind, message: failure.message });
+    process.stderr.write(`parsleynotch: ${failure.kind}: ${failure.message}\n`);
+    process.exitCode = failure.answer.exitCode;
+  }
+}
