--- a/src/serving/serverChoice.ts
+++ b/src/serving/serverChoice.ts
@@ -2,12 +2,12 @@
  * Chooses the backend server for a request: the one whose first byte is expected soonest. Answers bursts,
  * uneven servers and prompts with shared parts, where every server would read every prefix again.
  */
+import { hashText, spreadHash } from "../common/textHash.ts";
 import type { BackendServer } from "./backendServer.ts";
 import type { PromptPart } from "./exchange.ts";
 import { prefillTokensPerMs } from "./engineSpeed.ts";
 import type { Load } from "./loadBoard.ts";
 import type { Health } from "./outliers.ts";
-import { hashFraction } from "./routeTable.ts";
 
 /**
  * What a request in flight at an engine counts for beside the first token of the next, ms: each one makes the pauses
@@ -143,11 +143,11 @@
 function cacheHome(choice: Choice, servers: readonly BackendServer[]): string | undefined {
   if (choice.prefix.length < 2) return undefined;
   const parts = choice.prefix.slice(0, -1).map((part) => part.id);
-  const key = `${choice.cacheScope} ${parts.join(",")}`;
+  const key = hashText(`${choice.cacheScope} ${parts.join(",")} `);
   let home: string | undefined;
   let highest = -1;
   for (const server of servers) {
-    const weight = hashFraction(`${key} ${server.id}`);
+    const weight = spreadHash(hashText(server.id, key));
     if (weight <= highest) continue;
     highest = weight;
     home = server.id;
