--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -3,7 +3,7 @@
 import type * as net from "node:net";
 import type { BackendServer } from "../serving/backendServer.ts";
 import type { StreamTiming } from "../serving/engineSpeed.ts";
-import { EventSplitter } from "../serving/eventSplitter.ts";
+import { EventSplitter, type StreamEvent } from "../serving/eventSplitter.ts";
 import type { AnswerFacts, HeaderCodec } from "../serving/exchange.ts";
 import { parseEndpoint } from "../serving/hostSettings.ts";
 
@@ -107,6 +107,8 @@
   private events = 0;
   private lastEventMs = 0;
   private silence: NodeJS.Timeout | undefined;
+  /** `silence` is the timer of a pause between events. */
+  private pausing = false;
   private readonly overall: NodeJS.Timeout;
   private readonly startedMs = performance.now();
 
@@ -190,6 +192,16 @@
     }, ms);
   }
 
+  /** Another event came: the pause after it is watched, by the timer of the pause before. */
+  private watchPause(): void {
+    if (this.pausing) {
+      this.silence?.refresh();
+      return;
+    }
+    this.pausing = true;
+    this.watchSilence(this.options.pauseMs, "pause between events");
+  }
+
   private onResponse(res: http.IncomingMessage): void {
     const facts = this.options.codec.readAnswer(res.statusCode ?? 0, res.headers);
     // Guards "a caller gets another request's answer": a late second answer arrives where the next one is
@@ -237,7 +249,7 @@
     const splitter = new EventSplitter();
     res.on("data", (chunk: Buffer) => {
       if (this.settled) return;
-      const events = splitter.push(chunk).filter((event) => this.isNew(event.id));
+      const events = this.newOf(splitter.push(chunk));
       if (events.length === 0) return;
       if (this.firstByteMs === undefined) {
         this.sawFirstByte();
@@ -246,7 +258,7 @@
       this.lastEvent = events.at(-1)?.id ?? this.lastEvent;
       this.events += events.length;
       this.lastEventMs = performance.now() - this.startedMs;
-      this.watchSilence(this.options.pauseMs, "pause between events");
+      this.watchPause();
       const bytes = events.length === 1 ? events[0]?.bytes : Buffer.concat(events.map((e) => e.bytes));
       if (bytes === undefined || sink.write(bytes)) return;
       res.pause();
@@ -274,6 +286,10 @@
     return { wholeMs: this.lastEventMs, eventsMs, events: this.events };
   }
 
+  private newOf(events: readonly StreamEvent[]): readonly StreamEvent[] {
+    return this.options.afterEvent === undefined ? events : events.filter((event) => this.isNew(event.id));
+  }
+
   /** Events already delivered by another server are passed over. */
   private isNew(id: number | undefined): boolean {
     return id === undefined || this.options.afterEvent === undefined || id > this.options.afterEvent;
--- a/src/serving/eventSplitter.ts
+++ b/src/serving/eventSplitter.ts
@@ -8,7 +8,13 @@
 
 const newline = 0x0a;
 const carriageReturn = 0x0d;
+const space = 0x20;
+const zero = 0x30;
+const nine = 0x39;
+const idPrefix = Buffer.from("id:");
 const idField = /^id:[ ]?(\d+)\r?$/m;
+/** Ids of up to this many digits are read without the pattern. */
+const shortDigits = 15;
 
 /** Collects chunks and gives back the events completed by each. */
 export class EventSplitter {
@@ -26,8 +32,7 @@
     let from = 0;
     for (let end = eventEnd(bytes, from); end > 0; end = eventEnd(bytes, from)) {
       const event = bytes.subarray(from, end);
-      const id = idField.exec(event.toString("latin1"))?.[1];
-      events.push({ bytes: event, id: id === undefined ? undefined : Number(id) });
+      events.push({ bytes: event, id: firstLineId(event) ?? anyLineId(event) });
       from = end;
     }
     this.rest = bytes.subarray(from);
@@ -43,3 +48,27 @@
   }
   return 0;
 }
+
+/** The id where the event begins with it, as nearly all do; undefined if that isn't sure. */
+function firstLineId(event: Buffer): number | undefined {
+  if (event[0] !== idPrefix[0] || event[1] !== idPrefix[1] || event[2] !== idPrefix[2]) return undefined;
+  const from = event[3] === space ? 4 : 3;
+  let id = 0;
+  let at = from;
+  for (let byte = event[at]; isDigit(byte); byte = event[at]) {
+    id = id * 10 + (byte - zero);
+    at += 1;
+  }
+  const whole = event[at] === newline || (event[at] === carriageReturn && event[at + 1] === newline);
+  return whole && at > from && at - from <= shortDigits ? id : undefined;
+}
+
+function isDigit(byte: number | undefined): byte is number {
+  return byte !== undefined && byte >= zero && byte <= nine;
+}
+
+function anyLineId(event: Buffer): number | undefined {
+  if (!event.includes(idPrefix)) return undefined;
+  const id = idField.exec(event.toString("latin1"))?.[1];
+  return id === undefined ? undefined : Number(id);
+}
