--- a/src/common/decode.ts
+++ b/src/common/decode.ts
@@ -3,6 +3,19 @@
 import * as Schema from "effect/Schema";
 import { Failure, type ErrorKind } from "./errors.ts";
 
+type Decoder<A> = (input: unknown) => A;
+
+/** Decoders that were made, by schema: making one costs more than decoding a small message. */
+const decoders = new WeakMap<object, Decoder<unknown>>();
+
+function decoderOf<A>(schema: Schema.Codec<A, unknown>): Decoder<A> {
+  const known = decoders.get(schema) as Decoder<A> | undefined;
+  if (known !== undefined) return known;
+  const decoder: Decoder<A> = Schema.decodeUnknownSync(schema);
+  decoders.set(schema, decoder);
+  return decoder;
+}
+
 /** Decodes `input` with `schema`: `Right` the value, or `Left` a `Failure` of `kind` with the schema's message. */
 export function decodeEither<A>(
   schema: Schema.Codec<A, unknown>,
@@ -10,7 +23,7 @@
   kind: ErrorKind = "bad-request",
 ): purify.Either<Failure, A> {
   try {
-    return purify.Right(Schema.decodeUnknownSync(schema)(input));
+    return purify.Right(decoderOf(schema)(input));
   } catch (error) {
     const detail = (error instanceof Error ? error.message : String(error)).replace(/\s+/g, " ");
     return purify.Left(new Failure(kind, `input does not fit: ${detail}`));
--- a/src/gateway/peerTask.ts
+++ b/src/gateway/peerTask.ts
@@ -58,6 +58,7 @@
   private readonly socket = dgram.createSocket("udp4");
   // Failures are answered to the peer, which logs them; the library's own console output is off.
   private readonly server = new rpc.JSONRPCServer({ errorListener: () => undefined });
+  private readonly handlers = new Map<string, (params: unknown) => unknown>();
   private readonly pending = new Map<string, (response: rpc.JSONRPCResponse) => void>();
   private timer: NodeJS.Timeout | undefined;
   private rounds = 0;
@@ -73,6 +74,7 @@
 
   /** Serves a method; the handler gets the raw parameters and decodes them. */
   handle(method: string, handler: (params: unknown) => unknown): void {
+    this.handlers.set(method, handler);
     this.server.addMethod(method, handler);
   }
 
@@ -218,10 +220,23 @@
       this.pending.get(String(value.id))?.(value);
       return;
     }
+    if (value.id === undefined && rpc.isJSONRPCRequest(value)) {
+      await this.notified(value);
+      return;
+    }
     const response = await this.server.receive(value);
     if (response !== null) this.send(Buffer.from(JSON.stringify(response)), from);
   }
 
+  /** Hands a notification over without the library's middleware: most messages are one, and nothing is answered. */
+  private async notified({ method, params }: rpc.JSONRPCRequest): Promise<void> {
+    try {
+      await this.handlers.get(method)?.(params);
+    } catch {
+      // As with the library: the sender isn't told, and what was wrong is for the handler to log.
+    }
+  }
+
   private takePulse(params: unknown): void {
     decodeEither(Pulse, params)
       .ifLeft((failure) => {
