--- a/src/gateway/activationTask.ts
+++ b/src/gateway/activationTask.ts
@@ -7,12 +7,20 @@
 import { Emitter } from "../common/emitter.ts";
 import type { Log } from "../common/log.ts";
 import { PeriodicTask } from "../common/supervisor.ts";
-import { isFew, turnToActivate, turnToRetire, type ActiveNode } from "../serving/membership/activeSet.ts";
+import {
+  crowdingOf,
+  isCrowded,
+  isFew,
+  turnToActivate,
+  turnToRetire,
+  type ActiveNode,
+} from "../serving/membership/activeSet.ts";
 import {
   Member,
   Roster,
   RosterStanding,
   type PeerTable,
+  type Pulse,
   type Standing,
 } from "../serving/membership/peerTable.ts";
 import { beginning, formatPosition, type StorePosition } from "../serving/storePosition.ts";
@@ -33,10 +41,14 @@
  * only to a third.
  */
 const activeAskMs = 4_800;
+/** It asks at every look until it has been active for this long, ms: the one asked may be as new. */
+const newMs = 3_000;
 /** Active nodes that one standing by asks in turn: with one lost, the other still tells it of changes. */
 const anchorCount = 2;
 /** Questions in a row that an active node may leave unanswered, as datagrams are lost; then it counts as dead. */
 const mostUnanswered = 2;
+/** Pause after a change was told until more is told before the next look, ms: use goes up and down around a step. */
+const promptMs = 200;
 /** A node that didn't ask for this long, ms, isn't told of changes any more: three questions to each anchor. */
 const listenerMs = 6 * askMs;
 /**
@@ -96,8 +108,14 @@
   readonly heard = new Emitter<Roster>();
   private activeNow = false;
   private stopping = false;
+  /** Of the next decision, if a wait ends before the next look. */
+  private timer: NodeJS.Timeout | undefined;
   /** Since when a place for this node is empty, or it is one too many, ms. */
   private dueSinceMs: number | undefined;
+  /** Its turn to become active when it last decided; one that comes nearer is waited for anew. */
+  private turn = 0;
+  /** When it became active, or stood by again, ms. */
+  private becameMs = Number.NEGATIVE_INFINITY;
   private rounds = 0;
   private askedMs = Number.NEGATIVE_INFINITY;
   /** The active node that was asked last and has not answered. */
@@ -106,6 +124,8 @@
   private readonly listeners = new Map<string, Listener>();
   /** What listeners were told last. */
   private toldKey = "";
+  private toldCrowding = 0;
+  private toldMs = Number.NEGATIVE_INFINITY;
   /** Digest of the roster that each active node told last. */
   private readonly digests = new Map<string, string>();
   /** Who told of the store lately: how old its read was, and when it told, ms. */
@@ -119,6 +139,9 @@
     options.peers.handle("roster", (params) => {
       this.onRoster(params);
     });
+    options.peers.heard.on((pulse) => {
+      this.onPulse(pulse);
+    });
   }
 
   /** Does the node take callers, rather than stand by? */
@@ -137,16 +160,23 @@
     this.stopping = true;
   }
 
+  override async dispose(): Promise<void> {
+    this.stopSoon();
+    clearTimeout(this.timer);
+    await super.dispose();
+  }
+
   protected override step(): Promise<void> {
     if (this.activeNow) {
       this.tellListeners();
       this.askForStrangers();
     } else this.askAnchor();
-    if (!this.stopping && this.options.listKnown()) this.decide();
+    this.decide();
     return Promise.resolve();
   }
 
   private decide(): void {
+    if (this.stopping || !this.options.listKnown()) return;
     const now = performance.now();
     const { table } = this.options;
     const view = { self: this.options.standing(), active: table.active(now), listed: table.listed };
@@ -157,12 +187,27 @@
       return;
     }
     const turn = turnToActivate(view);
+    // Guards "nodes beyond the plan step in beside it": while it is carried out, old word of use mixes with new.
+    if (turn !== undefined && turn < this.turn) this.dueSinceMs = undefined;
+    this.turn = turn ?? 0;
     const dueMs = this.dueFor(turn !== undefined, now);
     if (turn === undefined) return;
     // At a start nobody is known to be active, and those that come first needn't wait for others.
     const first = isFew(view.listed) || (turn === 0 && view.active.length === 0);
     const waitMs = first ? 0 : missingMs + Math.min(mostTurns, turn) * turnMs;
     if (dueMs >= waitMs) this.become(true, view.active);
+    else this.decideIn(waitMs - dueMs);
+  }
+
+  /** Decides again when a wait ends, after the word that has come meanwhile was read. */
+  private decideIn(ms: number): void {
+    clearTimeout(this.timer);
+    this.timer = setTimeout(() => {
+      setImmediate(() => {
+        if (!this.activeNow) this.decide();
+      });
+    }, ms);
+    this.timer.unref();
   }
 
   /** For how long the condition has held, ms. */
@@ -190,7 +235,7 @@
     this.options.table.forgetRosters();
     this.digests.clear();
     this.listeners.clear();
-    this.askedMs = Number.NEGATIVE_INFINITY;
+    this.becameMs = performance.now();
     this.unanswered = undefined;
     this.options.log.info({ event: active ? "activated" : "retired", others: others.length });
     this.options.peers.tellEveryone();
@@ -219,7 +264,8 @@
   private askForStrangers(): void {
     const now = performance.now();
     const { table, peers } = this.options;
-    if (now - this.askedMs < activeAskMs || isFew(table.listed)) return;
+    const pauseMs = now - this.becameMs < newMs ? 0 : activeAskMs;
+    if (now - this.askedMs < pauseMs || isFew(table.listed)) return;
     const anchors = table.anchors(now);
     this.rounds += 1;
     this.askedMs = now;
@@ -247,12 +293,24 @@
     const key = [digest, version, fleetRevision, formatPosition(quarantinePosition), storeEra].join(" ");
     if (key === this.toldKey) return;
     this.toldKey = key;
+    this.toldMs = now;
+    this.toldCrowding = this.crowding(this.options.standing(), now);
     for (const [ip, listener] of this.listeners) {
       if (now - listener.askedMs >= listenerMs) this.listeners.delete(ip);
       else this.tellListener(listener, roster, now);
     }
   }
 
+  /** Tells at once, not at the next look, that more nodes are wanted or that none are any more. */
+  private onPulse(pulse: Pulse): void {
+    if (!this.activeNow || (this.toldCrowding === 0 && !isCrowded([pulse]))) return;
+    const now = performance.now();
+    const self = this.options.standing();
+    if (pulse.zone !== self.zone || now - this.toldMs < promptMs) return;
+    const crowding = this.crowding(self, now);
+    if (crowding > this.toldCrowding || (crowding === 0 && this.toldCrowding > 0)) this.tellListeners();
+  }
+
   private tellListener(listener: Listener, roster: Roster, now: number): void {
     const known = listener.digest === roster.digest;
     const told = known ? roster : { ...roster, entries: this.entries(now) };
@@ -283,7 +341,8 @@
     const { host, boot, ip, port, version, storeEra } = self;
     const fleetRevision = this.options.presenceRevision();
     const quarantinePosition = this.options.quarantinePosition();
-    const digest = `${table.digest(now)} ${String(this.activeNow)} ${String(self.ready)}`;
+    const crowding = this.crowding(self, now);
+    const digest = `${table.digest(now)} ${String(this.activeNow)} ${String(self.ready)} ${crowding}`;
     const age = readAgeMs();
     const read = Number.isFinite(age) ? { readAgeMs: Math.round(age) } : {};
     const era = storeEra === undefined ? {} : { storeEra };
@@ -291,6 +350,12 @@
     return { host, boot, ip, port, ...known, digest, ...read };
   }
 
+  /** Only of this zone: what other zones use is told by their own nodes. */
+  private crowding(self: Standing, now: number): number {
+    const nodes = this.activeNow ? [...this.options.table.active(now), self] : [];
+    return crowdingOf(nodes.filter(({ zone }) => zone === self.zone));
+  }
+
   private entries(now: number): Roster["entries"] {
     const entries = this.options.table.alive(now).map(({ pulse, heardMs }) => ({
       standing: encodeStanding(pulse),
@@ -312,6 +377,7 @@
         }
         this.take(roster);
         this.heard.fire(roster);
+        this.decide();
       });
   }
 
--- a/src/serving/membership/activeSet.ts
+++ b/src/serving/membership/activeSet.ts
@@ -14,6 +14,8 @@
 const crowdedPart = 0.5;
 /** Part of their processor time that active nodes are to use once those wanted besides are active. */
 const targetPart = 0.35;
+/** Nodes that stand by are told of the use of crowded nodes in steps of this part. */
+const crowdingStep = 0.1;
 /** One retires only if those that stay would use less than this part, so that none comes and goes by turns. */
 const easyPart = 0.25;
 
@@ -116,6 +118,11 @@
   return { ...node, busy: Math.max(node.busy, node.steadyBusy ?? 0) };
 }
 
+/** How crowded the nodes of a zone are, in coarse steps; 0 if they aren't. */
+export function crowdingOf(nodes: readonly ActiveNode[]): number {
+  return isCrowded(nodes) ? Math.floor(used(nodes) / strength(nodes) / crowdingStep) : 0;
+}
+
 function used(nodes: readonly ActiveNode[]): number {
   return nodes.reduce((sum, node) => sum + node.busy * node.strength, 0);
 }
--- a/src/serving/membership/peerTable.ts
+++ b/src/serving/membership/peerTable.ts
@@ -7,7 +7,7 @@
 import type { Sharers } from "../retryBudget.ts";
 import { StorePosition } from "../storePosition.ts";
 import { ownerOf } from "./owner.ts";
-import { isCrowded, isFew, likelyActive, type ActiveNode, type Candidate } from "./activeSet.ts";
+import { isFew, likelyActive, type ActiveNode, type Candidate } from "./activeSet.ts";
 
 /** What callers ask of a node. */
 export const Asked = Schema.Struct({
@@ -285,7 +285,7 @@
   digest(nowMs: number): string {
     const entries = this.alive(nowMs).map(({ pulse }) => {
       const { ip, boot, ready, token } = pulse;
-      return `${ip} ${boot} ${String(ready)} ${String(isCrowded([pulse]))} ${token ?? ""}`;
+      return `${ip} ${boot} ${String(ready)} ${token ?? ""}`;
     });
     return digestOf(entries.sort());
   }
