--- a/src/common/httpCall.ts
+++ b/src/common/httpCall.ts
@@ -1,6 +1,7 @@
 /** One HTTP call with a small body and a time limit, for control traffic (store, orders, peers). */
 import * as http from "node:http";
 import { Failure } from "./errors.ts";
+import { afterWait } from "./readWatermark.ts";
 
 /** What to call and how long to wait. */
 export interface HttpCall {
@@ -46,11 +47,13 @@
           : { "content-type": "application/json", "content-length": String(body.length) }),
       },
     });
-    const timer = setTimeout(() => {
+    let answered = false;
+    const timer = afterWait(call.timeoutMs, () => {
+      if (answered) return;
       reject(new Failure("deadline-exceeded", `${target}: no answer within ${call.timeoutMs} ms`));
       req.socket?.resetAndDestroy();
       req.destroy();
-    }, call.timeoutMs);
+    });
     const fail = (error: NodeJS.ErrnoException): void => {
       clearTimeout(timer);
       const kind = error.code === "ECONNREFUSED" ? "not-run" : "upstream-failed";
@@ -63,6 +66,7 @@
       res.on("error", fail);
       res.on("end", () => {
         clearTimeout(timer);
+        answered = true;
         const text = Buffer.concat(chunks).toString("utf8");
         resolve({ status: res.statusCode ?? 0, text, headers: res.headers });
       });
--- a/src/common/readWatermark.ts
+++ b/src/common/readWatermark.ts
@@ -141,6 +141,11 @@
   return reading;
 }
 
+/** Calls back after `ms`, when what has arrived by then is read: what was waited for may be among it. */
+export function afterWait(ms: number, callback: () => void): NodeJS.Timeout {
+  return setTimeout(() => void inputRead().then(callback), ms);
+}
+
 function readMark(): Mark {
   return { steadyMs: performance.now(), dayMs: Date.now() };
 }
--- a/src/gateway/activationTask.ts
+++ b/src/gateway/activationTask.ts
@@ -45,6 +45,8 @@
 const newMs = 3_000;
 /** Active nodes that one standing by asks in turn: with one lost, the other still tells it of changes. */
 const anchorCount = 2;
+/** A question counts as unanswered once all that came within this time is read, ms. */
+const answerMs = periodMs / 2;
 /** Questions in a row that an active node may leave unanswered, as datagrams are lost; then it counts as dead. */
 const mostUnanswered = 2;
 /** Pause after a change was told until more is told before the next look, ms: use goes up and down around a step. */
@@ -83,6 +85,8 @@
 export interface ActivationTaskOptions {
   readonly log: Log;
   readonly table: PeerTable;
+  /** Everything that arrived before this moment has been read, ms: a peer is silent as of then, not as of now. */
+  readonly readUntilMs: () => number;
   readonly peers: Pick<PeerTask, "handle" | "heard" | "tellEveryone" | "tellOne">;
   /** This node as its peers see it. */
   readonly standing: () => Standing;
@@ -179,7 +183,11 @@
     if (this.stopping || !this.options.listKnown()) return;
     const now = performance.now();
     const { table } = this.options;
-    const view = { self: this.options.standing(), active: table.active(now), listed: table.listed };
+    const view = {
+      self: this.options.standing(),
+      active: table.active(this.options.readUntilMs()),
+      listed: table.listed,
+    };
     if (this.activeNow) {
       const turn = turnToRetire(view);
       const dueMs = this.dueFor(turn !== undefined, now);
@@ -244,29 +252,30 @@
 
   private askAnchor(): void {
     const now = performance.now();
-    const { table, peers } = this.options;
+    const { table, peers, readUntilMs } = this.options;
     const late = this.unanswered;
     if (late === undefined && now - this.askedMs < askMs - periodMs / 2) return;
+    if (late !== undefined && readUntilMs() - this.askedMs < answerMs) return;
     if (late !== undefined) this.noteUnanswered(late);
     const { ip, port, zone, strength } = this.options.standing();
     const node = { ip, port, zone, strength };
-    const anchors = table.anchors(now).slice(0, anchorCount);
+    const anchors = table.anchors(readUntilMs()).slice(0, anchorCount);
     this.rounds += 1;
     this.askedMs = now;
     const anchor = anchors[this.rounds % Math.max(1, anchors.length)];
     this.unanswered = anchor?.ip;
     // Nobody is known to be active: all that may be are asked.
-    const asked = anchor === undefined ? table.audience(now, true) : [anchor];
+    const asked = anchor === undefined ? table.audience(readUntilMs(), true) : [anchor];
     for (const peer of asked)
       peers.tellOne("roster.ask", { node, digest: this.digests.get(peer.ip) ?? "" }, peer);
   }
 
   private askForStrangers(): void {
     const now = performance.now();
-    const { table, peers } = this.options;
+    const { table, peers, readUntilMs } = this.options;
     const pauseMs = now - this.becameMs < newMs ? 0 : activeAskMs;
     if (now - this.askedMs < pauseMs || isFew(table.listed)) return;
-    const anchors = table.anchors(now);
+    const anchors = table.anchors(readUntilMs());
     this.rounds += 1;
     this.askedMs = now;
     const anchor = anchors[this.rounds % Math.max(1, anchors.length)];
@@ -288,16 +297,16 @@
   /** Tells those that stand by what changed since they were told. */
   private tellListeners(): void {
     const now = performance.now();
-    const roster = this.roster(now);
+    const roster = this.roster();
     const { digest, version, fleetRevision, quarantinePosition = beginning, storeEra } = roster;
     const key = [digest, version, fleetRevision, formatPosition(quarantinePosition), storeEra].join(" ");
     if (key === this.toldKey) return;
     this.toldKey = key;
     this.toldMs = now;
-    this.toldCrowding = this.crowding(this.options.standing(), now);
+    this.toldCrowding = this.crowding(this.options.standing());
     for (const [ip, listener] of this.listeners) {
       if (now - listener.askedMs >= listenerMs) this.listeners.delete(ip);
-      else this.tellListener(listener, roster, now);
+      else this.tellListener(listener, roster);
     }
   }
 
@@ -307,13 +316,13 @@
     const now = performance.now();
     const self = this.options.standing();
     if (pulse.zone !== self.zone || now - this.toldMs < promptMs) return;
-    const crowding = this.crowding(self, now);
+    const crowding = this.crowding(self);
     if (crowding > this.toldCrowding || (crowding === 0 && this.toldCrowding > 0)) this.tellListeners();
   }
 
-  private tellListener(listener: Listener, roster: Roster, now: number): void {
+  private tellListener(listener: Listener, roster: Roster): void {
     const known = listener.digest === roster.digest;
-    const told = known ? roster : { ...roster, entries: this.entries(now) };
+    const told = known ? roster : { ...roster, entries: this.entries() };
     this.options.peers.tellOne("roster", told, listener.node);
     listener.digest = roster.digest;
   }
@@ -328,21 +337,23 @@
         this.options.table.meet(node);
         const now = performance.now();
         const listener = { node, askedMs: now, digest };
-        const hearsPulses = this.options.table.alive(now).some(({ pulse }) => pulse.ip === node.ip);
+        const hearsPulses = this.options.table
+          .alive(this.options.readUntilMs())
+          .some(({ pulse }) => pulse.ip === node.ip);
         if (!hearsPulses) this.listeners.set(node.ip, listener);
-        this.tellListener(listener, this.roster(now), now);
+        this.tellListener(listener, this.roster());
       });
   }
 
   /** The roster without entries. */
-  private roster(now: number): Roster {
-    const { table, readAgeMs } = this.options;
+  private roster(): Roster {
+    const { table, readAgeMs, readUntilMs } = this.options;
     const self = this.options.standing();
     const { host, boot, ip, port, version, storeEra } = self;
     const fleetRevision = this.options.presenceRevision();
     const quarantinePosition = this.options.quarantinePosition();
-    const crowding = this.crowding(self, now);
-    const digest = `${table.digest(now)} ${String(this.activeNow)} ${String(self.ready)} ${crowding}`;
+    const crowding = this.crowding(self);
+    const digest = `${table.digest(readUntilMs())} ${String(this.activeNow)} ${String(self.ready)} ${crowding}`;
     const age = readAgeMs();
     const read = Number.isFinite(age) ? { readAgeMs: Math.round(age) } : {};
     const era = storeEra === undefined ? {} : { storeEra };
@@ -351,15 +362,17 @@
   }
 
   /** Only of this zone: what other zones use is told by their own nodes. */
-  private crowding(self: Standing, now: number): number {
-    const nodes = this.activeNow ? [...this.options.table.active(now), self] : [];
+  private crowding(self: Standing): number {
+    const nodes = this.activeNow ? [...this.options.table.active(this.options.readUntilMs()), self] : [];
     return crowdingOf(nodes.filter(({ zone }) => zone === self.zone));
   }
 
-  private entries(now: number): Roster["entries"] {
-    const entries = this.options.table.alive(now).map(({ pulse, heardMs }) => ({
+  private entries(): Roster["entries"] {
+    const { table, readUntilMs } = this.options;
+    const readMs = readUntilMs();
+    const entries = table.alive(readMs).map(({ pulse, heardMs }) => ({
       standing: encodeStanding(pulse),
-      ageMs: Math.round(now - heardMs),
+      ageMs: Math.max(0, Math.round(readMs - heardMs)),
     }));
     if (this.activeNow) entries.push({ standing: encodeStanding(this.options.standing()), ageMs: 0 });
     return entries;
@@ -386,7 +399,9 @@
     const now = performance.now();
     const { table, peers } = this.options;
     if (entries.length > 0) this.digests.set(ip, digest);
-    const known = new Set([this.options.standing(), ...table.active(now)].map((node) => node.ip));
+    const known = new Set(
+      [this.options.standing(), ...table.active(this.options.readUntilMs())].map((node) => node.ip),
+    );
     const strangers = entries.filter(({ standing }) => !known.has(standing.ip));
     for (const { standing } of strangers) table.seek(standing, now);
     if (strangers.length > 0) peers.tellEveryone();
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,6 +1,7 @@
 /** One send of a request to one backend server, until its outcome is known. */
 import * as http from "node:http";
 import type * as net from "node:net";
+import { afterWait, inputRead } from "../common/readWatermark.ts";
 import type { BackendServer } from "../serving/backendServer.ts";
 import type { StreamTiming } from "../serving/engineSpeed.ts";
 import { EventSplitter, type StreamEvent } from "../serving/eventSplitter.ts";
@@ -130,9 +131,9 @@
       headers: options.headers,
       setHost: false,
     });
-    this.overall = setTimeout(() => {
+    this.overall = afterWait(options.answerMs, () => {
       this.end({ kind: "timed-out", reason: "time limit", lastEvent: this.lastEvent });
-    }, options.answerMs);
+    });
     this.listen();
     this.req.end(options.body);
   }
@@ -166,9 +167,9 @@
       this.onConnected();
       return;
     }
-    const timer = setTimeout(() => {
-      this.end({ kind: "unreachable", reason: "connect timeout" });
-    }, connectMs);
+    const timer = afterWait(connectMs, () => {
+      if (!this.connected) this.end({ kind: "unreachable", reason: "connect timeout" });
+    });
     socket.once("connect", () => {
       clearTimeout(timer);
       this.onConnected();
@@ -187,8 +188,13 @@
     clearTimeout(this.silence);
     if (this.settled) return;
     this.silence = setTimeout(() => {
-      const waitedMs = this.firstByteMs === undefined ? ms : undefined;
-      this.end({ kind: "silent", reason, lastEvent: this.lastEvent, waitedMs });
+      const { firstByteMs, events } = this;
+      // What was waited for may be there, unread: then the timer was started anew or isn't needed any more.
+      void inputRead().then(() => {
+        if (this.firstByteMs !== firstByteMs || this.events !== events) return;
+        const waitedMs = firstByteMs === undefined ? ms : undefined;
+        this.end({ kind: "silent", reason, lastEvent: this.lastEvent, waitedMs });
+      });
     }, ms);
   }
 
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -111,6 +111,7 @@
       endpoint: settings.peers,
       log,
       table: this.table,
+      readUntilMs: () => this.readUntilMs,
       pulse: () => this.pulse(),
       loads: () => this.serving.loads.news(performance.now()),
       asked: () => this.asked(),
@@ -120,6 +121,7 @@
     this.activation = new ActivationTask({
       log,
       table: this.table,
+      readUntilMs: () => this.readUntilMs,
       peers: this.peers,
       standing: () => this.standing(),
       presenceRevision: () => this.serving.fleet.presenceRevision,
@@ -132,6 +134,7 @@
     this.reading = new ReadingDuty({
       ip: settings.ip,
       table: this.table,
+      readUntilMs: () => this.readUntilMs,
       active: () => this.activation.active,
       holdsLease: () => this.lease.holding,
       readAgeMs: () => this.fleet.readAgeMs,
@@ -145,7 +148,7 @@
       self: settings,
       leaseMs: settings.leaseMs,
       eligible: () => this.activation.active,
-      holderHeard: () => this.table.holder(performance.now()) !== undefined,
+      holderHeard: () => this.table.holder(this.readUntilMs) !== undefined,
       storeServesPeers: () => this.reading.servedToPeers,
       tellYield: (message) => {
         this.peers.notify("lease.yield", message);
@@ -187,7 +190,7 @@
       runLocks,
       retryRatio: settings.retryRatio,
       retryBurst: settings.retryBurst,
-      sharers: () => this.table.sharers(this.activation.active, performance.now()),
+      sharers: () => this.table.sharers(this.activation.active, this.readUntilMs),
     });
     const reads = (): boolean => this.reading.due;
     const ask = (peer: PeerNews, method: string, params: unknown): Promise<unknown> =>
@@ -380,12 +383,17 @@
   /** The node that answers for a key of all nodes. */
   private ownerOf(key: string): PeerAddress {
     const mayOwn = this.ready && this.activation.active;
-    return this.table.owner(key, this.options.settings.peers, mayOwn, performance.now());
+    return this.table.owner(key, this.options.settings.peers, mayOwn, this.readUntilMs);
+  }
+
+  /** Everything that arrived before this moment has been read, ms; what others' silence is judged by. */
+  private get readUntilMs(): number {
+    return this.serving.watermark.ms;
   }
 
   /** Active nodes: this one and the peers heard from lately. */
   private get liveNodes(): number {
-    return this.table.alive(performance.now()).length + 1;
+    return this.table.alive(this.readUntilMs).length + 1;
   }
 
   private get ready(): boolean {
@@ -401,7 +409,7 @@
       ready: () => this.ready,
       directory: () => platform.encodeDirectory(this.addresses(), this.ttlS),
       metrics: () => {
-        this.serving.metrics.peers.set(this.table.alive(performance.now()).length);
+        this.serving.metrics.peers.set(this.table.alive(this.readUntilMs).length);
         return this.serving.metrics.registry;
       },
     });
@@ -413,7 +421,7 @@
 
   /** Addresses of nodes that take callers. */
   private addresses(): string[] {
-    const peers = this.table.alive(performance.now()).map(({ pulse }) => pulse);
+    const peers = this.table.alive(this.readUntilMs).map(({ pulse }) => pulse);
     const nodes = peers.filter(({ ready }) => ready);
     if ((this.ready && this.activation.active) || nodes.length === 0) nodes.push(this.standing());
     return chooseAddresses(nodes, Math.random);
--- a/src/gateway/peerTask.ts
+++ b/src/gateway/peerTask.ts
@@ -6,6 +6,7 @@
 import * as rpc from "json-rpc-2.0";
 import { Emitter } from "../common/emitter.ts";
 import { decodeEither } from "../common/decode.ts";
+import { inputRead } from "../common/readWatermark.ts";
 import type { Log } from "../common/log.ts";
 import type { Task } from "../common/supervisor.ts";
 import type { Endpoint } from "../serving/hostSettings.ts";
@@ -38,6 +39,8 @@
   readonly endpoint: Endpoint;
   readonly log: Log;
   readonly table: PeerTable;
+  /** Everything that arrived before this moment has been read, ms: a peer is silent as of then, not as of now. */
+  readonly readUntilMs: () => number;
   /** What to tell peers now. */
   readonly pulse: () => Pulse;
   /** Work in flight of this node that peers don't know. */
@@ -116,12 +119,12 @@
   /** Tells every live peer; nothing comes back. */
   notify(method: string, params: unknown): void {
     const bytes = notification(method, params);
-    for (const peer of this.options.table.audience(performance.now(), false)) this.send(bytes, peer);
+    for (const peer of this.options.table.audience(this.options.readUntilMs(), false)) this.send(bytes, peer);
   }
 
   /** Pulses at their period, and loads between them. */
   private schedule(): void {
-    const peers = this.options.table.alive(performance.now()).length;
+    const peers = this.options.table.alive(this.options.readUntilMs()).length;
     const periodMs = Math.min(pulseMs, Math.max(loadsMs, peers * loadsPerPeerMs));
     this.timer = setTimeout(
       () => {
@@ -135,20 +138,20 @@
   }
 
   private tellPeers(everyone: boolean): void {
-    const now = performance.now();
-    this.toldMs = now;
-    const { table, pulse, asked } = this.options;
+    this.toldMs = performance.now();
+    const { table, pulse, asked, readUntilMs } = this.options;
+    const readMs = readUntilMs();
     const told = pulse();
     const bytes = notification("pulse", told);
-    const holder = table.holder(now);
-    for (const peer of table.audience(now, everyone)) {
+    const holder = table.holder(readMs);
+    for (const peer of table.audience(readMs, everyone)) {
       const toHolder = peer.ip === holder?.ip;
       this.send(toHolder ? notification("pulse", { ...told, asked: asked() }) : bytes, peer);
     }
   }
 
   private tellHolder(): void {
-    const holder = this.options.table.holder(performance.now());
+    const holder = this.options.table.holder(this.options.readUntilMs());
     if (holder !== undefined)
       this.tellOne("pulse", { ...this.options.pulse(), asked: this.options.asked() }, holder);
   }
@@ -174,7 +177,11 @@
         }
         left -= 1;
         this.send(bytes, peer);
-        timer = setTimeout(attempt, resendMs);
+        // The answer may be there and not yet read.
+        timer = setTimeout(() => void inputRead().then(again), resendMs);
+      };
+      const again = (): void => {
+        if (this.pending.has(id)) attempt();
       };
       let timer: NodeJS.Timeout | undefined;
       this.pending.set(id, (response) => {
--- a/src/gateway/placementTask.ts
+++ b/src/gateway/placementTask.ts
@@ -307,7 +307,7 @@
       await this.orderAdapter(service, model, adapter);
       return;
     }
-    const holder = this.options.table.holder(performance.now());
+    const holder = this.options.table.holder(this.options.serving.watermark.ms);
     if (holder === undefined) {
       await new Promise((resolve) => setTimeout(resolve, askAgainMs));
       return;
--- a/src/gateway/readingDuty.ts
+++ b/src/gateway/readingDuty.ts
@@ -12,6 +12,8 @@
 export interface ReadingDutyOptions {
   readonly ip: string;
   readonly table: PeerTable;
+  /** Everything that arrived before this moment has been read, ms. */
+  readonly readUntilMs: () => number;
   readonly active: () => boolean;
   readonly holdsLease: () => boolean;
   /** Time since this node's last read that succeeded, ms. */
@@ -56,7 +58,7 @@
   /** Live peers, with how long ago each read the store. */
   private readers(): Reader[] {
     const now = performance.now();
-    return this.options.table.alive(now).map(({ pulse, heardMs }) => {
+    return this.options.table.alive(this.options.readUntilMs()).map(({ pulse, heardMs }) => {
       const readAgeMs = (pulse.readAgeMs ?? Number.POSITIVE_INFINITY) + (now - heardMs);
       return { ip: pulse.ip, holder: pulse.token !== undefined, readAgeMs };
     });
--- a/test/gateway/activationTask.spec.ts
+++ b/test/gateway/activationTask.spec.ts
@@ -87,6 +87,7 @@
     this.task = new ActivationTask({
       log: createLog("activation-test"),
       table: this.table,
+      readUntilMs: () => performance.now(),
       peers: {
         heard: this.heard,
         handle: (method, handler) => this.handlers.set(method, handler),
--- /dev/null
+++ b/test/gateway/lateReader.spec.ts
@@ -0,0 +1,95 @@
+import { expect } from "chai";
+import * as http from "node:http";
+import { once } from "node:events";
+import { Worker } from "node:worker_threads";
+import * as requestHeaders from "../../platform/requestHeaders.ts";
+import { callHttp } from "../../src/common/httpCall.ts";
+import { ReadWatermark } from "../../src/common/readWatermark.ts";
+import { Attempt } from "../../src/gateway/attempt.ts";
+import { PeerTable, type Pulse } from "../../src/serving/membership/peerTable.ts";
+
+/** A server on a thread of its own: it answers in 50 ms while this thread stands still. */
+const serverCode = `
+  const http = require("node:http");
+  const { parentPort } = require("node:worker_threads");
+  const server = http.createServer((req, res) => {
+    setTimeout(() => {
+      res.writeHead(200, { "X-Request-Id": "q", "X-Server-Seal": "s", "Content-Length": 5 });
+      res.end("whole");
+    }, 50);
+  });
+  server.listen(0, "127.0.0.1", () => parentPort.postMessage(server.address().port));
+`;
+
+/** Holds the event loop between its sockets and its timers, so that timers that ran out meanwhile come first. */
+function stallSoon(ms: number): void {
+  setTimeout(() => {
+    setImmediate(() => {
+      const endMs = performance.now() + ms;
+      while (performance.now() < endMs);
+    });
+  }, 10);
+}
+
+describe("a process that was held up", () => {
+  let worker: Worker;
+  let port: number;
+  let agent: http.Agent;
+
+  beforeEach(async () => {
+    worker = new Worker(serverCode, { eval: true });
+    [port] = (await once(worker, "message")) as [number];
+    agent = new http.Agent({ keepAlive: true });
+  });
+
+  afterEach(async () => {
+    agent.destroy();
+    await worker.terminate();
+  });
+
+  it("should not take a server for silent whose answer it hasn't read yet", async () => {
+    await callHttp({ agent, ip: "127.0.0.1", port, method: "GET", path: "/", timeoutMs: 1_000 });
+    const attempt = new Attempt(
+      {
+        server: {
+          ...{ id: "i-1", service: "s", address: `127.0.0.1:${port}`, zone: "a", slots: 4 },
+          ...{ leaving: false, residents: [], atHand: [], engine: false },
+        },
+        ...{ agent, codec: requestHeaders, method: "GET", path: "/", headers: ["Host", "h.example"], body: undefined },
+        ...{ requestId: "q", sink: undefined, afterEvent: undefined },
+        ...{ firstByteMs: 200, pauseMs: 200, answerMs: 300 },
+      },
+      { answer: () => undefined, firstByte: () => undefined },
+    );
+    stallSoon(500);
+    expect((await attempt.outcome).kind).to.equal("answered");
+  });
+
+  it("should not give up a call whose answer it hasn't read yet", async () => {
+    const call = callHttp({ agent, ip: "127.0.0.1", port, method: "GET", path: "/", timeoutMs: 200 });
+    stallSoon(500);
+    expect((await call).status).to.equal(200);
+  });
+
+  it("should not count peers as dead whose word it hasn't read yet", async () => {
+    const watermark = new ReadWatermark();
+    await watermark.start();
+    const table = new PeerTable({ ip: "10.0.0.1", zone: "a", strength: 1 });
+    const pulse: Pulse = {
+      ...{ host: "b", boot: 1, ip: "10.0.0.2", port: 1, zone: "a", callers: "10.0.0.2:1", ready: true },
+      ...{ strength: 1, busy: 0, version: 1, fleetRevision: 1, active: true },
+    };
+    table.hear(pulse, performance.now());
+    const held = new Promise<void>((resolve) => {
+      setTimeout(() => {
+        const endMs = performance.now() + 1_800;
+        while (performance.now() < endMs);
+        resolve();
+      }, 10);
+    });
+    await held;
+    expect(table.alive(performance.now())).to.have.length(0);
+    expect(table.alive(watermark.ms)).to.have.length(1);
+    await watermark.dispose();
+  });
+});
