--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -37,10 +37,10 @@
   readonly sharers: () => Sharers;
 }
 
-/** When a connection was accepted, and what had been read by then, ms. */
+/** When a connection was accepted, and the earliest moment at which it may have come, ms. */
 interface Accepted {
   readonly atMs: number;
-  readonly watermarkMs: number;
+  readonly earliestMs: number;
 }
 
 /** Accepts requests and runs an exchange for each. */
@@ -102,6 +102,7 @@
 
   private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const { serving, placer, runLocks } = this.options;
+    serving.watermark.noteRequest();
     const caller = new CallerConnection({
       ...{ req, res, codec: serving.codec },
       arrivedMs: this.earliestArrivalMs(req.socket),
@@ -134,7 +135,7 @@
   private accept(socket: net.Socket): void {
     const { watermark, metrics } = this.options.serving;
     watermark.noteAccepted();
-    this.accepted.set(socket, { atMs: performance.now(), watermarkMs: watermark.ms });
+    this.accepted.set(socket, { atMs: performance.now(), earliestMs: watermark.acceptedMs });
     if (!watermark.swamped) return;
     metrics.closedUnread.inc();
     socket.destroy();
@@ -145,9 +146,9 @@
    * of the event loop after the connection was accepted.
    */
   private earliestArrivalMs(socket: net.Socket): number {
-    const watermarkMs = this.options.serving.watermark.ms;
+    const { ms } = this.options.serving.watermark;
     const accepted = this.accepted.get(socket);
-    return accepted === undefined || accepted.atMs <= watermarkMs ? watermarkMs : accepted.watermarkMs;
+    return accepted === undefined || accepted.atMs <= ms ? ms : Math.min(ms, accepted.earliestMs);
   }
 
   private budgetFor(service: string): RetryBudget {
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -112,6 +112,9 @@
       log,
       table: this.table,
       readUntilMs: () => this.readUntilMs,
+      noteDatagram: () => {
+        this.serving.watermark.noteDatagram();
+      },
       pulse: () => this.pulse(),
       loads: () => this.serving.loads.news(performance.now()),
       asked: () => this.asked(),
--- a/src/gateway/peerTask.ts
+++ b/src/gateway/peerTask.ts
@@ -41,6 +41,8 @@
   readonly table: PeerTable;
   /** Everything that arrived before this moment has been read, ms: a peer is silent as of then, not as of now. */
   readonly readUntilMs: () => number;
+  /** A datagram was read. */
+  readonly noteDatagram: () => void;
   /** What to tell peers now. */
   readonly pulse: () => Pulse;
   /** Work in flight of this node that peers don't know. */
@@ -83,6 +85,7 @@
 
   async start(): Promise<void> {
     this.socket.on("message", (message, from) => {
+      this.options.noteDatagram();
       void this.receive(message, { ip: from.address, port: from.port });
     });
     this.socket.on("error", (error) => {
--- a/src/serving/overload.ts
+++ b/src/serving/overload.ts
@@ -12,8 +12,9 @@
 /** The node is overloaded from this part of its time spent in long turns, and recovered below the other. */
 const overloadedPart = 0.8;
 const recoveredPart = 0.3;
-/** Requests are shed from this part of their caller's patience on. */
+/** Requests are shed from this part of their caller's patience on, and not below an age that says nothing, ms. */
 const patiencePart = 0.3;
+const vagueAgeMs = 60;
 /** The same as a part of the route's target while the node is overloaded, and at least this, ms. */
 const targetPart = 0.5;
 const leastAgeMs = 100;
@@ -56,6 +57,6 @@
  * what is begun in one turn is bounded by their age.
  */
 export function isShed({ ageMs, patienceMs, targetMs, overloaded }: SheddingView): boolean {
-  const limitMs = patiencePart * patienceMs;
+  const limitMs = Math.max(vagueAgeMs, patiencePart * patienceMs);
   return ageMs > (overloaded ? Math.min(limitMs, Math.max(leastAgeMs, targetPart * targetMs)) : limitMs);
 }
