--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -135,7 +135,6 @@
       this.end({ kind: "timed-out", reason: "time limit", lastEvent: this.lastEvent });
     });
     this.listen();
-    this.req.end(options.body);
   }
 
   /** The caller left: the server is told by closing the connection. */
@@ -165,6 +164,7 @@
   private onSocket(socket: net.Socket): void {
     if (!socket.connecting) {
       this.onConnected();
+      this.req.end(this.options.body);
       return;
     }
     const timer = afterWait(connectMs, () => {
@@ -173,6 +173,10 @@
     socket.once("connect", () => {
       clearTimeout(timer);
       this.onConnected();
+      // The caller may have left while the connection was made.
+      void inputRead().then(() => {
+        if (!this.settled) this.req.end(this.options.body);
+      });
     });
     socket.once("close", () => {
       clearTimeout(timer);
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -274,7 +274,7 @@
       {
         answer: (facts) => {
           serving.pool.learnKeepAlive(server.id, facts.keepAliveS);
-          serving.notices.hear(server, facts.notice, now, performance.now());
+          serving.notices.hear(server, facts.notice, now, performance.now(), serving.watermark.ms);
         },
         firstByte: () => {
           inFlight.started();
--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/fleetTask.ts
@@ -208,7 +208,8 @@
     try {
       const set = await (since === undefined ? store.list(table) : store.changes(table, since, 0));
       link.succeeded();
-      this.lastReadMs = performance.now();
+      // What it answers is of the time between, as of the call at least.
+      this.lastReadMs = this.lastTryMs;
       this.enterEra(set.position);
       this.position = set.position;
       this.learn(set, since === undefined);
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -185,6 +185,7 @@
       self: settings.peers,
       peers: this.peers,
       ownerOf: (fingerprint) => this.ownerOf(fingerprint),
+      readUntilMs: () => this.readUntilMs,
     });
     this.callers = new CallerServer({
       endpoint: settings.callers,
@@ -330,7 +331,8 @@
    */
   async stop(): Promise<void> {
     const { settings, log } = this.options;
-    const startedMs = performance.now();
+    // The grace period counts from the signal, which a late process sees late.
+    const startedMs = this.readUntilMs;
     const latestMs = startedMs + settings.graceMs - exitMarginMs;
     log.info({ event: "stopping", inFlight: this.callers.busy });
     this.stopping = true;
--- a/src/gateway/runLockTask.ts
+++ b/src/gateway/runLockTask.ts
@@ -23,6 +23,8 @@
   readonly peers: PeerTask;
   /** The node that gives out the lock of the request. */
   readonly ownerOf: (fingerprint: string) => PeerAddress;
+  /** Everything that arrived before this moment has been read, ms: a renewal may lie unread. */
+  readonly readUntilMs: () => number;
 }
 
 /** A lock held by this node; dispose to give it back. */
@@ -93,7 +95,7 @@
   private async ask(fingerprint: string): Promise<boolean> {
     const { self, peers, ownerOf } = this.options;
     const now = performance.now();
-    this.locks.expire(now);
+    this.locks.expire(this.options.readUntilMs());
     const owner = ownerOf(fingerprint);
     if (owner.ip === self.ip) return this.locks.acquire(fingerprint, self.ip, now);
     try {
--- a/src/serving/serverNotices.ts
+++ b/src/serving/serverNotices.ts
@@ -67,8 +67,8 @@
   readonly changed = new Emitter<NoticeChange>();
   private readonly records = new Map<string, NoticeRecord>();
 
-  /** Takes the notice in an answer to a request that was sent at `sentMs`. */
-  hear(server: Incarnation, notice: ServerNotice, sentMs: number, nowMs: number): void {
+  /** Takes the notice in an answer to a request that was sent at `sentMs`; the answer came at `arrivedMs` at the earliest. */
+  hear(server: Incarnation, notice: ServerNotice, sentMs: number, nowMs: number, arrivedMs = nowMs): void {
     const incarnation = incarnationOf(server);
     if (isEmpty(notice) && !this.records.has(incarnation)) return;
     const record = this.record(incarnation, nowMs);
@@ -76,7 +76,7 @@
     const limitChanged = hearLimit(record, limitPerS, sentMs, nowMs);
     const leavingChanged = leaving && record.leavingSinceMs === undefined;
     const pauseChanged = hearPause(record, retryAfterMs, sentMs, nowMs);
-    if (leaving) record.leavingSinceMs ??= nowMs;
+    if (leaving) record.leavingSinceMs ??= Math.max(sentMs, arrivedMs);
     if (limitChanged || leavingChanged || pauseChanged)
       this.tell(incarnation, record, "answer", retryAfterMs);
   }
