--- a/src/gateway/activationTask.ts
+++ b/src/gateway/activationTask.ts
@@ -245,7 +245,9 @@
     this.listeners.clear();
     this.becameMs = performance.now();
     this.unanswered = undefined;
-    this.options.log.info({ event: active ? "activated" : "retired", others: others.length });
+    const { zone } = this.options.standing();
+    const inZone = others.filter((node) => node.zone === zone).map(({ ip, busy }) => `${ip} ${busy}`);
+    this.options.log.info({ event: active ? "activated" : "retired", others: others.length, inZone });
     this.options.peers.tellEveryone();
     this.changed.fire(active);
   }
--- a/src/serving/membership/activeSet.ts
+++ b/src/serving/membership/activeSet.ts
@@ -13,7 +13,7 @@
 /** More nodes are wanted where the active ones use more than this part of their processor time. */
 const crowdedPart = 0.5;
 /** Part of their processor time that active nodes are to use once those wanted besides are active. */
-const targetPart = 0.35;
+const targetPart = 0.45;
 /** Nodes that stand by are told of the use of crowded nodes in steps of this part. */
 const crowdingStep = 0.1;
 /** One retires only if those that stay would use less than this part, so that none comes and goes by turns. */
--- a/src/serving/membership/directory.ts
+++ b/src/serving/membership/directory.ts
@@ -5,6 +5,8 @@
 
 /** Below this part of its processor time a node has room for more, and is told of by its strength alone. */
 const easyPart = 0.5;
+/** From this part on it is as good as full: word of it goes to all that tell callers of it. */
+const fullPart = 0.8;
 /** A node without room is still told of this much: its use is a few hundred milliseconds old. */
 const leastRoom = 0.1;
 /** Callers are told of so many nodes at least, as one of them may just have died. */
@@ -29,6 +31,11 @@
   return told.map(({ node }) => node.callers);
 }
 
+/** Has the node hardly any room for more? */
+export function isFull({ busy }: Pick<DirectoryNode, "busy">): boolean {
+  return busy >= fullPart;
+}
+
 function spareOf({ strength, busy }: DirectoryNode): number {
   const room = (1 - Math.max(easyPart, Math.min(1, busy))) / (1 - easyPart);
   return strength * Math.max(leastRoom, room);
--- a/src/serving/membership/peerTable.ts
+++ b/src/serving/membership/peerTable.ts
@@ -6,6 +6,7 @@
 import * as Schema from "effect/Schema";
 import type { Sharers } from "../retryBudget.ts";
 import { StorePosition } from "../storePosition.ts";
+import { isFull } from "./directory.ts";
 import { ownerOf } from "./owner.ts";
 import { isFew, likelyActive, type ActiveNode, type Candidate } from "./activeSet.ts";
 
@@ -285,7 +286,7 @@
   digest(nowMs: number): string {
     const entries = this.alive(nowMs).map(({ pulse }) => {
       const { ip, boot, ready, token } = pulse;
-      return `${ip} ${boot} ${String(ready)} ${token ?? ""}`;
+      return `${ip} ${boot} ${String(ready)} ${String(isFull(pulse))} ${token ?? ""}`;
     });
     return digestOf(entries.sort());
   }
--- a/test/serving/overload.spec.ts
+++ b/test/serving/overload.spec.ts
@@ -58,4 +58,8 @@
     expect(isShed({ ...overloaded, ageMs: 250 })).to.equal(true);
     expect(isShed({ ...overloaded, ageMs: 250, targetMs: 1_200 })).to.equal(false);
   });
+
+  it("should be of nothing at a node that keeps up, though the caller's time is short: the age is a bound", () => {
+    expect(isShed({ ageMs: 27, patienceMs: 80, targetMs: 60, overloaded: false })).to.equal(false);
+  });
 });
