--- a/src/common/readWatermark.ts
+++ b/src/common/readWatermark.ts
@@ -27,6 +27,8 @@
 interface Mark {
   readonly steadyMs: number;
   readonly dayMs: number;
+  /** Time for which the event loop has had work since its start. */
+  readonly activeMs: number;
 }
 
 /** A turn of the event loop. */
@@ -129,7 +131,9 @@
     const now = readMark();
     const steadyMs = now.steadyMs - mark.steadyMs;
     const frozen = now.dayMs - mark.dayMs - steadyMs;
-    return frozen > frozenMs ? steadyMs + frozen : steadyMs;
+    if (frozen > frozenMs) return steadyMs + frozen;
+    // Between rare marks: a loop that waited for input had read all.
+    return this.currentPeriodMs === periodMs ? steadyMs : Math.min(steadyMs, now.activeMs - mark.activeMs);
   }
 
   private rest(): void {
@@ -218,5 +222,6 @@
 }
 
 function readMark(): Mark {
-  return { steadyMs: performance.now(), dayMs: Date.now() };
+  const { active } = performance.eventLoopUtilization();
+  return { steadyMs: performance.now(), dayMs: Date.now(), activeMs: active };
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -45,6 +45,7 @@
   /** The earliest moment at which the request may have arrived, and for how long it may have lain unread, ms. */
   private readonly arrivedMs: number;
   private readonly unreadMs: number;
+  private readonly readMs = performance.now();
   /** Since when the request has waited for this node alone, ms: a body may take its caller a while. */
   private waitingSinceMs: number;
   private facts!: RequestFacts;
@@ -72,7 +73,7 @@
     this.serving = options.serving;
     this.caller = options.caller;
     this.arrivedMs = this.caller.arrivedMs;
-    this.unreadMs = performance.now() - this.arrivedMs;
+    this.unreadMs = this.readMs - this.arrivedMs;
     this.waitingSinceMs = this.arrivedMs;
     this.serving.metrics.readLag.observe(this.unreadMs / 1000);
   }
@@ -419,7 +420,7 @@
       adapter: this.facts.adapter,
       version: this.serving.configuration.current?.version,
       sends: this.sends,
-      tookMs: Math.round(performance.now() - this.arrivedMs),
+      tookMs: Math.round(performance.now() - this.readMs),
       outcome,
       detail,
       ...(this.unreadMs > readLateMs ? { readLateMs: Math.round(this.unreadMs) } : {}),
