--- a/src/gateway/activationTask.ts
+++ b/src/gateway/activationTask.ts
@@ -102,6 +102,8 @@
   readonly handOver: () => Promise<void>;
   /** Does the node know the other nodes, from the store or from peers, or has it waited long enough? */
   readonly listKnown: () => boolean;
+  /** By how many nodes a zone may grow in a step. */
+  readonly mostPerStep?: number;
 }
 
 /** Owns the node's state. */
@@ -187,6 +189,7 @@
       self: this.options.standing(),
       active: table.active(this.options.readUntilMs()),
       listed: table.listed,
+      mostPerStep: this.options.mostPerStep,
     };
     if (this.activeNow) {
       const turn = turnToRetire(view);
--- a/src/serving/membership/activeSet.ts
+++ b/src/serving/membership/activeSet.ts
@@ -16,6 +16,11 @@
 const targetPart = 0.45;
 /** Nodes that stand by are told of the use of crowded nodes in steps of this part. */
 const crowdingStep = 0.1;
+/**
+ * A zone grows by so many nodes in a step, beyond the least: a node that has just become active runs cold code and costs the
+ * others messages, so that a larger step raises the use that called for it.
+ */
+const defaultStep = 1;
 /** One retires only if those that stay would use less than this part, so that none comes and goes by turns. */
 const easyPart = 0.25;
 
@@ -42,13 +47,20 @@
   readonly active: readonly ActiveNode[];
   /** Nodes that may exist, active or not, dead or alive; this one may be among them. */
   readonly listed: readonly Candidate[];
+  /** By how many nodes a zone may grow in a step. */
+  readonly mostPerStep?: number | undefined;
 }
 
 /**
  * Is a node that stands by wanted? Then how many turns are to pass before it steps in, as nodes before it may be dead;
  * undefined if it isn't wanted. All that are wanted step in at the same turn, without word of each other.
  */
-export function turnToActivate({ self, active, listed }: MembershipView): number | undefined {
+export function turnToActivate({
+  self,
+  active,
+  listed,
+  mostPerStep = defaultStep,
+}: MembershipView): number | undefined {
   if (isFew(listed)) return 0;
   const inZone = active.filter((node) => node.zone === self.zone);
   const least = leastInZone(self, active, listed);
@@ -56,19 +68,23 @@
   const known = new Set([self, ...active].map((node) => node.ip));
   const others = listed.filter((node) => node.zone === self.zone && !known.has(node.ip));
   const waiting = [...others, self].sort((a, b) => (comesBefore(a, b) ? -1 : 1));
-  return Math.floor(waiting.indexOf(self) / placesFor(inZone, waiting, least));
+  return Math.floor(waiting.indexOf(self) / placesFor(inZone, waiting, { least, mostPerStep }));
 }
 
 /**
  * How many of those that wait, in their order, have to become active to bring the active ones' use down to the target.
  * Saturated nodes are asked for an unknown amount more than they use; the target more than doubles their strength.
  */
-function placesFor(inZone: readonly ActiveNode[], waiting: readonly Candidate[], least: number): number {
+function placesFor(
+  inZone: readonly ActiveNode[],
+  waiting: readonly Candidate[],
+  { least, mostPerStep }: { readonly least: number; readonly mostPerStep: number },
+): number {
   const wanted = isCrowded(inZone) ? used(inZone) / targetPart : 0;
   let reached = strength(inZone);
   let places = 0;
   for (const node of waiting) {
-    if (inZone.length + places >= least && reached >= wanted) break;
+    if (inZone.length + places >= least && (reached >= wanted || places >= mostPerStep)) break;
     reached += node.strength;
     places += 1;
   }
--- a/test/gateway/activationTask.spec.ts
+++ b/test/gateway/activationTask.spec.ts
@@ -105,6 +105,7 @@
       holdsLease: () => false,
       handOver: () => Promise.resolve(),
       listKnown: () => true,
+      mostPerStep: Infinity,
     });
   }
 
