--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -186,12 +186,6 @@
       }
       if (this.isHeldBack()) return;
       if (chosen === undefined) {
-        // The caller may have left since the sockets were last read.
-        await this.serving.watermark.caughtUp();
-        if (this.caller.left) {
-          this.ended("caller-left");
-          return;
-        }
         if (this.wait.refusal !== "") this.lastFailure = this.wait.refusal;
         this.giveUp();
         return;
