--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/fleetTask.ts
@@ -208,8 +208,7 @@
     try {
       const set = await (since === undefined ? store.list(table) : store.changes(table, since, 0));
       link.succeeded();
-      // What it answers is of the time between, as of the call at least.
-      this.lastReadMs = this.lastTryMs;
+      this.lastReadMs = performance.now();
       this.enterEra(set.position);
       this.position = set.position;
       this.learn(set, since === undefined);
