--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -87,6 +87,8 @@
 
 /** Callbacks for the progress of an attempt. */
 export interface AttemptListener {
+  /** A new connection to the server was established. */
+  onConnected(): void;
   /** The response headers were received. */
   onResponse(metadata: ResponseMetadata): void;
   /** The first byte of the body, or the first event, was received. */
@@ -172,6 +174,7 @@
     });
     socket.once("connect", () => {
       clearTimeout(timer);
+      this.listener.onConnected();
       this.onConnected();
       // The caller may have disconnected while the connection was established.
       void waitForPendingInput().then(() => {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -278,6 +278,9 @@
         responseTimeoutMs: Math.max(1, responseTimeoutMs),
       },
       {
+        onConnected: () => {
+          context.reachability.recordConnected(server.id, performance.now());
+        },
         onResponse: (metadata) => {
           context.pool.setKeepAlive(server.id, metadata.keepAliveS);
           context.notices.recordNotice(
@@ -298,7 +301,7 @@
     const outcome = await this.attempt.outcome;
     this.attempt = undefined;
     inFlight.done();
-    this.record.recordOutcome(candidate, outcome);
+    this.record.recordOutcome(candidate, outcome, now);
     if (outcome.kind === "not-run") this.selector.recordRefusal(server, outcome.metadata);
     else if (outcome.kind === "answered" || outcome.kind === "streamed") this.selector.recordAccepted(server);
     this.quarantine.recordOutcome(candidate.server, outcome, now);
--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/fleetTask.ts
@@ -336,6 +336,7 @@
     const known = new Set(servers.map((server) => server.id));
     context.pool.retain(known);
     context.outliers.retain(known);
+    context.reachability.retain(known);
     context.refusals.retain(known);
     context.notices.retain(servers, performance.now());
     const incarnations = new Set(servers.map(incarnationOf));
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -9,6 +9,7 @@
 import { LoadTracker } from "../serving/loadTracker.ts";
 import { ModelWaitEstimator } from "../serving/modelWaitEstimator.ts";
 import { PrefillFactors } from "../serving/prefillFactors.ts";
+import { ServerReachability } from "../serving/serverReachability.ts";
 import { OutlierDetector } from "../serving/outlierDetector.ts";
 import { OverloadDetector } from "../serving/overload.ts";
 import { Quarantine } from "../serving/quarantine/quarantine.ts";
@@ -89,6 +90,8 @@
   readonly fleetChanged: Emitter<undefined>;
   readonly loads: LoadTracker;
   readonly outliers: OutlierDetector;
+  /** Which servers this node can connect to. */
+  readonly reachability: ServerReachability;
   /** Demand for models, by demand key. */
   readonly demand: DemandMeter;
   /** Demand for adapters, by adapter key. */
@@ -137,6 +140,7 @@
     fleetChanged: new Emitter(),
     loads: new LoadTracker(),
     outliers: new OutlierDetector(),
+    reachability: new ServerReachability(),
     demand: new DemandMeter({ nodeCount }),
     adapterDemand: new DemandMeter({ nodeCount }),
     waitingRequests: new RequestCounter(),
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -44,6 +44,17 @@
   readonly leaseHeld = this.gauge("lease_held", "1 while this node holds the placement lease");
   /** Number of live peers. */
   readonly peers = this.gauge("peers_alive", "Peers heard from lately");
+  /** Number of registered backend servers, and of those that this node can connect to. */
+  readonly serversKnown = this.gauge("servers_known", "Registered backend servers");
+  readonly serversReached = this.gauge(
+    "servers_reached",
+    "Registered backend servers that accept connections of this node",
+  );
+  /** How long this node has been unable to connect to any backend server, s; 0 while it can. */
+  readonly noServerReachedFor = this.gauge(
+    "no_server_reached_seconds",
+    "Time since when no backend server accepts connections of this node",
+  );
   /** Number of quarantined requests. */
   readonly quarantined = this.gauge("quarantined_requests", "Requests under which servers ended, held back");
   /** 1 while the store is reachable. */
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -37,6 +37,7 @@
 import { StoreReaderRole } from "./storeReaderRole.ts";
 import { createGatewayContext, type GatewayContext } from "./gatewayContext.ts";
 import { StoreHealth } from "./storeHealth.ts";
+import { ReachabilityTask } from "./reachabilityTask.ts";
 import { RunLockTask } from "./runLockTask.ts";
 import { Utilization } from "./utilization.ts";
 
@@ -89,6 +90,7 @@
   private readonly placement: PlacementTask;
   private readonly quarantine: QuarantineTask;
   private readonly callers: CallerServer;
+  private readonly reachability: ReachabilityTask;
   private readonly supervisor: Supervisor;
   private readonly boot = Date.now();
   private stopping = false;
@@ -158,6 +160,7 @@
         this.peers.sendHeartbeat();
       },
     });
+    this.reachability = new ReachabilityTask(this.context);
     this.peers.handle("loads", (params) => this.onLoads(params));
     this.peers.handle("server.leaving", (params) => {
       this.fleet.onLeaving(params);
@@ -287,6 +290,7 @@
         }),
         permits,
         runLocks,
+        this.reachability,
         this.callers,
         this.member,
         this.activation,
@@ -417,6 +421,7 @@
       ready: () => this.ready,
       directory: () => platform.encodeDirectory(this.addresses(), this.ttlS),
       metrics: () => {
+        this.reachability.updateMetrics();
         this.context.metrics.peers.set(this.peerTable.alive(this.readUpToMs).length);
         return this.context.metrics.registry;
       },
--- a/src/gateway/sendRecord.ts
+++ b/src/gateway/sendRecord.ts
@@ -48,8 +48,8 @@
     };
   }
 
-  /** Updates outlier detection, prefill factor and engine speed from the outcome, and logs it. */
-  recordOutcome(candidate: ServerEstimate, outcome: AttemptOutcome): void {
+  /** Updates outlier detection, prefill factor and engine speed from the outcome of a send at `sentMs`, and logs it. */
+  recordOutcome(candidate: ServerEstimate, outcome: AttemptOutcome, sentMs: number): void {
     const { context, service } = this.options;
     const { server } = candidate;
     const now = performance.now();
@@ -63,6 +63,7 @@
         context.engineSpeed.observe(outcome.timing, service.engine.tokensPerEvent);
     } else if (outcome.kind === "unreachable") {
       context.outliers.recordUnreachable(server.id, now);
+      context.reachability.recordConnectFailure(server.id, sentMs, now);
     } else if (outcome.kind === "broken" || outcome.kind === "silent") {
       context.outliers.recordFailure(server.id, now);
     }
