--- a/test/compatibility/mixedBuilds.ts
+++ b/test/compatibility/mixedBuilds.ts
@@ -11,7 +11,7 @@
 import * as os from "node:os";
 import * as path from "node:path";
 import { nextAddress } from "../fixtures/gateways.ts";
-import { ports, settingsText } from "../fixtures/starvedHosts.ts";
+import { ports, settingsText } from "../fixtures/gatewayProcesses.ts";
 import { StoreServer } from "../fixtures/storeServer.ts";
 
 const metricsPort = 9464;
--- a/test/gateway/starvedHosts.spec.ts
+++ b/test/gateway/starvedHosts.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { offerLoad, offerClosedLoop, type Load, type Report } from "../fixtures/disconnectingCallers.ts";
-import { GatewayProgram, StarvedHosts, type Starvation } from "../fixtures/starvedHosts.ts";
+import { GatewayProgram } from "../fixtures/gatewayProcesses.ts";
+import { StarvedHosts, type Starvation } from "../fixtures/starvedHosts.ts";
 
 /** Tolerated number of requests or runs. */
 const tolerance = 5;
