--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -9,7 +9,7 @@
 import { parseEndpoint } from "../serving/hostSettings.ts";
 
 /** Connect timeout, ms: about ten round trips between zones; shorter than the 1 s retransmission of a lost SYN. */
-const connectTimeoutMs = 300;
+export const connectTimeoutMs = 300;
 /** Error codes of a connection that the server closed or reset; other errors are malformed responses. */
 const connectionLossCodes: ReadonlySet<string> = new Set(["ECONNRESET", "EPIPE"]);
 
@@ -25,9 +25,9 @@
 
 /** Options of an `Attempt`. */
 export interface AttemptOptions {
-  readonly server: BackendServer;
+  readonly server: Pick<BackendServer, "address">;
   readonly agent: http.Agent;
-  readonly codec: HeaderCodec;
+  readonly codec: Pick<HeaderCodec, "readResponse">;
   readonly method: string;
   readonly path: string;
   readonly headers: string[];
@@ -93,6 +93,10 @@
   onResponse(metadata: ResponseMetadata): void;
   /** The first byte of the body, or the first event, was received. */
   onFirstByte(): void;
+  /** Part of the response was received. */
+  onProgress(): void;
+  /** A peer that the request was passed on to sends it to a server. */
+  onForwarded?(): void;
 }
 
 /** Sends a request once. */
@@ -158,6 +162,7 @@
       if (!this.connected) this.abortWith({ kind: "unreachable", reason });
       else this.endBroken(reason, connectionLossCodes.has(reason));
     });
+    this.req.on("information", () => this.listener.onForwarded?.());
     this.req.on("response", (res) => {
       this.onResponse(res);
     });
@@ -216,6 +221,7 @@
   }
 
   private onResponse(res: http.IncomingMessage): void {
+    this.listener.onProgress();
     const metadata = this.options.codec.readResponse(res.statusCode ?? 0, res.headers);
     // A late second response on a reused connection would be taken for the response to the next request. The echoed
     // request id tells them apart; a response without an id belongs to no request.
@@ -262,6 +268,7 @@
     const splitter = new EventSplitter();
     res.on("data", (chunk: Buffer) => {
       if (this.settled) return;
+      this.listener.onProgress();
       const events = this.undeliveredOf(splitter.push(chunk));
       if (events.length === 0) return;
       if (this.firstByteMs === undefined) {
--- a/src/gateway/callerConnection.ts
+++ b/src/gateway/callerConnection.ts
@@ -3,14 +3,17 @@
 import { Failure } from "../common/errors.ts";
 import type { HeaderCodec } from "../serving/exchange.ts";
 import type { StreamSink, BufferedResponse } from "./attempt.ts";
+import { relayedResponseHeaders, type ForwardedRequest, type RelayedResponse } from "./forwardedRequest.ts";
 
 /** Options of a `CallerConnection`. */
 export interface CallerConnectionOptions {
   readonly req: http.IncomingMessage;
   readonly res: http.ServerResponse;
   readonly codec: HeaderCodec;
-  /** Earliest possible arrival time of the request, ms. */
+  /** Earliest possible arrival time of the request at this node, ms. */
   readonly arrivedMs: number;
+  /** Set if another node passed the request on to this one; the connection is that node's. */
+  readonly forwarded?: ForwardedRequest | undefined;
   /** Whether the node is stopping; the connection is then closed after the response. */
   readonly stopping: () => boolean;
 }
@@ -19,13 +22,16 @@
 export class CallerConnection implements StreamSink {
   readonly req: http.IncomingMessage;
   readonly arrivedMs: number;
+  readonly forwarded: ForwardedRequest | undefined;
+  private server: RelayedResponse["server"];
   private readonly res: http.ServerResponse;
   private disconnectCallback: (() => void) | undefined;
   private isDisconnected = false;
 
   constructor(private readonly options: CallerConnectionOptions) {
-    const { req, res, arrivedMs } = options;
+    const { req, res, arrivedMs, forwarded } = options;
     this.req = req;
+    this.forwarded = forwarded;
     this.res = res;
     this.arrivedMs = arrivedMs;
     const handleDisconnect = (): void => {
@@ -82,10 +88,20 @@
     return chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
   }
 
+  /**
+   * The request is being sent to the server. The node that passed it on is told, as it may have to judge how many servers
+   * ran the request if this node fails.
+   */
+  recordSend({ id, startedAtMs }: NonNullable<RelayedResponse["server"]>): void {
+    if (this.forwarded === undefined) return;
+    this.server = { id, ...(startedAtMs === undefined ? {} : { startedAtMs }) };
+    if (!this.res.headersSent) this.res.writeProcessing();
+  }
+
   open(rawHeaders: readonly string[]): void {
     if (this.res.headersSent) return;
     this.closeIfStopping();
-    this.res.writeHead(200, this.options.codec.responseHeaders(rawHeaders));
+    this.res.writeHead(200, this.responseHeaders(rawHeaders, true));
   }
 
   write(bytes: Buffer): boolean {
@@ -109,8 +125,10 @@
   /** Relays a server's response unchanged. */
   relay(response: BufferedResponse): void {
     this.closeIfStopping();
-    const headers = this.options.codec.responseHeaders(response.rawHeaders);
-    if (!response.metadata.framed) {
+    const { framed } = response.metadata;
+    const headers = this.responseHeaders(response.rawHeaders, framed);
+    // Another node is told in a header, so that it can tell a complete response from one that this node broke off.
+    if (!framed && this.forwarded === undefined) {
       this.relayUnframed(response, headers);
       return;
     }
@@ -143,11 +161,23 @@
     this.closeIfStopping();
     const body = JSON.stringify(failure.toBody());
     const headers = ["Content-Type", "application/json", "Content-Length", String(Buffer.byteLength(body))];
+    if (this.forwarded !== undefined) {
+      const { requestId } = this.options.codec.readRequest(this.req.headers);
+      headers.push(...relayedResponseHeaders({ failure: { kind: failure.kind, requestId } }));
+    }
     if (retryAfterS !== undefined) headers.push("Retry-After", retryAfterS.toFixed(2));
     this.res.writeHead(failure.response.status, headers);
     this.res.end(body);
   }
 
+  private responseHeaders(raw: readonly string[], framed: boolean): string[] {
+    const headers = this.options.codec.responseHeaders(raw);
+    if (this.forwarded === undefined) return headers;
+    const { server } = this;
+    headers.push(...relayedResponseHeaders({ framed, ...(server === undefined ? {} : { server }) }));
+    return headers;
+  }
+
   private closeIfStopping(): void {
     if (this.options.stopping()) this.res.shouldKeepAlive = false;
   }
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -1,12 +1,14 @@
 /** The HTTP server that callers connect to. */
 import * as http from "node:http";
 import type * as net from "node:net";
-import { bind, close } from "../common/http.ts";
+import { bind, close, sendFailure } from "../common/http.ts";
 import type { Task } from "../common/supervisor.ts";
 import type { CallerLimits } from "../serving/configuration.ts";
 import type { Endpoint } from "../serving/hostSettings.ts";
 import { RetryBudget, type BudgetShare } from "../serving/retryBudget.ts";
 import { CallerConnection } from "./callerConnection.ts";
+import { decodeForwardedRequest, type ForwardedRequest } from "./forwardedRequest.ts";
+import type { PeerForwarder } from "./peerForwarder.ts";
 import { Exchange } from "./exchange.ts";
 import type { PlacementClient, GatewayContext } from "./gatewayContext.ts";
 import type { RunLockTask } from "./runLockTask.ts";
@@ -30,6 +32,7 @@
   readonly context: GatewayContext;
   readonly placement: PlacementClient;
   readonly runLocks: Pick<RunLockTask, "acquire">;
+  readonly forwarder: PeerForwarder;
   readonly retryRatio: number;
   /** Retries on top of the ratio that all nodes together may make within a window. */
   readonly retryBurst: number;
@@ -89,7 +92,18 @@
     for (const exchange of this.exchanges) exchange.abandon();
   }
 
+  /** Serves a request that another node passed on. */
+  handleForwarded(req: http.IncomingMessage, res: http.ServerResponse): void {
+    decodeForwardedRequest(req.headers)
+      .ifLeft((failure) => {
+        this.options.context.log.warn({ event: "peer-message-rejected", detail: failure.message });
+        sendFailure(res, failure);
+      })
+      .ifRight((forwarded) => void this.handle(req, res, forwarded));
+  }
+
   async dispose(): Promise<void> {
+    this.options.forwarder.dispose();
     await close(this.server);
   }
 
@@ -100,12 +114,17 @@
     this.server.requestTimeout = 0;
   }
 
-  private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
-    const { context, placement, runLocks } = this.options;
+  private async handle(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    forwarded?: ForwardedRequest,
+  ): Promise<void> {
+    const { context, placement, runLocks, forwarder } = this.options;
     context.watermark.recordRequest();
     const caller = new CallerConnection({
       ...{ req, res, codec: context.codec },
       arrivedMs: this.earliestArrivalMs(req.socket),
+      forwarded,
       stopping: () => this.stopping !== undefined,
     });
     const exchange = new Exchange({
@@ -113,6 +132,7 @@
       placement,
       runLocks,
       caller,
+      forwarder,
       budgetFor: (service) => this.budgetFor(service),
       shouldRefuseStreams: () =>
         this.stopping !== undefined && performance.now() - this.stopping.sinceMs > acceptStreamsMs,
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -10,6 +10,15 @@
   readonly requests = this.counter("requests_total", "Requests ended", ["kind", "service", "outcome"]);
   /** Sends to servers, by service and outcome. */
   readonly attempts = this.counter("attempts_total", "Sends to servers", ["service", "outcome"]);
+  /** Requests passed on to peers, by service and outcome. */
+  readonly forwarded = this.counter("forwarded_requests_total", "Requests passed on to peers", [
+    "service",
+    "outcome",
+  ]);
+  /** Requests received from peers that can't connect to the servers, by service. */
+  readonly receivedForwarded = this.counter("received_forwarded_requests_total", "Requests from peers", [
+    "service",
+  ]);
   /** Sends whose connection ended before the response was complete, by service. */
   readonly lostConnections = this.counter(
     "cut_sends_total",
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -16,6 +16,7 @@
   PeerTable,
   type CallerDemand,
   type Member,
+  type Peer,
   type PeerAddress,
   type Heartbeat,
   type NodeStatus,
@@ -29,6 +30,7 @@
 import { LeaseTask } from "./leaseTask.ts";
 import { MemberTask } from "./memberTask.ts";
 import { PeerCalls, type PeerVersions } from "./peerCalls.ts";
+import { PeerForwarder } from "./peerForwarder.ts";
 import { PeerTask } from "./peerTask.ts";
 import { PermitTask } from "./permitTask.ts";
 import { PlacementTask } from "./placementTask.ts";
@@ -160,7 +162,13 @@
         this.peers.sendHeartbeat();
       },
     });
-    this.reachability = new ReachabilityTask(this.context);
+    this.reachability = new ReachabilityTask({
+      context: this.context,
+      peers: () => this.readyPeers.map(({ status }) => status),
+      report: () => {
+        this.peers.sendHeartbeat();
+      },
+    });
     this.peers.handle("loads", (params) => this.onLoads(params));
     this.peers.handle("server.leaving", (params) => {
       this.fleet.onLeaving(params);
@@ -195,6 +203,7 @@
       context: this.context,
       placement: this.placement,
       runLocks,
+      forwarder: new PeerForwarder({ context: this.context, peers: () => this.readyPeers }),
       retryRatio: settings.retryRatio,
       retryBurst: settings.retryBurst,
       budgetShare: () => this.peerTable.budgetShare(this.activation.active, this.readUpToMs),
@@ -249,17 +258,24 @@
       issuer: this.context.permitIssuer,
       granted: this.context.fleetChanged,
     });
-    this.peerCalls = new PeerCalls(settings.peers, {
-      ...this.configuration.handlers,
-      ...this.fleet.handlers,
-      ...this.quarantine.handlers,
-    });
+    this.peerCalls = new PeerCalls(
+      settings.peers,
+      {
+        ...this.configuration.handlers,
+        ...this.fleet.handlers,
+        ...this.quarantine.handlers,
+      },
+      (req, res) => {
+        this.callers.handleForwarded(req, res);
+      },
+    );
     this.peers.heartbeatReceived.on((heartbeat) => {
       this.observeEra(heartbeat);
       if (heartbeat.paces !== undefined)
         this.context.prefillFactors.applyPeerFactors(heartbeat.ip, heartbeat.paces);
       if (heartbeat.coming !== undefined)
         this.context.modelWaits.setAnnouncedLoads(heartbeat.coming, performance.now());
+      if (heartbeat.unreachable !== undefined) this.reachability.onPeerFailures(heartbeat.unreachable);
       void this.configuration.pullIfNewer(heartbeat);
       void this.quarantine.pullIfNewer(heartbeat);
       // Changes are first known to nodes that read the store.
@@ -432,10 +448,14 @@
     return Math.min(directoryTtlS, this.options.settings.maxTtlS);
   }
 
+  /** Live peers that accept callers. */
+  private get readyPeers(): Peer[] {
+    return this.peerTable.alive(this.readUpToMs).filter(({ status }) => status.ready);
+  }
+
   /** Addresses of nodes that accept callers. */
   private addresses(): string[] {
-    const peers = this.peerTable.alive(this.readUpToMs).map(({ status }) => status);
-    const nodes = peers.filter(({ ready }) => ready);
+    const nodes = this.readyPeers.map(({ status }) => status);
     if ((this.ready && this.activation.active) || nodes.length === 0) nodes.push(this.nodeStatus());
     return chooseAddresses(nodes, Math.random);
   }
@@ -444,6 +464,7 @@
     const { settings, cpuUtilization } = this.options;
     const token = this.lease.currentToken;
     const { readAgeMs } = this.fleet;
+    const { unreachable, partitioned } = this.reachability;
     const { current: storeEra } = this.options.platform.store.eras;
     return {
       ...memberOf(settings),
@@ -458,6 +479,8 @@
       ...(Number.isFinite(readAgeMs) ? { readAgeMs: Math.round(readAgeMs) } : {}),
       fleetRevision: this.context.fleet.revision,
       ...(token === undefined ? {} : { token }),
+      ...(unreachable.length === 0 ? {} : { unreachable }),
+      ...(partitioned ? { partitioned } : {}),
       ...(storeEra === undefined ? {} : { storeEra }),
     };
   }
--- a/src/gateway/peerCalls.ts
+++ b/src/gateway/peerCalls.ts
@@ -1,4 +1,7 @@
-/** Calls between gateway nodes that are too large for a datagram: JSON-RPC 2.0 over HTTP, on the datagrams' port number. */
+/**
+ * Calls between gateway nodes that are too large for a datagram: JSON-RPC 2.0 over HTTP, on the datagrams' port number.
+ * Requests that nodes pass on to each other arrive on the same port.
+ */
 import * as http from "node:http";
 import * as rpc from "json-rpc-2.0";
 import { Failure, toFailure } from "../common/errors.ts";
@@ -7,12 +10,16 @@
 import { RpcEndpoint, type Handler } from "../common/rpc.ts";
 import type { Task } from "../common/supervisor.ts";
 import type { Endpoint } from "../serving/hostSettings.ts";
+import { requestHeader } from "./forwardedRequest.ts";
 import type { PeerAddress } from "../serving/membership/peerTable.ts";
 import type { StorePosition } from "../serving/storePosition.ts";
 
 /** Timeout of one call, ms; an unresponsive connection is abandoned and the next call opens a new one. */
 const callTimeoutMs = 500;
 
+/** Maximum size of request headers, bytes: that of callers' requests, and room for the header between nodes. */
+const maxHeaderBytes = 66 * 1024;
+
 /** The versions of shared state that a peer knows, as stated in its messages. */
 export interface PeerVersions extends PeerAddress {
   readonly host: string;
@@ -37,9 +44,14 @@
   constructor(
     private readonly endpoint: Endpoint,
     handlers: Readonly<Record<string, Handler>>,
+    handleForwarded: (req: http.IncomingMessage, res: http.ServerResponse) => void,
   ) {
     const rpcEndpoint = new RpcEndpoint(handlers);
-    this.server = http.createServer((req, res) => {
+    this.server = http.createServer({ maxHeaderSize: maxHeaderBytes, noDelay: true }, (req, res) => {
+      if (req.headers[requestHeader] !== undefined) {
+        handleForwarded(req, res);
+        return;
+      }
       rpcEndpoint.handle(req, res).catch((error: unknown) => {
         sendFailure(res, toFailure(error));
       });
--- a/src/gateway/reachabilityTask.ts
+++ b/src/gateway/reachabilityTask.ts
@@ -1,20 +1,53 @@
-/** Reports how many backend servers this node can connect to, in its metrics and its log. */
+/**
+ * Probes the paths to backend servers while there are signs that some are unreachable, and reports in heartbeats, metrics
+ * and the log which ones this node can't connect to. A probe is a TCP connection that is closed at once: it costs the
+ * server nothing, and no caller's request waits for it.
+ */
+import * as net from "node:net";
+import { setTimeoutAfterInput, waitForPendingInput } from "../common/readWatermark.ts";
 import type { Task } from "../common/supervisor.ts";
+import { isPartitionedFrom, type NodeView } from "../serving/forwarding.ts";
+import { parseEndpoint } from "../serving/hostSettings.ts";
+import { connectTimeoutMs } from "./attempt.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
 
+/** Period of checks while a request is in flight or a server is unreachable, ms. */
+const checkPeriodMs = 150;
+/** A partition is reported after it has lasted this long, ms, by when peers have reported crashed servers too. */
+const partitionedAfterMs = 700;
 /** Minimum interval between two log lines, ms; a line covers all changes since the last one. */
 const logIntervalMs = 500;
+/** Maximum number of unreachable servers in a heartbeat, which has to fit into a datagram. */
+const maxReported = 200;
 
-/** Owns the log timer. */
+/** Options of a `ReachabilityTask`. */
+export interface ReachabilityTaskOptions {
+  readonly context: GatewayContext;
+  /** Status of the live peers that are ready. */
+  readonly peers: () => readonly NodeView[];
+  /** Sends a heartbeat now. */
+  readonly report: () => void;
+}
+
+/** Owns the probes and their timer. */
 export class ReachabilityTask implements Task {
   readonly name = "reachability";
+  private checkTimer: NodeJS.Timeout | undefined;
   private logTimer: NodeJS.Timeout | undefined;
-  private lastReported = "";
+  private readonly probes = new Set<net.Socket>();
+  /** Since when this node has reached no server of a service that peers reach, by service, ms. */
+  private readonly partitionedSinceMs = new Map<string, number>();
+  private reportedServices: readonly string[] = [];
+  private lastLogged = "";
   private stopped = false;
 
-  constructor(private readonly context: GatewayContext) {
-    context.reachability.changed.on(() => {
-      this.scheduleLog();
+  constructor(private readonly options: ReachabilityTaskOptions) {
+    const { reachability } = options.context;
+    reachability.changed.on(() => {
+      this.onChange();
+    });
+    reachability.activated.on(() => {
+      this.scheduleCheck(0);
     });
   }
 
@@ -24,13 +57,32 @@
 
   dispose(): Promise<void> {
     this.stopped = true;
+    clearTimeout(this.checkTimer);
     clearTimeout(this.logTimer);
+    for (const socket of this.probes) socket.destroy();
     return Promise.resolve();
   }
 
+  /** Ids of servers that this node can't connect to, for heartbeats. */
+  get unreachable(): readonly string[] {
+    return [...this.options.context.reachability.unreachable].slice(0, maxReported);
+  }
+
+  /** Whether this node reaches none of the servers of a service that a peer reaches. */
+  get partitioned(): boolean {
+    return this.reportedServices.length > 0;
+  }
+
+  /** A peer reported servers that it can't connect to. */
+  onPeerFailures(serverIds: readonly string[]): void {
+    const { fleet, reachability } = this.options.context;
+    const now = performance.now();
+    for (const id of serverIds) if (fleet.get(id) !== undefined) reachability.recordPeerFailure(id, now);
+  }
+
   /** Sets the gauges to their current values. */
   updateMetrics(): void {
-    const { metrics } = this.context;
+    const { metrics } = this.options.context;
     const { known, reached, noneSinceMs } = this.summary;
     metrics.serversKnown.set(known);
     metrics.serversReached.set(reached);
@@ -38,7 +90,98 @@
   }
 
   private get summary(): ReturnType<GatewayContext["reachability"]["summarize"]> {
-    return this.context.reachability.summarize(this.context.fleet.all().map(({ id }) => id));
+    const { fleet, reachability } = this.options.context;
+    return reachability.summarize(fleet.all().map(({ id }) => id));
+  }
+
+  private onChange(): void {
+    const { context, report } = this.options;
+    this.updatePartitioned();
+    report();
+    // Requests may wait for a server, or for a peer to pass them on to.
+    context.fleetChanged.fire(undefined);
+    this.scheduleLog();
+  }
+
+  private scheduleCheck(delayMs: number): void {
+    if (this.stopped || this.checkTimer !== undefined) return;
+    this.checkTimer = setTimeout(() => {
+      // What a server sent may not have been read yet.
+      void waitForPendingInput().then(() => {
+        this.checkTimer = undefined;
+        this.check();
+      });
+    }, delayMs);
+  }
+
+  private check(): void {
+    const { reachability } = this.options.context;
+    if (this.stopped) return;
+    for (const id of reachability.startProbes(performance.now())) this.probe(id);
+    this.updatePartitioned();
+    if (reachability.active || this.partitionedSinceMs.size > 0) this.scheduleCheck(checkPeriodMs);
+  }
+
+  private probe(serverId: string): void {
+    const { fleet, reachability } = this.options.context;
+    const endpoint = parseEndpoint(fleet.get(serverId)?.address ?? "");
+    if (endpoint === undefined) {
+      reachability.recordProbeEnd(serverId);
+      return;
+    }
+    const startedMs = performance.now();
+    const socket = net.connect({ host: endpoint.ip, port: endpoint.port });
+    this.probes.add(socket);
+    const end = (connected: boolean): void => {
+      if (!this.probes.delete(socket)) return;
+      clearTimeout(timer);
+      socket.destroy();
+      reachability.recordProbeEnd(serverId);
+      const now = performance.now();
+      if (connected) reachability.recordConnected(serverId, now);
+      else reachability.recordConnectFailure(serverId, startedMs, now);
+    };
+    const timer = setTimeoutAfterInput(connectTimeoutMs, () => {
+      end(false);
+    });
+    socket.on("connect", () => {
+      end(true);
+    });
+    socket.on("error", () => {
+      end(false);
+    });
+  }
+
+  private updatePartitioned(): void {
+    const now = performance.now();
+    const names = this.partitionedServices();
+    for (const name of this.partitionedSinceMs.keys())
+      if (!names.includes(name)) this.partitionedSinceMs.delete(name);
+    for (const name of names) if (!this.partitionedSinceMs.has(name)) this.partitionedSinceMs.set(name, now);
+    const lasting = [...this.partitionedSinceMs].filter(([, sinceMs]) => now - sinceMs >= partitionedAfterMs);
+    const reported = lasting.map(([name]) => name);
+    if (reported.join() === this.reportedServices.join()) return;
+    this.reportedServices = reported;
+    this.options.report();
+    this.scheduleLog();
+  }
+
+  /** Names of the services of which this node reaches no server while a peer does. */
+  private partitionedServices(): string[] {
+    const { configuration, fleet, reachability } = this.options.context;
+    const { unreachable } = reachability;
+    if (unreachable.size === 0) return [];
+    const peers = this.options.peers();
+    const services = configuration.current?.configuration.services ?? [];
+    return services
+      .map(({ name }) => name)
+      .filter((name) =>
+        isPartitionedFrom(
+          fleet.available(name).map(({ id }) => id),
+          unreachable,
+          peers,
+        ),
+      );
   }
 
   private scheduleLog(): void {
@@ -52,13 +195,14 @@
 
   private logChange(): void {
     const { known, reached, noneSinceMs } = this.summary;
-    const reported = `${reached}/${known}`;
-    if (reported === this.lastReported) return;
-    this.lastReported = reported;
-    this.context.log.warn({
+    const logged = `${reached}/${known} ${String(this.partitioned)}`;
+    if (logged === this.lastLogged) return;
+    this.lastLogged = logged;
+    this.options.context.log.warn({
       event: "servers-reached",
       reached,
       known,
+      partitioned: this.partitioned,
       ...(noneSinceMs === undefined ? {} : { noneForMs: Math.round(performance.now() - noneSinceMs) }),
     });
   }
--- a/src/gateway/sendRecord.ts
+++ b/src/gateway/sendRecord.ts
@@ -62,7 +62,6 @@
       if (outcome.kind === "streamed" && service.engine !== undefined)
         context.engineSpeed.observe(outcome.timing, service.engine.tokensPerEvent);
     } else if (outcome.kind === "unreachable") {
-      context.outliers.recordUnreachable(server.id, now);
       context.reachability.recordConnectFailure(server.id, sentMs, now);
     } else if (outcome.kind === "broken" || outcome.kind === "silent") {
       context.outliers.recordFailure(server.id, now);
--- a/src/gateway/serverCandidates.ts
+++ b/src/gateway/serverCandidates.ts
@@ -45,6 +45,19 @@
     );
   }
 
+  /** The servers that could serve the request, if this node can connect to none of them; otherwise empty. */
+  get outOfReach(): readonly BackendServer[] {
+    const { available } = this;
+    const { adapter } = this.options.metadata;
+    const { reachability } = this.options.context;
+    const model = this.requiredModel;
+    const holdersOf = (adapterName: string | undefined): readonly BackendServer[] =>
+      available.filter((server) => model === undefined || holds(server, model, adapterName));
+    const servers =
+      [holdersOf(adapter), holdersOf(undefined), available].find((some) => some.length > 0) ?? [];
+    return servers.some(({ id }) => reachability.isReachable(id)) ? [] : servers;
+  }
+
   /** Whether any server holds the requested model, regardless of adapters. */
   get hasModel(): boolean {
     const { model } = this.options.metadata;
@@ -88,10 +101,10 @@
     adapter: string | undefined,
   ): BackendServer[] {
     const now = performance.now();
-    const { outliers } = this.options.context;
+    const { outliers, reachability } = this.options.context;
     // Filters by model first, as only a few of 80 engines hold it and a waiting request selects 20 times a second.
     return servers
       .filter((server) => model === undefined || holds(server, model, adapter))
-      .filter((server) => !outliers.health(server.id, now).unreachable);
+      .filter(({ id }) => reachability.isReachable(id) && !outliers.health(id, now).unreachable);
   }
 }
--- a/src/gateway/serverSelector.ts
+++ b/src/gateway/serverSelector.ts
@@ -4,13 +4,17 @@
 import type { BackendServer } from "../serving/backendServer.ts";
 import type { Route, Service } from "../serving/configuration.ts";
 import type { ResponseMetadata, RequestMetadata } from "../serving/exchange.ts";
+import { confirmationMs } from "../serving/forwarding.ts";
 import type { RequestDeadlines } from "../serving/requestDeadlines.ts";
+import type { NodeStatus } from "../serving/membership/peerTable.ts";
 import { chooseServer, type ServerEstimate } from "../serving/serverChoice.ts";
 import { ServerCandidates } from "./serverCandidates.ts";
 import { demandKey, type PlacementClient, type GatewayContext } from "./gatewayContext.ts";
 
 /** Maximum interval between checks for an available server, ms. */
 const recheckIntervalMs = 250;
+/** By this time after connections to a server began to fail, peers have reported whether they reach it, ms. */
+const pathWaitMs = confirmationMs + 200;
 /** Interval between admission checks while engines are busy, ms: a few decoding steps. */
 const admissionRecheckMs = 50;
 /** Retry-After while servers are saturated or missing, s: slightly more than one placement round. */
@@ -24,6 +28,11 @@
 /** Maximum Retry-After, s: placement may have changed by then. */
 const maxRetryAfterS = 5;
 
+/** What a request is sent to: a server, or a peer that can connect to the servers. */
+export type Selection =
+  | { readonly kind: "server"; readonly candidate: ServerEstimate }
+  | { readonly kind: "peer"; readonly peer: NodeStatus };
+
 /** Options of a `ServerSelector`. */
 export interface ServerSelectorOptions {
   readonly context: GatewayContext;
@@ -39,6 +48,8 @@
   readonly mayRun: () => boolean;
   /** Tries to acquire the run lock; sleeps briefly if it is taken. */
   readonly awaitLock: () => Promise<void>;
+  /** Chooses a peer that can connect to one of the servers; undefined if the request may not be passed on. */
+  readonly choosePeer: ((servers: readonly BackendServer[]) => NodeStatus | undefined) | undefined;
 }
 
 /** Sends of the request so far. */
@@ -50,6 +61,8 @@
 
 /** Server selection of one request. */
 export class ServerSelector {
+  /** Whether no server was selected because this node can connect to none of those that could serve the request. */
+  outOfReach = false;
   /** Why no server was selected, for the log and the caller. */
   refusal = "";
   /** Retry-After for the caller, s. */
@@ -64,10 +77,11 @@
   }
 
   /**
-   * Resolves with the best server as soon as there is one, or undefined once waiting is pointless. After each wait the
-   * sockets are read first, as the caller may have disconnected meanwhile.
+   * Resolves with the best server as soon as there is one, with a peer if this node can't connect to the servers, or with
+   * undefined once waiting is pointless. After each wait the sockets are read first, as the caller may have disconnected
+   * meanwhile.
    */
-  async waitForServer(progress: SendProgress): Promise<ServerEstimate | undefined> {
+  async waitForServer(progress: SendProgress): Promise<Selection | undefined> {
     const key = demandKey(this.options.service.name, this.candidates.scope);
     const { waitingRequests } = this.options.context;
     let counted = false;
@@ -76,6 +90,9 @@
         if (this.options.isCancelled() || this.timeLeftMs <= 0) return undefined;
         const candidate = this.choose();
         if (candidate === undefined) {
+          const peer = this.peerInstead();
+          if (peer !== undefined) return { kind: "peer", peer };
+          if (this.outOfReach && this.options.choosePeer === undefined) return undefined;
           if (!counted) waitingRequests.add(key);
           counted = true;
           if (!(await this.waitForCandidate(progress))) return undefined;
@@ -92,7 +109,7 @@
           this.candidates.tried.add(candidate.server.id);
           this.options.context.modelWaits.markAvailable(key);
           this.recordSend(candidate.server);
-          return candidate;
+          return { kind: "server", candidate };
         }
         if (decision === "refuse") return undefined;
         await new Promise((resolve) => setTimeout(resolve, admissionRecheckMs));
@@ -126,6 +143,13 @@
     this.options.context.refusals.recordAccepted(server.id, this.candidates.scope);
   }
 
+  /** A peer to pass the request on to, as this node can connect to none of the servers that could serve it. */
+  private peerInstead(): NodeStatus | undefined {
+    const { outOfReach } = this.candidates;
+    this.outOfReach = outOfReach.length > 0;
+    return this.outOfReach ? this.options.choosePeer?.(outOfReach) : undefined;
+  }
+
   private get timeLeftMs(): number {
     return this.options.deadlines.firstByteDeadlineMs - performance.now();
   }
@@ -224,6 +248,7 @@
     }
     if (this.candidates.tried.size > 0) return this.retryAllServers(progress);
     this.options.placement.demandChanged();
+    if (this.outOfReach && this.pathIsUncertain()) return this.waitForChange();
     if (this.modelLoadsTooLate()) return false;
     const { model, adapter } = this.options.metadata;
     if (model !== undefined && adapter !== undefined && this.candidates.hasModel) {
@@ -234,12 +259,24 @@
         return false;
       }
     }
-    await this.options.context.fleetChanged.waitForNext(
-      Math.max(1, Math.min(this.timeLeftMs, recheckIntervalMs)),
-    );
+    return this.waitForChange();
+  }
+
+  private async waitForChange(): Promise<true> {
+    const { fleetChanged } = this.options.context;
+    await fleetChanged.waitForNext(Math.max(1, Math.min(this.timeLeftMs, recheckIntervalMs)));
     return true;
   }
 
+  /** Whether peers may still report whether they can connect to a server that this node can't connect to. */
+  private pathIsUncertain(): boolean {
+    const { reachability } = this.options.context;
+    const now = performance.now();
+    return this.candidates.outOfReach.some(
+      ({ id }) => now - (reachability.failingSinceMs(id) ?? now) < pathWaitMs,
+    );
+  }
+
   /** Whether the wait for the adapter is too long; the request is then refused while its caller can still retry. */
   private adapterWaitExceeded(): boolean {
     const { deadlines, arrivedMs } = this.options;
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -74,6 +74,11 @@
   readRequest(headers: HeaderMap): RequestMetadata;
   /** Builds the raw header list of a request to a server. */
   forwardHeaders(raw: readonly string[], send: SendMetadata): string[];
+  /** Builds the raw header list of a request that is passed on to another gateway node, as the caller sent it. */
+  relayHeaders(
+    raw: readonly string[],
+    send: Pick<SendMetadata, "resumeAfterEventId" | "bodyBytes">,
+  ): string[];
   /** Reads the headers of a server's response. */
   readResponse(status: number, headers: HeaderMap): ResponseMetadata;
   /** The end-to-end headers of a server's response, without framing headers. */
--- a/src/serving/membership/directory.ts
+++ b/src/serving/membership/directory.ts
@@ -23,24 +23,45 @@
   /** CPU cores that the node may use, and their utilization from 0 to 1. */
   readonly strength: number;
   readonly busy: number;
+  /** It can't connect to backend servers that other nodes reach. */
+  readonly partitioned?: boolean;
 }
 
 /** Addresses to give to one caller; `draw` returns random numbers from 0 to 1. */
 export function chooseAddresses(nodes: readonly DirectoryNode[], draw: () => number): string[] {
-  const spares = nodes.map((node) => ({ node, spare: spareCapacityOf(node) }));
+  const connected = nodes.filter(({ partitioned }) => partitioned !== true);
+  const spares = (connected.length > 0 ? connected : nodes).map((node) => ({
+    node,
+    spare: spareCapacityOf(node),
+  }));
   const maxSpare = Math.max(...spares.map(({ spare }) => spare));
   const chosen = spares.filter(({ spare }) => draw() * maxSpare <= spare);
   const rest = spares.filter((entry) => !chosen.includes(entry)).sort((a, b) => b.spare - a.spare);
+  // Partitioned nodes are listed only to reach the minimum number: they pass their requests on to the others.
+  if (connected.length > 0 && connected.length < minAddresses)
+    rest.push(...shuffled(partitionedOf(nodes), draw));
   chosen.push(...rest.slice(0, Math.max(0, minAddresses - chosen.length)));
   return chosen.map(({ node }) => node.callers);
 }
 
+function partitionedOf(nodes: readonly DirectoryNode[]): { node: DirectoryNode; spare: number }[] {
+  return nodes.filter(({ partitioned }) => partitioned === true).map((node) => ({ node, spare: 0 }));
+}
+
+function shuffled<T>(items: readonly T[], draw: () => number): T[] {
+  return items
+    .map((item) => ({ item, rank: draw() }))
+    .sort((a, b) => a.rank - b.rank)
+    .map(({ item }) => item);
+}
+
 /** Whether the node has hardly any spare capacity. */
 export function isSaturated({ busy }: Pick<DirectoryNode, "busy">): boolean {
   return busy >= saturatedRatio;
 }
 
-function spareCapacityOf({ strength, busy }: DirectoryNode): number {
+/** CPU cores that the node has to spare, as a weight; above 0 also for a saturated node. */
+export function spareCapacityOf({ strength, busy }: Pick<DirectoryNode, "strength" | "busy">): number {
   const headroom = (1 - Math.max(lightLoadRatio, Math.min(1, busy))) / (1 - lightLoadRatio);
   return strength * Math.max(minHeadroomRatio, headroom);
 }
--- a/src/serving/membership/peerTable.ts
+++ b/src/serving/membership/peerTable.ts
@@ -45,6 +45,10 @@
   fleetRevision: Schema.Number,
   /** Its fencing token while it holds the placement lease. */
   token: Schema.optionalKey(Schema.Number),
+  /** Backend servers that it can't connect to; absent if there are none. */
+  unreachable: Schema.optionalKey(Schema.Array(Schema.String)),
+  /** Set while it reaches none of the servers of a service that other nodes reach. */
+  partitioned: Schema.optionalKey(Schema.Boolean),
 };
 
 /** Status of an active node as sent to standby nodes. */
@@ -294,8 +298,9 @@
   /** Hash of the set of active nodes and their status, without fields that change all the time. */
   digest(nowMs: number): string {
     const entries = this.alive(nowMs).map(({ status }) => {
-      const { ip, boot, ready, token } = status;
-      return `${ip} ${boot} ${String(ready)} ${String(isSaturated(status))} ${token ?? ""}`;
+      const { ip, boot, ready, token, partitioned } = status;
+      const flags = [ready, isSaturated(status), partitioned === true].join(" ");
+      return `${ip} ${boot} ${flags} ${token ?? ""}`;
     });
     return digestOf(entries.sort());
   }
