--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -154,7 +154,7 @@
       metrics: this.context.metrics,
       self: settings,
       leaseMs: settings.leaseMs,
-      eligible: () => this.activation.active,
+      eligible: () => this.activation.active && !this.reachability.partitionedFromEngines,
       holderAlive: () => this.peerTable.leaseHolder(this.readUpToMs) !== undefined,
       storeReachableByPeers: () => this.storeReader.storeReachableByPeers,
       broadcastYield: (message) => {
@@ -168,6 +168,10 @@
       report: () => {
         this.peers.sendHeartbeat();
       },
+      onPartition: () => {
+        // Orders of this node don't arrive; another node can take over.
+        if (this.reachability.partitionedFromEngines && this.lease.holding) void this.lease.stepDown();
+      },
     });
     this.peers.handle("loads", (params) => this.onLoads(params));
     this.peers.handle("server.leaving", (params) => {
--- a/src/gateway/placementTask.ts
+++ b/src/gateway/placementTask.ts
@@ -8,6 +8,7 @@
 import type { EraTracker } from "../serving/eraTracker.ts";
 import type { EngineLimits, Model } from "../serving/configuration.ts";
 import type { ResidencyChange } from "../serving/fleet.ts";
+import { isReachedBy } from "../serving/forwarding.ts";
 import { LoadRateLimiter } from "../serving/loadRateLimiter.ts";
 import { expectedLoadMs } from "../serving/modelWaitEstimator.ts";
 import type { EngineApi } from "../serving/orders.ts";
@@ -178,10 +179,11 @@
   private async placeModels(service: string, limits: EngineLimits): Promise<void> {
     const now = performance.now();
     const { fleet, outliers } = this.options.context;
-    // An unreachable engine has most likely crashed, although its registration expires only seconds later.
+    // An engine that no node reaches has most likely crashed, although its registration expires only seconds later.
     const servers = fleet
       .available(service)
-      .filter((server) => server.engine && !outliers.health(server.id, now).unreachable);
+      .filter((server) => server.engine && !outliers.health(server.id, now).unreachable)
+      .filter((server) => this.isReachable(server) || this.isReachedByPeer(server));
     const running = this.demand.runningRequests(now);
     const plan = new PlacementPlan({
       models: limits.models,
@@ -236,11 +238,23 @@
       recentlyChanged: controller.recentlyChanged,
       pendingLoads: new Set(controller.loading.keys()),
       freeMb: this.freeMb(controller, limits),
-      busy: controller.busy || this.isClosed(controller),
+      busy: controller.busy || this.isClosed(controller) || !this.isReachable(server),
       cachedModels: new Set(server.atHand),
     };
   }
 
+  private isReachable({ id }: BackendServer): boolean {
+    return this.options.context.reachability.isReachable(id);
+  }
+
+  /** Whether a peer can connect to the engine, which this node can't, so that it is alive. */
+  private isReachedByPeer({ id }: BackendServer): boolean {
+    const { context, peerTable } = this.options;
+    const failingSinceMs = context.reachability.failingSinceMs(id) ?? performance.now();
+    const peers = peerTable.alive(context.watermark.readUpToMs);
+    return peers.some((peer) => isReachedBy(peer, { id, failingSinceMs }, false));
+  }
+
   /** Free memory under the assumption that all pending loads succeed and no pending unload has completed, MB. */
   private freeMb(controller: EngineController, limits: EngineLimits): number {
     let usedMb = 0;
@@ -271,8 +285,10 @@
 
   /** Excludes a crashed engine immediately rather than when its registration expires seconds later. */
   private recordIfUnreachable(server: BackendServer, outcome: EngineOrderOutcome): void {
-    if (outcome !== "wrong-server" && outcome !== "unreachable") return;
-    this.options.context.outliers.recordUnreachable(server.id, performance.now());
+    const { outliers, reachability } = this.options.context;
+    const now = performance.now();
+    if (outcome === "wrong-server") outliers.recordUnreachable(server.id, now);
+    else if (outcome === "unreachable") reachability.recordConnectFailure(server.id, now, now);
   }
 
   private async checkOverdueLoads(models: readonly { name: string; loadS: number }[]): Promise<void> {
--- a/src/gateway/reachabilityTask.ts
+++ b/src/gateway/reachabilityTask.ts
@@ -27,6 +27,8 @@
   readonly peers: () => readonly NodeView[];
   /** Sends a heartbeat now. */
   readonly report: () => void;
+  /** The services of which this node reaches no server while peers do have changed. */
+  readonly onPartition: (services: readonly string[]) => void;
 }
 
 /** Owns the probes and their timer. */
@@ -73,6 +75,12 @@
     return this.reportedServices.length > 0;
   }
 
+  /** Whether such a service runs on engines, so that this node's orders don't arrive. */
+  get partitionedFromEngines(): boolean {
+    const table = this.options.context.configuration.current;
+    return this.reportedServices.some((name) => table?.service(name)?.engine !== undefined);
+  }
+
   /** A peer reported servers that it can't connect to. */
   onPeerFailures(serverIds: readonly string[]): void {
     const { fleet, reachability } = this.options.context;
@@ -163,6 +171,7 @@
     if (reported.join() === this.reportedServices.join()) return;
     this.reportedServices = reported;
     this.options.report();
+    this.options.onPartition(reported);
     this.scheduleLog();
   }
 
--- a/test/gateway/partitionedHosts.spec.ts
+++ b/test/gateway/partitionedHosts.spec.ts
@@ -1,6 +1,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { expect } from "chai";
 import { offerLoad, type Call } from "../fixtures/disconnectingCallers.ts";
+import { waitUntil } from "../fixtures/gateways.ts";
 import { GatewayProcesses, GatewayProgram, ports } from "../fixtures/gatewayProcesses.ts";
 import { paths } from "../fixtures/recordingServer.ts";
 import type { CutKind } from "../fixtures/serverLinks.ts";
@@ -169,4 +170,21 @@
     await delay(1_500);
     for (const host of [0, 1, 4]) expect(await processes.directory(host)).to.include(cutAddress);
   });
+
+  it("should give up the placement lease to a host that reaches the engines", async () => {
+    await start(4, true);
+    const holds = async (host: number): Promise<boolean> =>
+      counterOf(await processes.metrics(host), "lease_held") === 1;
+    const holders = async (): Promise<number[]> => {
+      const held = await Promise.all([0, 1, 2, 3].map(holds));
+      return [0, 1, 2, 3].filter((host) => held[host] === true);
+    };
+    await waitUntil(async () => (await holders()).length === 1);
+    const [first = 0] = await holders();
+    processes.cut([first], "silent");
+    await offerLoad({ endpoints: processes.endpoints, ...load, forMs: 4_000, seed: 2 });
+    const after = await holders();
+    expect(after).to.have.lengthOf(1);
+    expect(after).to.not.include(first);
+  });
 });
