--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -14,7 +14,7 @@
 import type { CallerConnection } from "./callerConnection.ts";
 import { QuarantineCheck } from "./quarantineCheck.ts";
 import { forwardedRequestHeaders, withoutNodeHeaders, type RelayedResponse } from "./forwardedRequest.ts";
-import type { PeerForwarder } from "./peerForwarder.ts";
+import type { PeerForwarder, PeerNeed } from "./peerForwarder.ts";
 import { SendRecord, serverErrorStatus } from "./sendRecord.ts";
 import { ServerSelector, defaultRetryS } from "./serverSelector.ts";
 import { adapterKey, demandKey, type PlacementClient, type GatewayContext } from "./gatewayContext.ts";
@@ -108,6 +108,8 @@
       this.refuse(toFailure(error));
     } finally {
       this.caller.onDisconnect(undefined);
+      // Undefined if the request was refused before server selection.
+      (this.selector as ServerSelector | undefined)?.releaseSlot();
       // Undefined if the request was refused before its body was read.
       (this.quarantine as QuarantineCheck | undefined)?.dispose();
     }
@@ -155,7 +157,7 @@
       mayRun: () => this.quarantine.mayRun,
       awaitLock: () => this.quarantine.awaitLock(),
       // A request is passed on once: the node that it was passed on to serves or refuses it.
-      choosePeer: forwarded === undefined ? (servers) => this.choosePeer(servers) : undefined,
+      choosePeer: forwarded === undefined ? (servers, need) => this.choosePeer(servers, need) : undefined,
     });
     if (forwarded === undefined) this.countDemand();
     else this.context.metrics.receivedForwarded.inc({ service: service.name });
@@ -264,9 +266,9 @@
     return true;
   }
 
-  private choosePeer(servers: readonly BackendServer[]): NodeStatus | undefined {
+  private choosePeer(servers: readonly BackendServer[], need: PeerNeed): NodeStatus | undefined {
     if (this.triedPeers.size >= maxForwards) return undefined;
-    return this.options.forwarder.choosePeer(servers, this.triedPeers);
+    return this.options.forwarder.choosePeer(servers, need, this.triedPeers);
   }
 
   /** Passes the request on to the peer; returns true if it is to be sent to a server or to another peer. */
@@ -400,6 +402,8 @@
           context.reachability.recordConnected(server.id, performance.now());
         },
         onResponse: (metadata) => {
+          const { rejectionsPerS } = metadata.notice;
+          context.concurrency.recordResponse(server, rejectionsPerS, now, performance.now());
           context.pool.setKeepAlive(server.id, metadata.keepAliveS);
           context.notices.recordNotice(
             server,
@@ -422,6 +426,7 @@
     this.attempt = undefined;
     inFlight.done();
     context.reachability.recordEnd(server.id);
+    this.selector.releaseSlot();
     this.record.recordOutcome(candidate, outcome, now);
     if (outcome.kind === "not-run") this.selector.recordRefusal(server, outcome.metadata);
     else if (outcome.kind === "answered" || outcome.kind === "streamed") this.selector.recordAccepted(server);
--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/fleetTask.ts
@@ -338,6 +338,7 @@
     context.outliers.retain(known);
     context.reachability.retain(known);
     context.refusals.retain(known);
+    context.concurrency.retain(known, performance.now());
     context.notices.retain(servers, performance.now());
     const incarnations = new Set(servers.map(incarnationOf));
     context.permits.retain(incarnations);
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -2,6 +2,7 @@
 import type { Log } from "../common/log.ts";
 import { Emitter } from "../common/emitter.ts";
 import { ReadWatermark } from "../common/readWatermark.ts";
+import { ConcurrencyLimiter } from "../serving/concurrencyLimiter.ts";
 import { DemandMeter } from "../serving/demandMeter.ts";
 import type { HeaderCodec } from "../serving/exchange.ts";
 import { EngineSpeed } from "../serving/engineSpeed.ts";
@@ -19,6 +20,7 @@
 import type { RouteTable } from "../serving/routeTable.ts";
 import { ServerNotices } from "../serving/serverNotices.ts";
 import { GatewayMetrics } from "./gatewayMetrics.ts";
+import { SlotQueue } from "./slotQueue.ts";
 import { UpstreamPool } from "./upstreamPool.ts";
 
 /** The active configuration of this node. */
@@ -79,6 +81,7 @@
 /** Shared components of one gateway node. */
 export interface GatewayContext {
   readonly host: string;
+  readonly ip: string;
   readonly zone: string;
   /** A server that announced its shutdown may be sent requests for this long, ms. */
   readonly drainMs: number;
@@ -109,6 +112,10 @@
   readonly permits: Permits;
   /** Grants permits to all nodes for the servers that this node owns. */
   readonly permitIssuer: PermitIssuer;
+  /** Limits requests in flight at servers that fail if they have to reject many. */
+  readonly concurrency: ConcurrencyLimiter;
+  /** Requests that wait for a slot of such a server. */
+  readonly slotQueue: SlotQueue;
   /** Requests that crash servers. */
   readonly quarantine: Quarantine;
   readonly modelWaits: ModelWaitEstimator;
@@ -124,19 +131,26 @@
 /** Options of `createGatewayContext`. */
 export interface GatewayContextOptions extends Pick<
   GatewayContext,
-  "host" | "zone" | "drainMs" | "log" | "codec"
+  "host" | "ip" | "zone" | "drainMs" | "log" | "codec"
 > {
+  /** IPs of the nodes that send requests to servers. */
+  readonly sendingNodes: () => readonly string[];
   /** Number of nodes that currently serve callers, including this one. */
   readonly nodeCount: () => number;
 }
 
 /** Creates the components in their initial state. */
-export function createGatewayContext({ nodeCount, ...options }: GatewayContextOptions): GatewayContext {
+export function createGatewayContext({
+  nodeCount,
+  sendingNodes,
+  ...options
+}: GatewayContextOptions): GatewayContext {
   const notices = new ServerNotices();
+  const fleet = new Fleet(notices);
   return {
     ...options,
     configuration: new ActiveConfiguration(),
-    fleet: new Fleet(notices),
+    fleet,
     fleetChanged: new Emitter(),
     loads: new LoadTracker(),
     outliers: new OutlierDetector(),
@@ -150,6 +164,12 @@
     notices,
     permits: new Permits(notices),
     permitIssuer: new PermitIssuer(),
+    concurrency: new ConcurrencyLimiter({
+      self: options.ip,
+      nodes: sendingNodes,
+      servers: (service) => fleet.available(service),
+    }),
+    slotQueue: new SlotQueue(),
     quarantine: new Quarantine(),
     modelWaits: new ModelWaitEstimator(),
     prefillFactors: new PrefillFactors(),
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -19,6 +19,14 @@
   readonly receivedForwarded = this.counter("received_forwarded_requests_total", "Requests from peers", [
     "service",
   ]);
+  /** Brittle servers, and how often one of them failed, as seen by this node. */
+  readonly brittleServers = this.gauge(
+    "brittle_servers",
+    "Servers that fail if they have to reject many requests",
+  );
+  readonly brittleFailures = this.counter("brittle_server_failures_total", "Failures of brittle servers", [
+    "service",
+  ]);
   /** Sends whose connection ended before the response was complete, by service. */
   readonly lostConnections = this.counter(
     "cut_sends_total",
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -1,4 +1,5 @@
 /** The gateway node of one host: wires its tasks together and supervises them. */
+import * as Schema from "effect/Schema";
 import type * as purify from "purify-ts";
 import type { Failure } from "../common/errors.ts";
 import { decodeEither } from "../common/decode.ts";
@@ -52,6 +53,13 @@
 /** Part of the grace period reserved for the exit itself, ms. */
 const exitMarginMs = 700;
 
+/** What a server stated to a peer about the rejections that it bears. */
+const BrittleMessage = Schema.Struct({
+  incarnation: Schema.String,
+  service: Schema.String,
+  rejectionsPerS: Schema.optionalKey(Schema.Number),
+});
+
 /** Platform integrations of a gateway node. */
 export interface GatewayPlatform {
   readonly store: Store;
@@ -106,6 +114,8 @@
       drainMs: settings.drainMs,
       log,
       codec: platform.codec,
+      ip: settings.ip,
+      sendingNodes: () => this.sendingNodes,
       nodeCount: () => this.activeNodeCount,
     });
     for (const seed of settings.seeds) this.peerTable.addContact(seed, performance.now());
@@ -177,6 +187,9 @@
     this.peers.handle("server.leaving", (params) => {
       this.fleet.onLeaving(params);
     });
+    this.peers.handle("server.brittle", (params) => {
+      this.onBrittle(params);
+    });
     this.peers.handle("lease.yield", (params) => this.lease.onYield(params));
     this.placement = new PlacementTask({
       context: this.context,
@@ -325,6 +338,10 @@
     platform.engines.noticeReceived.on(({ target: { serverId: id, startedAtMs }, notice }) => {
       this.context.notices.recordPartialNotice({ id, startedAtMs }, notice, performance.now());
     });
+    this.context.concurrency.changed.on((statement) => {
+      log.warn({ event: "server-brittle", ...statement });
+      this.peers.notify("server.brittle", statement);
+    });
     store.eras.changed.on(({ from, to }) => {
       this.context.metrics.storeEra.set(to);
       if (from === undefined) return;
@@ -442,6 +459,8 @@
       directory: () => platform.encodeDirectory(this.addresses(), this.ttlS),
       metrics: () => {
         this.reachability.updateMetrics();
+        const { metrics, concurrency, fleet } = this.context;
+        metrics.brittleServers.set(concurrency.countLimited(fleet.all(), performance.now()));
         this.context.metrics.peers.set(this.peerTable.alive(this.readUpToMs).length);
         return this.context.metrics.registry;
       },
@@ -452,6 +471,16 @@
     return Math.min(directoryTtlS, this.options.settings.maxTtlS);
   }
 
+  /** IPs of the active nodes that can connect to servers. */
+  private get sendingNodes(): string[] {
+    const ips = this.readyPeers
+      .filter(({ status }) => status.partitioned !== true)
+      .map(({ status }) => status.ip);
+    if (this.ready && this.activation.active && !this.reachability.partitioned)
+      ips.push(this.options.settings.ip);
+    return ips;
+  }
+
   /** Live peers that accept callers. */
   private get readyPeers(): Peer[] {
     return this.peerTable.alive(this.readUpToMs).filter(({ status }) => status.ready);
@@ -511,6 +540,16 @@
       .orDefault(false);
   }
 
+  private onBrittle(params: unknown): void {
+    decodeEither(BrittleMessage, params)
+      .ifLeft((failure) => {
+        this.options.log.warn({ event: "peer-message-rejected", detail: failure.message });
+      })
+      .ifRight((statement) => {
+        this.context.concurrency.applyPeerStatement(statement, performance.now());
+      });
+  }
+
   private callerDemand(): CallerDemand {
     const now = performance.now();
     const running = Object.fromEntries(
--- a/src/gateway/peerForwarder.ts
+++ b/src/gateway/peerForwarder.ts
@@ -13,6 +13,9 @@
 const maxIdleConnections = 16;
 const idleTimeoutMs = 1_000;
 
+/** What a peer needs to serve the request: a path to one of the servers, or also a share of the slots of a limited one. */
+export type PeerNeed = "connected" | "with-slots";
+
 /** Options of a `PeerForwarder`. */
 export interface PeerForwarderOptions {
   readonly context: GatewayContext;
@@ -40,17 +43,26 @@
 
   constructor(private readonly options: PeerForwarderOptions) {}
 
-  /** A peer that can connect to one of the servers, none of which this node can connect to. */
-  choosePeer(servers: readonly BackendServer[], tried: ReadonlySet<string>): NodeStatus | undefined {
+  /** A peer that meets the need, which this node doesn't, for one of the servers. */
+  choosePeer(
+    servers: readonly BackendServer[],
+    need: PeerNeed,
+    tried: ReadonlySet<string>,
+  ): NodeStatus | undefined {
     const { context, peers } = this.options;
-    const { reachability, fleet, configuration, zone } = context;
+    const { reachability, fleet, configuration, concurrency, zone } = context;
+    const now = performance.now();
+    const hasSlots = ({ status }: Peer): boolean =>
+      servers.some((server) => concurrency.shareOf(server, status.ip, now) > 0);
     return choosePeer({
-      peers: peers(),
+      peers: need === "with-slots" ? peers().filter(hasSlots) : peers(),
       servers: servers.map(({ id }) => ({
         id,
-        failingSinceMs: reachability.failingSinceMs(id) ?? performance.now(),
+        failingSinceMs: reachability.failingSinceMs(id) ?? now,
       })),
-      reachesNone: reachability.summarize(fleet.all().map(({ id }) => id)).noneSinceMs !== undefined,
+      reachesNone:
+        need === "with-slots" ||
+        reachability.summarize(fleet.all().map(({ id }) => id)).noneSinceMs !== undefined,
       zone,
       version: configuration.current?.version ?? 0,
       tried,
--- a/src/gateway/sendRecord.ts
+++ b/src/gateway/sendRecord.ts
@@ -66,6 +66,11 @@
     } else if (outcome.kind === "broken" || outcome.kind === "silent") {
       context.outliers.recordFailure(server.id, now);
     }
+    const isLost = outcome.kind === "unreachable" || (outcome.kind === "broken" && outcome.connectionLost);
+    if (isLost && context.concurrency.recordLoss(server, now)) {
+      context.metrics.brittleFailures.inc({ service: service.name });
+      context.log.warn({ event: "brittle-server-failed", server: server.id, service: service.name });
+    }
     if (outcome.kind === "silent" && outcome.waitedMs !== undefined)
       context.outliers.recordTimeout(server.id, outcome.waitedMs, candidate.baselineMs);
     this.log(candidate, outcome, now);
--- a/src/gateway/serverCandidates.ts
+++ b/src/gateway/serverCandidates.ts
@@ -29,13 +29,31 @@
     return this.eligible().filter((server) => this.acceptsNow(server, now));
   }
 
-  /** Servers that could serve the request but announced a rate limit or back-off that prevents it now. */
+  /** Servers that could serve the request but stated a limit or back-off that prevents it now. */
   get throttled(): BackendServer[] {
-    if (this.options.context.notices.isEmpty) return [];
+    const { notices, concurrency } = this.options.context;
+    if (notices.isEmpty && !concurrency.active) return [];
     const now = performance.now();
     return this.eligible().filter((server) => !this.tried.has(server.id) && !this.acceptsNow(server, now));
   }
 
+  /** Servers that could serve the request and whose requests in flight are limited. */
+  get limited(): readonly BackendServer[] {
+    const now = performance.now();
+    return this.eligible().filter((server) => this.options.context.concurrency.isLimited(server, now));
+  }
+
+  /** The servers that the request waits for, if all are limited and this node has no share of their slots; else empty. */
+  get withoutShare(): readonly BackendServer[] {
+    const { concurrency, ip } = this.options.context;
+    if (!concurrency.active) return [];
+    const now = performance.now();
+    const { throttled } = this;
+    const hasShare = (server: BackendServer): boolean =>
+      !concurrency.isLimited(server, now) || concurrency.shareOf(server, ip, now) > 0;
+    return throttled.some(hasShare) ? [] : throttled;
+  }
+
   /** Whether any server currently refuses requests of this scope and may accept them again at any time. */
   get anyRefusing(): boolean {
     const now = performance.now();
@@ -75,8 +93,12 @@
   }
 
   private acceptsNow(server: BackendServer, nowMs: number): boolean {
-    const { notices, permits } = this.options.context;
-    return notices.acceptsRequests(server, nowMs) && permits.admits(server, nowMs);
+    const { notices, permits, concurrency } = this.options.context;
+    return (
+      notices.acceptsRequests(server, nowMs) &&
+      permits.admits(server, nowMs) &&
+      concurrency.admits(server, nowMs)
+    );
   }
 
   /** Servers that don't refuse requests of this scope; if there are none, those that recently announced a shutdown. */
--- a/src/gateway/serverSelector.ts
+++ b/src/gateway/serverSelector.ts
@@ -8,7 +8,9 @@
 import type { RequestDeadlines } from "../serving/requestDeadlines.ts";
 import type { NodeStatus } from "../serving/membership/peerTable.ts";
 import { chooseServer, type ServerEstimate } from "../serving/serverChoice.ts";
+import type { PeerNeed } from "./peerForwarder.ts";
 import { ServerCandidates } from "./serverCandidates.ts";
+import type { QueuePosition } from "./slotQueue.ts";
 import { demandKey, type PlacementClient, type GatewayContext } from "./gatewayContext.ts";
 
 /** Maximum interval between checks for an available server, ms. */
@@ -23,6 +25,8 @@
 const adapterWaitRatio = 0.7;
 /** Retry-After for an adapter that got no slot, ms: model loads, during which engines take no orders, last seconds. */
 const adapterRetryAfterMs = 1_000;
+/** Maximum fraction of the caller's remaining time to wait for a slot of a limited server. */
+const slotWaitRatio = 0.5;
 /** A server that requests a shorter back-off than this, ms, gets the default back-off of refusing servers instead. */
 const minBackoffMs = 200;
 /** Maximum Retry-After, s: placement may have changed by then. */
@@ -48,8 +52,9 @@
   readonly mayRun: () => boolean;
   /** Tries to acquire the run lock; sleeps briefly if it is taken. */
   readonly awaitLock: () => Promise<void>;
-  /** Chooses a peer that can connect to one of the servers; undefined if the request may not be passed on. */
-  readonly choosePeer: ((servers: readonly BackendServer[]) => NodeStatus | undefined) | undefined;
+  /** Chooses a peer that can send to one of the servers; undefined if the request may not be passed on. */
+  readonly choosePeer:
+    ((servers: readonly BackendServer[], need: PeerNeed) => NodeStatus | undefined) | undefined;
 }
 
 /** Sends of the request so far. */
@@ -69,6 +74,10 @@
   retryAfterS = defaultRetryS;
   private readonly candidates: ServerCandidates;
   private allRetried = false;
+  /** Ends the count of the request as in flight at a server. */
+  private slot: (() => void) | undefined;
+  /** A slot became free for this request. */
+  private hasTurn = false;
   /** The servers whose permits the request waits for. */
   private permitWait: { readonly key: string; readonly waiting: Disposable } | undefined;
 
@@ -88,6 +97,12 @@
     try {
       for (;;) {
         if (this.options.isCancelled() || this.timeLeftMs <= 0) return undefined;
+        const { queuedServers } = this;
+        if (queuedServers.length > 0) {
+          if (!(await this.waitForSlot(queuedServers))) return undefined;
+          await this.options.context.watermark.waitUntilCaughtUp();
+          continue;
+        }
         const candidate = this.choose();
         if (candidate === undefined) {
           const peer = this.peerInstead();
@@ -121,6 +136,12 @@
     }
   }
 
+  /** The send for which the last server was selected has ended, or is not made. */
+  releaseSlot(): void {
+    this.slot?.();
+    this.slot = undefined;
+  }
+
   /** Whether another server could be sent the request now. */
   hasAlternative(): boolean {
     return this.choose() !== undefined;
@@ -143,11 +164,13 @@
     this.options.context.refusals.recordAccepted(server.id, this.candidates.scope);
   }
 
-  /** A peer to pass the request on to, as this node can connect to none of the servers that could serve it. */
+  /** A peer to pass the request on to, as this node can't connect to the servers or has no share of their slots. */
   private peerInstead(): NodeStatus | undefined {
     const { outOfReach } = this.candidates;
     this.outOfReach = outOfReach.length > 0;
-    return this.outOfReach ? this.options.choosePeer?.(outOfReach) : undefined;
+    if (this.outOfReach) return this.options.choosePeer?.(outOfReach, "connected");
+    const { withoutShare } = this.candidates;
+    return withoutShare.length > 0 ? this.options.choosePeer?.(withoutShare, "with-slots") : undefined;
   }
 
   private get timeLeftMs(): number {
@@ -179,12 +202,50 @@
     const { notices, permits } = this.options.context;
     const now = performance.now();
     notices.recordSend(server, now);
+    this.takeSlot(server, now);
     permits.consume(server);
     // The next similar request may use the spare capacity of a rate-limited server.
     const limited = this.candidates.throttled.filter((other) => notices.acceptsRequests(other, now));
     if (limited.length > 0) permits.requestSpare(limited, now);
   }
 
+  private takeSlot(server: BackendServer, startedMs: number): void {
+    const { concurrency, slotQueue } = this.options.context;
+    concurrency.start(server);
+    this.slot = () => {
+      concurrency.end(server, performance.now() - startedMs);
+      slotQueue.release(server.service);
+    };
+  }
+
+  /** The limited servers for which requests that came earlier are waiting; empty if it is this request's turn. */
+  private get queuedServers(): readonly BackendServer[] {
+    const { concurrency, slotQueue } = this.options.context;
+    if (!concurrency.active || this.hasTurn) return [];
+    const ahead = slotQueue.ahead(this.options.service.name, this.candidates.scope, this.queuePosition);
+    return ahead === 0 ? [] : this.candidates.limited;
+  }
+
+  private get queuePosition(): QueuePosition {
+    return { priority: this.options.route.priority, arrivedMs: this.options.arrivedMs };
+  }
+
+  /** Waits until this node may send to one of the limited servers; resolves with false if that takes too long. */
+  private async waitForSlot(servers: readonly BackendServer[]): Promise<boolean> {
+    const { concurrency, slotQueue } = this.options.context;
+    const { name } = this.options.service;
+    const { scope } = this.candidates;
+    const ahead = slotQueue.ahead(name, scope, this.queuePosition);
+    const expectedMs = concurrency.expectedWaitMs(servers, ahead, performance.now());
+    this.setRefusal(expectedMs, "all servers are at their concurrency limit");
+    if (expectedMs > slotWaitRatio * this.timeLeftMs) return false;
+    const maxMs = Math.max(1, Math.min(this.timeLeftMs, recheckIntervalMs));
+    this.hasTurn = await slotQueue.wait(name, scope, this.queuePosition, maxMs);
+    // The slot is for the next request then.
+    if (this.options.isCancelled()) slotQueue.release(name);
+    return true;
+  }
+
   /** Registers the request as waiting for permits of exactly these servers. */
   private registerPermitWait(servers: readonly BackendServer[]): void {
     const key = servers.map(({ id }) => id).join(" ");
@@ -198,8 +259,12 @@
 
   /** Waits until a throttled server may accept requests again; resolves with false if none will before the deadline. */
   private async waitForThrottled(servers: readonly BackendServer[]): Promise<boolean> {
-    const { notices, permits, fleetChanged } = this.options.context;
+    const { notices, permits, concurrency, fleetChanged } = this.options.context;
     const now = performance.now();
+    const limited = servers.filter(
+      (server) => notices.acceptsRequests(server, now) && concurrency.isLimited(server, now),
+    );
+    if (limited.length > 0) return this.waitForSlot(limited);
     const backoffsMs = servers.map((server) => notices.backoffRemainingMs(server, now));
     const minBackoffLeftMs = Math.min(...backoffsMs);
     const waitsMs = servers.map((server, i) =>
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -46,6 +46,8 @@
   readonly limitPerS: number | undefined;
   /** It is shutting down. */
   readonly leaving: boolean;
+  /** Rejections per second above which it fails; undefined if it states none. */
+  readonly rejectionsPerS: number | undefined;
   /** It asks this node not to send requests for this time, ms. */
   readonly retryAfterMs: number | undefined;
 }
--- a/test/gateway/fleetTask.spec.ts
+++ b/test/gateway/fleetTask.spec.ts
@@ -25,6 +25,8 @@
     const codec = requestHeaders;
     this.context = createGatewayContext({
       host: "h",
+      ip: "127.0.0.1",
+      sendingNodes: () => [],
       zone: "a",
       drainMs: 2_000,
       log,
