--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -169,6 +169,8 @@
   }
 
   private onSocket(socket: net.Socket): void {
+    // The connection attempt failed at once; the error follows.
+    if (socket.destroyed) return;
     if (!socket.connecting) {
       this.onConnected();
       this.req.end(this.options.body);
