--- a/src/explain/requestTimeline.ts
+++ b/src/explain/requestTimeline.ts
@@ -13,6 +13,7 @@
   "store-lost",
   "store-regained",
   "store-era-changed",
+  "servers-reached",
   "started",
 ]);
 /** Events of the lease, of servers and of the process that are relevant to any request near them in time. */
@@ -23,7 +24,9 @@
 /** Returns the lines of the timeline in chronological order. */
 export function requestTimeline(lines: readonly LogLine[], requestId: string): string[] {
   const own = lines.filter((line) => line.requestId === requestId);
-  const end = own.find((line) => line.event === "request") ?? own.at(-1);
+  // A node that the request was passed on to logs a line of its own, with the node that the caller asked.
+  const ends = own.filter((line) => line.event === "request");
+  const end = ends.find((line) => line.fields.from === undefined) ?? ends[0] ?? own.at(-1);
   if (end === undefined) {
     throw new Failure(
       "unknown-request",
--- a/src/gateway/callerConnection.ts
+++ b/src/gateway/callerConnection.ts
@@ -3,7 +3,12 @@
 import { Failure } from "../common/errors.ts";
 import type { HeaderCodec } from "../serving/exchange.ts";
 import type { StreamSink, BufferedResponse } from "./attempt.ts";
-import { relayedResponseHeaders, type ForwardedRequest, type RelayedResponse } from "./forwardedRequest.ts";
+import {
+  relayedResponseHeaders,
+  withoutNodeHeaders,
+  type ForwardedRequest,
+  type RelayedResponse,
+} from "./forwardedRequest.ts";
 
 /** Options of a `CallerConnection`. */
 export interface CallerConnectionOptions {
@@ -51,6 +56,12 @@
     req.on("error", () => undefined);
   }
 
+  /** The caller's headers, without those of a node that passed the request on. */
+  get rawHeaders(): readonly string[] {
+    const { rawHeaders } = this.req;
+    return this.forwarded === undefined ? rawHeaders : withoutNodeHeaders(rawHeaders);
+  }
+
   /** Whether the caller closed the connection before the response was complete. */
   get disconnected(): boolean {
     return this.isDisconnected;
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -8,10 +8,10 @@
 import { ErrorKind, type Failure } from "../common/errors.ts";
 import type { HeaderCodec, HeaderMap, ResponseMetadata } from "../serving/exchange.ts";
 
-const headerPrefix = "parsleynotch-";
 /** Name of the header with a `ForwardedRequest`. */
-export const requestHeader = `${headerPrefix}forwarded`;
-const responseHeader = `${headerPrefix}relayed`;
+export const requestHeader = "parsleynotch-forwarded";
+const responseHeader = "parsleynotch-relayed";
+const nodeHeaders: ReadonlySet<string> = new Set([requestHeader, responseHeader]);
 
 /** What the receiving node has to know of the request. */
 export const ForwardedRequest = Schema.Struct({
@@ -44,11 +44,11 @@
   return decodeEither(ForwardedRequest, parse(headers[requestHeader]));
 }
 
-/** The raw request headers without those between nodes. */
+/** The raw headers without those between nodes. */
 export function withoutNodeHeaders(raw: readonly string[]): string[] {
   const headers: string[] = [];
   for (let i = 0; i + 1 < raw.length; i += 2)
-    if (!(raw[i] ?? "").toLowerCase().startsWith(headerPrefix)) headers.push(raw[i] ?? "", raw[i + 1] ?? "");
+    if (!nodeHeaders.has((raw[i] ?? "").toLowerCase())) headers.push(raw[i] ?? "", raw[i + 1] ?? "");
   return headers;
 }
 
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -292,7 +292,7 @@
         this.context.prefillFactors.applyPeerFactors(heartbeat.ip, heartbeat.paces);
       if (heartbeat.coming !== undefined)
         this.context.modelWaits.setAnnouncedLoads(heartbeat.coming, performance.now());
-      if (heartbeat.unreachable !== undefined) this.reachability.onPeerFailures(heartbeat.unreachable);
+      this.reachability.applyPeerReport(heartbeat.ip, heartbeat.unreachable ?? []);
       void this.configuration.pullIfNewer(heartbeat);
       void this.quarantine.pullIfNewer(heartbeat);
       // Changes are first known to nodes that read the store.
@@ -514,6 +514,7 @@
       ...(token === undefined ? {} : { token }),
       ...(unreachable.length === 0 ? {} : { unreachable }),
       ...(partitioned ? { partitioned } : {}),
+      forwarding: true,
       ...(storeEra === undefined ? {} : { storeEra }),
     };
   }
--- a/src/gateway/peerForwarder.ts
+++ b/src/gateway/peerForwarder.ts
@@ -5,8 +5,14 @@
 import { choosePeer } from "../serving/forwarding.ts";
 import { formatEndpoint } from "../serving/hostSettings.ts";
 import type { NodeStatus, Peer } from "../serving/membership/peerTable.ts";
-import { Attempt, type AttemptListener, type AttemptOptions, type StreamSink } from "./attempt.ts";
-import { RelayedResponseCodec, withoutNodeHeaders, type RelayedResponse } from "./forwardedRequest.ts";
+import { Attempt, type AttemptOptions, type StreamSink } from "./attempt.ts";
+import {
+  forwardedRequestHeaders,
+  RelayedResponseCodec,
+  withoutNodeHeaders,
+  type RelayedResponse,
+} from "./forwardedRequest.ts";
+import type { CallerConnection } from "./callerConnection.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
 
 /** Idle connections kept per peer, and how long, ms: a peer that lost power doesn't close them. */
@@ -24,15 +30,78 @@
 }
 
 /** A request to send to a peer. */
-export interface PeerSend extends Omit<AttemptOptions, "server" | "agent" | "codec"> {
+export interface ForwardOptions extends Pick<
+  AttemptOptions,
+  | "body"
+  | "requestId"
+  | "sink"
+  | "lastDeliveredEvent"
+  | "firstByteTimeoutMs"
+  | "eventGapTimeoutMs"
+  | "responseTimeoutMs"
+> {
   readonly peer: NodeStatus;
+  readonly caller: CallerConnection;
+  readonly service: string;
+  /** Time since the request arrived, ms. */
+  readonly ageMs: number;
+  /** Servers that may have run the request. */
+  readonly priorRuns: number;
+  readonly resumeAfterEventId: number | undefined;
+  readonly onFirstByte: () => void;
 }
 
-/** An attempt at a peer. */
-export interface PeerAttempt {
+/** A request sent to a peer. */
+export class ForwardedSend {
   readonly attempt: Attempt;
+  private readonly codec: RelayedResponseCodec;
+  private announcedRuns = 0;
+
+  constructor(context: GatewayContext, agent: http.Agent, options: ForwardOptions) {
+    const { peer, caller, service, ageMs, priorRuns, resumeAfterEventId, onFirstByte, sink, ...rest } =
+      options;
+    this.codec = new RelayedResponseCodec(context.codec);
+    const sentMs = performance.now();
+    const headers = context.codec.relayHeaders(withoutNodeHeaders(caller.rawHeaders), {
+      resumeAfterEventId,
+      bodyBytes: rest.body?.length,
+    });
+    headers.push(
+      ...forwardedRequestHeaders({ host: context.host, ageMs: Math.ceil(ageMs), runs: priorRuns }),
+    );
+    this.attempt = new Attempt(
+      {
+        ...{ ...rest, headers, agent, codec: this.codec },
+        server: { address: formatEndpoint(peer) },
+        method: caller.req.method ?? "GET",
+        path: caller.req.url ?? "/",
+        sink: sink === undefined ? undefined : withoutNodeHeadersIn(sink),
+      },
+      {
+        onConnected: () => undefined,
+        onResponse: ({ notice }) => {
+          const server = this.response?.server;
+          if (server !== undefined) context.notices.recordNotice(server, notice, sentMs, performance.now());
+        },
+        onFirstByte,
+        onProgress: () => undefined,
+        onForwarded: () => (this.announcedRuns += 1),
+      },
+    );
+    void this.attempt.outcome.then(({ kind }) => {
+      context.metrics.forwarded.inc({ service, outcome: kind });
+    });
+  }
+
   /** Description of the peer's response, once it has arrived. */
-  readonly response: () => RelayedResponse | undefined;
+  get response(): RelayedResponse | undefined {
+    return this.codec.last;
+  }
+
+  /** Servers that may have run the request by way of the peer: one at least, unless the peer states otherwise. */
+  get runs(): number {
+    return Math.max(1, this.announcedRuns);
+  }
 }
 
 /** Owns the connections for forwarded requests. */
@@ -71,13 +140,8 @@
   }
 
   /** Sends the request to the peer. */
-  send({ peer, sink, ...send }: PeerSend, listener: AttemptListener): PeerAttempt {
-    const codec = new RelayedResponseCodec(this.options.context.codec);
-    const options = {
-      ...{ ...send, codec, agent: this.agent, server: { address: formatEndpoint(peer) } },
-      sink: sink === undefined ? undefined : withoutNodeHeadersIn(sink),
-    };
-    return { attempt: new Attempt(options, listener), response: () => codec.last };
+  send(options: ForwardOptions): ForwardedSend {
+    return new ForwardedSend(this.options.context, this.agent, options);
   }
 
   dispose(): void {
--- a/src/gateway/reachabilityTask.ts
+++ b/src/gateway/reachabilityTask.ts
@@ -15,6 +15,8 @@
 const checkPeriodMs = 150;
 /** A partition is reported after it has lasted this long, ms, by when peers have reported crashed servers too. */
 const partitionedAfterMs = 700;
+/** Changes within this time are reported together, ms. */
+const reportDelayMs = 20;
 /** Minimum interval between two log lines, ms; a line covers all changes since the last one. */
 const logIntervalMs = 500;
 /** Maximum number of unreachable servers in a heartbeat, which has to fit into a datagram. */
@@ -35,7 +37,10 @@
 export class ReachabilityTask implements Task {
   readonly name = "reachability";
   private checkTimer: NodeJS.Timeout | undefined;
+  private reportTimer: NodeJS.Timeout | undefined;
   private logTimer: NodeJS.Timeout | undefined;
+  /** Servers in the last report of each peer, by its IP. */
+  private readonly peerFailures = new Map<string, ReadonlySet<string>>();
   private readonly probes = new Set<net.Socket>();
   /** Since when this node has reached no server of a service that peers reach, by service, ms. */
   private readonly partitionedSinceMs = new Map<string, number>();
@@ -46,7 +51,7 @@
   constructor(private readonly options: ReachabilityTaskOptions) {
     const { reachability } = options.context;
     reachability.changed.on(() => {
-      this.onChange();
+      this.scheduleReport();
     });
     reachability.activated.on(() => {
       this.scheduleCheck(0);
@@ -60,6 +65,7 @@
   dispose(): Promise<void> {
     this.stopped = true;
     clearTimeout(this.checkTimer);
+    clearTimeout(this.reportTimer);
     clearTimeout(this.logTimer);
     for (const socket of this.probes) socket.destroy();
     return Promise.resolve();
@@ -81,11 +87,18 @@
     return this.reportedServices.some((name) => table?.service(name)?.engine !== undefined);
   }
 
-  /** A peer reported servers that it can't connect to. */
-  onPeerFailures(serverIds: readonly string[]): void {
+  /** Applies a peer's report of the servers that it can't connect to. */
+  applyPeerReport(ip: string, serverIds: readonly string[]): void {
+    const known = this.peerFailures.get(ip);
+    if (serverIds.length === 0) {
+      this.peerFailures.delete(ip);
+      return;
+    }
+    this.peerFailures.set(ip, new Set(serverIds));
     const { fleet, reachability } = this.options.context;
     const now = performance.now();
-    for (const id of serverIds) if (fleet.get(id) !== undefined) reachability.recordPeerFailure(id, now);
+    for (const id of serverIds)
+      if (known?.has(id) !== true && fleet.get(id) !== undefined) reachability.recordPeerFailure(id, now);
   }
 
   /** Sets the gauges to their current values. */
@@ -102,13 +115,17 @@
     return reachability.summarize(fleet.all().map(({ id }) => id));
   }
 
-  private onChange(): void {
-    const { context, report } = this.options;
-    this.updatePartitioned();
-    report();
-    // Requests may wait for a server, or for a peer to pass them on to.
-    context.fleetChanged.fire(undefined);
-    this.scheduleLog();
+  /** Reports changes within a short time together, as a partition changes the state of all servers. */
+  private scheduleReport(): void {
+    if (this.stopped || this.reportTimer !== undefined) return;
+    this.reportTimer = setTimeout(() => {
+      this.reportTimer = undefined;
+      this.updatePartitioned();
+      this.options.report();
+      // Requests may wait for a server, or for a peer to pass them on to.
+      this.options.context.fleetChanged.fire(undefined);
+      this.scheduleLog();
+    }, reportDelayMs);
   }
 
   private scheduleCheck(delayMs: number): void {
--- a/src/serving/forwarding.ts
+++ b/src/serving/forwarding.ts
@@ -24,6 +24,8 @@
   readonly port: number;
   readonly zone: string;
   readonly ready: boolean;
+  /** It serves requests that other nodes pass on; builds without this don't. */
+  readonly forwarding?: boolean;
   readonly strength: number;
   readonly busy: number;
   /** Version of its configuration. */
@@ -67,7 +69,8 @@
 /** A peer that reaches one of the servers: of the own zone if it has room, at random in proportion to spare CPU capacity. */
 export function choosePeer<T extends ForwardTarget>(choice: PeerChoice<T>): T | undefined {
   const reaching = choice.peers
-    .filter(({ status }) => status.ready && status.version >= choice.version && !choice.tried.has(status.ip))
+    .filter(({ status }) => status.ready && status.forwarding === true)
+    .filter(({ status }) => status.version >= choice.version && !choice.tried.has(status.ip))
     .filter((peer) => choice.servers.some((server) => isReachedBy(peer, server, choice.reachesNone)))
     .map(({ status }) => status);
   const near = reaching.filter(({ zone, busy }) => zone === choice.zone && busy < busyRatio);
--- a/src/serving/membership/peerTable.ts
+++ b/src/serving/membership/peerTable.ts
@@ -47,6 +47,8 @@
   token: Schema.optionalKey(Schema.Number),
   /** Backend servers that it can't connect to; absent if there are none. */
   unreachable: Schema.optionalKey(Schema.Array(Schema.String)),
+  /** It serves requests that other nodes pass on. */
+  forwarding: Schema.optionalKey(Schema.Boolean),
   /** Set while it reaches none of the servers of a service that other nodes reach. */
   partitioned: Schema.optionalKey(Schema.Boolean),
 };
--- a/test/explain.spec.ts
+++ b/test/explain.spec.ts
@@ -44,6 +44,21 @@
     expect(orders[0]).to.match(/^-1\.000 s {2}holder {2}order .*inFavourOf=m/);
   });
 
+  it("should show both hosts of a request that was passed on, from its arrival at the first", () => {
+    const peer = line(11.9, "request", { requestId: "q2", from: "entry", outcome: "not-run", tookMs: 100 });
+    const first = [
+      line(3, "servers-reached", { reached: 0, known: 4 }),
+      line(12, "request", { requestId: "q2", via: "peer", outcome: "unreachable", tookMs: 2_000 }),
+    ].join("\n");
+    const timeline = requestTimeline(
+      [...readLog("peer", peer).lines, ...readLog("entry", first).lines],
+      "q2",
+    );
+    expect(timeline[0]).to.match(/^-7\.000 s {2}entry {2}servers-reached/);
+    expect(timeline[1]).to.match(/^\+1\.900 s {2}peer {2}request .*from=entry/);
+    expect(timeline[2]).to.match(/^\+2\.000 s {2}entry {2}request .*via=peer/);
+  });
+
   it("should fail if no log contains the request", () => {
     expect(() => requestTimeline(lines, "q9")).to.throw("no line of request q9");
   });
