--- a/test/gateway/partitionedHosts.spec.ts
+++ b/test/gateway/partitionedHosts.spec.ts
@@ -67,6 +67,8 @@
       const calls = await offerLoad({ endpoints, ...load, forMs: judgedMs, seed: 3 });
       const cutIps = new Set(cut.map((index) => endpoints[index]?.ip));
       const failedAtCut = calls.filter((call) => cutIps.has(call.ip) && !isServed(call));
+      const headerNames = processes.servers.flatMap(({ runs }) => runs.flatMap((run) => run.headerNames));
+      expect(headerNames.filter((name) => name.startsWith("parsleynotch-"))).to.deep.equal([]);
       expect(failedAtCut.length, outcomesOf(failedAtCut)).to.be.at.most(10 + calls.length / 50);
     });
   }
@@ -135,6 +137,43 @@
     expect(report.continuedRuns, JSON.stringify(report)).to.equal(0);
   });
 
+  it("should serve callers while cuts of several hosts overlap", async () => {
+    await start(6);
+    const { endpoints } = processes;
+    processes.cut([0, 1, 2], "silent");
+    await offerLoad({ endpoints, ...load, forMs: 1_500, seed: 2 });
+    processes.cut([3, 4], "reset");
+    await offerLoad({ endpoints, ...load, forMs: stableMs, seed: 3 });
+    const calls = await offerLoad({ endpoints, ...load, forMs: 2_000, seed: 4 });
+    const failed = calls.filter((call) => !isServed(call));
+    expect(failed.length, outcomesOf(failed)).to.be.at.most(calls.length / 50);
+  });
+
+  it("should reach each server the way that works while only some servers are cut off", async () => {
+    await start(4);
+    const { endpoints, servers } = processes;
+    processes.cut([0], "silent", servers.slice(0, 3));
+    await offerLoad({ endpoints, ...load, forMs: stableMs, seed: 2 });
+    const before = await forwardedBy(0);
+    const calls = await offerLoad({ endpoints, ...load, forMs: 2_000, seed: 3 });
+    expect(calls.filter((call) => !isServed(call)).length, outcomesOf(calls)).to.equal(0);
+    // One server is still reached directly and can serve any request.
+    expect(await forwardedBy(0)).to.equal(before);
+  });
+
+  it("should not tear up streams of a server that is silent for a second", async () => {
+    await start(4);
+    const { endpoints, servers } = processes;
+    const streams = offerLoad({ endpoints, ...load, streamRatio: 1, ratePerS: 20, forMs: 2_500, seed: 2 });
+    await delay(1_000);
+    processes.cut([0, 1, 2, 3], "silent", servers.slice(0, 1));
+    await delay(1_100);
+    processes.heal([0, 1, 2, 3]);
+    const calls = await streams;
+    const failed = calls.filter((call) => !isServed(call));
+    expect(failed.length, outcomesOf(failed)).to.equal(0);
+  });
+
   it("should not pass requests on because a server has crashed", async () => {
     await start(4);
     const [crashed] = processes.servers;
