--- a/src/gateway/reachabilityTask.ts
+++ b/src/gateway/reachabilityTask.ts
@@ -8,6 +8,7 @@
 import type { Task } from "../common/supervisor.ts";
 import { isPartitionedFrom, type NodeView } from "../serving/forwarding.ts";
 import { parseEndpoint } from "../serving/hostSettings.ts";
+import type { ReachabilitySummary } from "../serving/serverReachability.ts";
 import { connectTimeoutMs } from "./attempt.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
 
@@ -110,7 +111,7 @@
     metrics.noServerReachedFor.set(noneSinceMs === undefined ? 0 : (performance.now() - noneSinceMs) / 1000);
   }
 
-  private get summary(): ReturnType<GatewayContext["reachability"]["summarize"]> {
+  private get summary(): ReachabilitySummary {
     const { fleet, reachability } = this.options.context;
     return reachability.summarize(fleet.all().map(({ id }) => id));
   }
--- a/src/serving/serverReachability.ts
+++ b/src/serving/serverReachability.ts
@@ -5,16 +5,18 @@
  */
 import { Emitter } from "../common/emitter.ts";
 
-/** Interval between probes of an unreachable server, ms; the longer one applies once it has failed for long. */
+/** Interval between probes of an unreachable server, ms, and the one after it has been unreachable for long. */
 const probeIntervalMs = 300;
-const longFailureMs = 15_000;
 const longFailureIntervalMs = 1_000;
+const longFailureMs = 15_000;
 /** A server that owes a response and sends nothing for this long is probed, ms, if all others are silent too. */
 const hostSilenceMs = 350;
 /** The same while other servers respond, ms: long prefills and short stalls are normal. */
 const serverSilenceMs = 1_200;
 /** A server that answered this recently isn't probed to find out whether a failure elsewhere concerns it too, ms. */
 const recentContactMs = 400;
+/** Minimum interval between two probes of a server because of peers' reports, ms. */
+const reportedProbeIntervalMs = 1_000;
 /** Number of other servers that are probed after a server became unreachable. */
 const maxVerifications = 3;
 /** Maximum number of probes in progress. */
@@ -113,7 +115,7 @@
   recordPeerFailure(serverId: string, nowMs: number): void {
     const record = this.recordOf(serverId);
     if (nowMs - record.heardMs < recentContactMs || record.failingSinceMs !== undefined) return;
-    if (nowMs - record.probedMs < longFailureIntervalMs) return;
+    if (nowMs - record.probedMs < reportedProbeIntervalMs) return;
     this.suspect(serverId);
     this.activated.fire(undefined);
   }
