--- a/src/gateway/reachabilityTask.ts
+++ b/src/gateway/reachabilityTask.ts
@@ -38,6 +38,7 @@
 export class ReachabilityTask implements Task {
   readonly name = "reachability";
   private checkTimer: NodeJS.Timeout | undefined;
+  private checkAtMs = 0;
   private reportTimer: NodeJS.Timeout | undefined;
   private logTimer: NodeJS.Timeout | undefined;
   /** Servers in the last report of each peer, by its IP. */
@@ -54,8 +55,8 @@
     reachability.changed.on(() => {
       this.scheduleReport();
     });
-    reachability.activated.on(() => {
-      this.scheduleCheck(0);
+    reachability.activated.on((delayMs) => {
+      this.scheduleCheck(delayMs);
     });
   }
 
@@ -130,11 +131,15 @@
   }
 
   private scheduleCheck(delayMs: number): void {
-    if (this.stopped || this.checkTimer !== undefined) return;
+    if (this.stopped) return;
+    const atMs = performance.now() + delayMs;
+    if (this.checkTimer !== undefined && this.checkAtMs <= atMs) return;
+    clearTimeout(this.checkTimer);
+    this.checkAtMs = atMs;
     this.checkTimer = setTimeout(() => {
+      this.checkTimer = undefined;
       // What a server sent may not have been read yet.
       void waitForPendingInput().then(() => {
-        this.checkTimer = undefined;
         this.check();
       });
     }, delayMs);
--- a/src/serving/serverReachability.ts
+++ b/src/serving/serverReachability.ts
@@ -53,8 +53,8 @@
 export class ServerReachability {
   /** A server became reachable or unreachable. */
   readonly changed = new Emitter<undefined>();
-  /** There may be servers to probe. */
-  readonly activated = new Emitter<undefined>();
+  /** There may be servers to probe after this time, ms. */
+  readonly activated = new Emitter<number>();
   private readonly records = new Map<string, PathRecord>();
   private readonly failing = new Set<string>();
   private inFlight = 0;
@@ -83,7 +83,7 @@
     this.failing.add(serverId);
     this.suspectOthers(nowMs);
     this.changed.fire(undefined);
-    this.activated.fire(undefined);
+    this.activated.fire(0);
   }
 
   /** A request was sent to the server. */
@@ -92,7 +92,7 @@
     if (record.inFlight === 0) record.silentSinceMs = nowMs;
     record.inFlight += 1;
     this.inFlight += 1;
-    if (this.inFlight === 1) this.activated.fire(undefined);
+    if (this.inFlight === 1) this.activated.fire(hostSilenceMs);
   }
 
   /** A request to the server ended. */
@@ -117,7 +117,7 @@
     if (nowMs - record.heardMs < recentContactMs || record.failingSinceMs !== undefined) return;
     if (nowMs - record.probedMs < reportedProbeIntervalMs) return;
     this.suspect(serverId);
-    this.activated.fire(undefined);
+    this.activated.fire(0);
   }
 
   /** Whether connections to the server can be established, as far as is known. */
