--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -133,8 +133,8 @@
   GatewayContext,
   "host" | "ip" | "zone" | "drainMs" | "log" | "codec"
 > {
-  /** IPs of the nodes that send requests to servers. */
-  readonly sendingNodes: () => readonly string[];
+  /** IPs of the nodes that can send requests to servers of the service. */
+  readonly sendingNodes: (service: string) => readonly string[];
   /** Number of nodes that currently serve callers, including this one. */
   readonly nodeCount: () => number;
 }
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -10,6 +10,7 @@
 import { negligibleDemand } from "../serving/demandMeter.ts";
 import type { HeaderCodec } from "../serving/exchange.ts";
 import { formatEndpoint, type HostSettings } from "../serving/hostSettings.ts";
+import { reachesAny } from "../serving/forwarding.ts";
 import { LoadsMessage } from "../serving/loadTracker.ts";
 import { chooseAddresses } from "../serving/membership/directory.ts";
 import type { EngineApi } from "../serving/orders.ts";
@@ -115,7 +116,7 @@
       log,
       codec: platform.codec,
       ip: settings.ip,
-      sendingNodes: () => this.sendingNodes,
+      sendingNodes: (service) => this.sendingNodes(service),
       nodeCount: () => this.activeNodeCount,
     });
     for (const seed of settings.seeds) this.peerTable.addContact(seed, performance.now());
@@ -471,14 +472,12 @@
     return Math.min(directoryTtlS, this.options.settings.maxTtlS);
   }
 
-  /** IPs of the active nodes that can connect to servers. */
-  private get sendingNodes(): string[] {
-    const ips = this.readyPeers
-      .filter(({ status }) => status.partitioned !== true)
-      .map(({ status }) => status.ip);
-    if (this.ready && this.activation.active && !this.reachability.partitioned)
-      ips.push(this.options.settings.ip);
-    return ips;
+  /** IPs of the active nodes that can connect to a server of the service. */
+  private sendingNodes(service: string): string[] {
+    const servers = this.context.fleet.available(service).map(({ id }) => id);
+    const nodes = this.readyPeers.map(({ status }) => status);
+    if (this.ready && this.activation.active) nodes.push(this.nodeStatus());
+    return nodes.filter((node) => reachesAny(node, servers)).map(({ ip }) => ip);
   }
 
   /** Live peers that accept callers. */
--- a/src/serving/concurrencyLimiter.ts
+++ b/src/serving/concurrencyLimiter.ts
@@ -20,8 +20,8 @@
 export interface ConcurrencyLimiterOptions {
   /** This node's IP. */
   readonly self: string;
-  /** IPs of the nodes that send requests to servers, among them this one if it does. */
-  readonly nodes: () => readonly string[];
+  /** IPs of the nodes that can send requests to servers of the service, among them this one if it can. */
+  readonly nodes: (service: string) => readonly string[];
   /** The servers of a service. */
   readonly servers: (service: string) => readonly BackendServer[];
 }
@@ -166,7 +166,7 @@
     const record = this.serviceRecord(service);
     if (record.shares !== undefined && nowMs - record.shares.atMs < sharesTtlMs)
       return record.shares.byServer;
-    const nodes = [...this.options.nodes()].sort();
+    const nodes = [...this.options.nodes(service)].sort();
     const byServer = new Map<string, readonly string[]>();
     let next = 0;
     for (const { id, slots } of [...this.options.servers(service)].sort((a, b) => (a.id < b.id ? -1 : 1))) {
--- a/src/serving/forwarding.ts
+++ b/src/serving/forwarding.ts
@@ -83,6 +83,11 @@
   return peers.find((_, i) => (left -= weights[i] ?? 0) < 0) ?? peers.at(-1);
 }
 
+/** Whether the node can connect to one of the servers, as far as is known. */
+export function reachesAny({ unreachable = [] }: NodeView, servers: readonly string[]): boolean {
+  return servers.some((id) => !unreachable.includes(id));
+}
+
 /** Whether the node reaches none of a service's servers while another node reaches one. */
 export function isPartitionedFrom(
   servers: readonly string[],
@@ -90,5 +95,5 @@
   others: readonly NodeView[],
 ): boolean {
   if (servers.length === 0 || !servers.every((id) => unreachable.has(id))) return false;
-  return others.some((other) => servers.some((id) => other.unreachable?.includes(id) !== true));
+  return others.some((other) => reachesAny(other, servers));
 }
--- a/test/serving/forwarding.spec.ts
+++ b/test/serving/forwarding.spec.ts
@@ -3,6 +3,7 @@
   choosePeer,
   confirmationMs,
   isPartitionedFrom,
+  reachesAny,
   type ForwardTarget,
   type PeerChoice,
 } from "../../src/serving/forwarding.ts";
@@ -77,6 +78,15 @@
   });
 });
 
+describe("a node that can send to a service", () => {
+  it("should be one that reaches any of its servers, whatever it reaches of other services", () => {
+    // Regression: while each node was cut off from some service, no node got a share of a brittle server's slots.
+    expect(reachesAny({ unreachable: ["t-1", "t-2"] }, ["s-1"])).to.equal(true);
+    expect(reachesAny({ unreachable: ["s-1", "t-1"] }, ["s-1", "s-2"])).to.equal(true);
+    expect(reachesAny({ unreachable: ["s-1"] }, ["s-1"])).to.equal(false);
+  });
+});
+
 describe("a partitioned node", () => {
   it("should be one that reaches none of the servers that a peer reaches", () => {
     const unreachable = new Set(["s-1", "s-2"]);
