--- a/src/gateway/reachabilityTask.ts
+++ b/src/gateway/reachabilityTask.ts
@@ -30,8 +30,8 @@
   readonly peers: () => readonly NodeView[];
   /** Sends a heartbeat now. */
   readonly report: () => void;
-  /** The services of which this node reaches no server while peers do have changed. */
-  readonly onPartition: (services: readonly string[]) => void;
+  /** `partitioned` or `partitionedFromEngines` may have changed. */
+  readonly onPartition: () => void;
 }
 
 /** Owns the probes and their timer. */
@@ -149,7 +149,7 @@
     const { reachability } = this.options.context;
     if (this.stopped) return;
     for (const id of reachability.startProbes(performance.now())) this.probe(id);
-    this.updatePartitioned();
+    if (this.updatePartitioned()) this.options.report();
     if (reachability.active || this.partitionedSinceMs.size > 0) this.scheduleCheck(checkPeriodMs);
   }
 
@@ -183,7 +183,8 @@
     });
   }
 
-  private updatePartitioned(): void {
+  /** Returns whether the services to report have changed. */
+  private updatePartitioned(): boolean {
     const now = performance.now();
     const names = this.partitionedServices();
     for (const name of this.partitionedSinceMs.keys())
@@ -191,11 +192,11 @@
     for (const name of names) if (!this.partitionedSinceMs.has(name)) this.partitionedSinceMs.set(name, now);
     const lasting = [...this.partitionedSinceMs].filter(([, sinceMs]) => now - sinceMs >= partitionedAfterMs);
     const reported = lasting.map(([name]) => name);
-    if (reported.join() === this.reportedServices.join()) return;
+    if (reported.join() === this.reportedServices.join()) return false;
     this.reportedServices = reported;
-    this.options.report();
-    this.options.onPartition(reported);
+    this.options.onPartition();
     this.scheduleLog();
+    return true;
   }
 
   /** Names of the services of which this node reaches no server while a peer does. */
