--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -17,6 +17,7 @@
 import { PermitIssuer } from "../serving/permits/permitIssuer.ts";
 import { Permits } from "../serving/permits/permits.ts";
 import { Refusals } from "../serving/refusals.ts";
+import { RequestCounter } from "../serving/requestCounter.ts";
 import type { RouteTable } from "../serving/routeTable.ts";
 import { ServerNotices } from "../serving/serverNotices.ts";
 import { GatewayMetrics } from "./gatewayMetrics.ts";
@@ -50,34 +51,6 @@
   demandChanged(): void;
 }
 
-/** Counts waiting or running requests by demand key, adapter key or residency key. */
-export class RequestCounter {
-  private readonly counts = new Map<string, number>();
-
-  add(key: string): void {
-    this.counts.set(key, (this.counts.get(key) ?? 0) + 1);
-  }
-
-  remove(key: string): void {
-    const left = (this.counts.get(key) ?? 0) - 1;
-    if (left > 0) this.counts.set(key, left);
-    else this.counts.delete(key);
-  }
-
-  has(key: string): boolean {
-    return this.counts.has(key);
-  }
-
-  get(key: string): number {
-    return this.counts.get(key) ?? 0;
-  }
-
-  /** Counts by key, for peers. */
-  snapshot(): Record<string, number> {
-    return Object.fromEntries(this.counts);
-  }
-}
-
 /** Shared components of one gateway node. */
 export interface GatewayContext {
   readonly host: string;
--- a/src/serving/concurrencyLimiter.ts
+++ b/src/serving/concurrencyLimiter.ts
@@ -5,6 +5,7 @@
  */
 import { Emitter } from "../common/emitter.ts";
 import { incarnationOf, type BackendServer } from "./backendServer.ts";
+import { RequestCounter } from "./requestCounter.ts";
 
 /** A server counts as brittle for this long after its last statement, ms. */
 const statementTtlMs = 30_000;
@@ -49,7 +50,7 @@
   readonly changed = new Emitter<BrittleStatement>();
   private readonly statements = new Map<string, StatementRecord>();
   private readonly services = new Map<string, ServiceRecord>();
-  private readonly inFlight = new Map<string, number>();
+  private readonly inFlight = new RequestCounter();
   private readonly lostMs = new Map<string, number>();
 
   constructor(private readonly options: ConcurrencyLimiterOptions) {}
@@ -97,7 +98,7 @@
   /** Whether this node may send the server another request now. */
   admits(server: BackendServer, nowMs: number): boolean {
     if (!this.isLimited(server, nowMs)) return true;
-    return (this.inFlight.get(server.id) ?? 0) < this.shareOf(server, this.options.self, nowMs);
+    return this.inFlight.get(server.id) < this.shareOf(server, this.options.self, nowMs);
   }
 
   /** How many of the server's slots the node may use. */
@@ -112,14 +113,12 @@
 
   /** Counts a request as in flight at the server. */
   start(server: BackendServer): void {
-    this.inFlight.set(server.id, (this.inFlight.get(server.id) ?? 0) + 1);
+    this.inFlight.add(server.id);
   }
 
   /** The request has ended after `durationMs`. */
   end(server: BackendServer, durationMs: number): void {
-    const left = (this.inFlight.get(server.id) ?? 0) - 1;
-    if (left > 0) this.inFlight.set(server.id, left);
-    else this.inFlight.delete(server.id);
+    this.inFlight.remove(server.id);
     const record = this.serviceRecord(server.service);
     record.meanDurationMs += (durationMs - record.meanDurationMs) * newestWeight;
   }
--- a/src/serving/forwarding.ts
+++ b/src/serving/forwarding.ts
@@ -2,6 +2,7 @@
  * Chooses the peer that serves a request whose servers this node can't connect to. Handles a host that is partitioned from
  * some or all backend servers while its callers and peers still reach it.
  */
+import { weightedChoice } from "../common/weightedChoice.ts";
 import { spareCapacityOf } from "./membership/directory.ts";
 
 /** A peer from this utilization on gets requests of its own zone only if no other zone has a peer with more room. */
@@ -74,13 +75,7 @@
     .filter((peer) => choice.servers.some((server) => isReachedBy(peer, server, choice.reachesNone)))
     .map(({ status }) => status);
   const near = reaching.filter(({ zone, busy }) => zone === choice.zone && busy < busyRatio);
-  return weightedChoice(near.length > 0 ? near : reaching, choice.draw);
-}
-
-function weightedChoice<T extends ForwardTarget>(peers: readonly T[], draw: number): T | undefined {
-  const weights = peers.map(spareCapacityOf);
-  let left = draw * weights.reduce((sum, weight) => sum + weight, 0);
-  return peers.find((_, i) => (left -= weights[i] ?? 0) < 0) ?? peers.at(-1);
+  return weightedChoice(near.length > 0 ? near : reaching, spareCapacityOf, choice.draw);
 }
 
 /** Whether the node can connect to one of the servers, as far as is known. */
--- a/src/serving/outlierDetector.ts
+++ b/src/serving/outlierDetector.ts
@@ -26,7 +26,7 @@
 export interface Health {
   /** Used only if no other server is available. */
   readonly ejected: boolean;
-  /** A recent connection attempt failed. */
+  /** Another process recently answered at its address. */
   readonly unreachable: boolean;
   /** Ratio of its requests that fail, moving average. */
   readonly failureShare: number;
@@ -67,7 +67,7 @@
       this.eject(record, record.consecutiveFailures - ejectionThreshold, nowMs);
   }
 
-  /** The server could not be connected to: ejected at once. */
+  /** Another process answers at the server's address: ejected at once. */
   recordUnreachable(serverId: string, nowMs: number): void {
     const record = this.record(serverId);
     record.consecutiveFailures += 1;
--- a/src/serving/routeTable.ts
+++ b/src/serving/routeTable.ts
@@ -1,5 +1,6 @@
 /** Matches requests to routes and selects the service of a route with a traffic split. */
 import * as crypto from "node:crypto";
+import { weightedChoice } from "../common/weightedChoice.ts";
 import type { Configuration, Route, Service } from "./configuration.ts";
 
 /** Routes of one configuration, indexed by host. */
@@ -35,13 +36,7 @@
   /** Selects the service of a request by weight; the same request id always gets the same service. */
   selectService(route: Route, requestId: string): string | undefined {
     if (route.shares.length <= 1) return route.shares[0]?.service;
-    const total = route.shares.reduce((sum, share) => sum + share.weight, 0);
-    let point = hashFraction(requestId) * total;
-    for (const share of route.shares) {
-      point -= share.weight;
-      if (point < 0) return share.service;
-    }
-    return route.shares.at(-1)?.service;
+    return weightedChoice(route.shares, ({ weight }) => weight, hashFraction(requestId))?.service;
   }
 }
 
