--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -33,6 +33,10 @@
     "Sends whose connection ended before the answer",
     ["service"],
   );
+  /** Responses that stated no length and ended with their connection, by service. */
+  readonly unframed = this.counter("unframed_responses_total", "Responses that ended with their connection", [
+    "service",
+  ]);
   /** Sends to servers with a known rate limit, by service. */
   readonly limitedSends = this.counter("limited_sends_total", "Sends to servers with a rate limit", [
     "service",
--- a/src/gateway/sendRecord.ts
+++ b/src/gateway/sendRecord.ts
@@ -19,6 +19,15 @@
   readonly arrivedMs: number;
 }
 
+/** Outcomes with a response that may be complete. */
+type CompletedOutcome = Extract<AttemptOutcome, { kind: "answered" | "streamed" }>;
+
+/** Whether the response ended with its connection, so that a truncation would not show. */
+function isUnframed(outcome: AttemptOutcome): outcome is CompletedOutcome {
+  if (outcome.kind === "streamed") return !outcome.framed;
+  return outcome.kind === "answered" && !outcome.response.metadata.framed;
+}
+
 /** Updates the load, health and speed estimates of the node from the sends of one request. */
 export class SendRecord {
   constructor(private readonly options: SendRecordOptions) {}
@@ -73,9 +82,27 @@
     }
     if (outcome.kind === "silent" && outcome.waitedMs !== undefined)
       context.outliers.recordTimeout(server.id, outcome.waitedMs, candidate.baselineMs);
+    if (isUnframed(outcome)) this.recordUnframed(candidate, outcome, now - sentMs);
     this.log(candidate, outcome, now);
   }
 
+  private recordUnframed({ server }: ServerEstimate, outcome: CompletedOutcome, tookMs: number): void {
+    const { context, metadata, service } = this.options;
+    context.metrics.unframed.inc({ service: service.name });
+    const size =
+      outcome.kind === "streamed"
+        ? { events: outcome.timing.events }
+        : { bodyBytes: outcome.response.body.length };
+    context.log.info({
+      event: "response-unframed",
+      requestId: metadata.requestId,
+      service: service.name,
+      server: server.id,
+      afterMs: Math.round(tookMs),
+      ...size,
+    });
+  }
+
   private log(candidate: ServerEstimate, outcome: AttemptOutcome, now: number): void {
     const { context, metadata, arrivedMs } = this.options;
     context.log.debug({
