--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -15,8 +15,8 @@
 
 /** Destination of a stream's events. */
 export interface StreamSink {
-  /** Starts the response with the first server's headers. */
-  open(rawHeaders: readonly string[]): void;
+  /** Starts the response with the first server's headers; `framed` as in `ResponseMetadata`. */
+  open(rawHeaders: readonly string[], framed: boolean): void;
   /** Writes complete events; returns false if the writer should wait for `onDrain`. */
   write(bytes: Buffer): boolean;
   /** Calls back once the sink accepts more data. */
@@ -63,7 +63,7 @@
       readonly kind: "streamed";
       readonly firstByteMs: number;
       readonly timing: StreamTiming;
-      /** Whether the end of the stream was marked by its framing rather than by the end of the connection. */
+      /** As in `ResponseMetadata`. */
       readonly framed: boolean;
     }
   | { readonly kind: "not-run"; readonly metadata: ResponseMetadata }
@@ -237,7 +237,7 @@
       return;
     }
     if (this.options.sink !== undefined && metadata.status === 200)
-      this.relayStream(res, metadata.framed, this.options.sink);
+      this.relayStream(res, metadata, this.options.sink);
     else this.bufferBody(res, metadata);
   }
 
@@ -266,7 +266,8 @@
     });
   }
 
-  private relayStream(res: http.IncomingMessage, framed: boolean, sink: StreamSink): void {
+  private relayStream(res: http.IncomingMessage, metadata: ResponseMetadata, sink: StreamSink): void {
+    const { framed } = metadata;
     const splitter = new EventSplitter();
     res.on("data", (chunk: Buffer) => {
       if (this.settled) return;
@@ -275,7 +276,7 @@
       if (events.length === 0) return;
       if (this.firstByteMs === undefined) {
         this.recordFirstByte();
-        sink.open(res.rawHeaders);
+        sink.open(res.rawHeaders, framed);
       }
       this.lastEvent = events.at(-1)?.id ?? this.lastEvent;
       this.eventCount += events.length;
@@ -297,8 +298,14 @@
         this.endBroken("stream ended inside an event", true);
         return;
       }
-      if (this.firstByteMs === undefined) sink.open(res.rawHeaders);
       const firstByteMs = this.firstByteMs ?? 0;
+      // Most likely it was broken off before its first event. Nothing is delivered yet, so that it can be retried.
+      if (!framed && this.eventCount === 0) {
+        const response = { metadata, rawHeaders: res.rawHeaders, body: Buffer.alloc(0) };
+        this.settleWith({ kind: "answered", response, firstByteMs });
+        return;
+      }
+      if (this.firstByteMs === undefined) sink.open(res.rawHeaders, framed);
       this.settleWith({ kind: "streamed", firstByteMs, timing: this.timing(), framed });
     });
   }
--- a/src/gateway/callerConnection.ts
+++ b/src/gateway/callerConnection.ts
@@ -32,6 +32,10 @@
   private readonly res: http.ServerResponse;
   private disconnectCallback: (() => void) | undefined;
   private isDisconnected = false;
+  /** Whether the response was started from a framed one. */
+  private openedFramed = true;
+  /** The response has neither a length nor chunks. */
+  private endsWithConnection = false;
 
   constructor(private readonly options: CallerConnectionOptions) {
     const { req, res, arrivedMs, forwarded } = options;
@@ -109,10 +113,14 @@
     if (!this.res.headersSent) this.res.writeProcessing();
   }
 
-  open(rawHeaders: readonly string[]): void {
+  open(rawHeaders: readonly string[], framed: boolean): void {
     if (this.res.headersSent) return;
+    this.openedFramed = framed;
     this.closeIfStopping();
-    this.res.writeHead(200, this.responseHeaders(rawHeaders, true));
+    if (!framed && !this.isPeers) this.omitFraming();
+    this.res.writeHead(200, this.responseHeaders(rawHeaders, framed));
+    // Callers of HTTP/1.0 get no chunks.
+    this.endsWithConnection ||= !this.res.chunkedEncoding;
   }
 
   write(bytes: Buffer): boolean {
@@ -123,13 +131,19 @@
     this.res.once("drain", callback);
   }
 
-  /** Ends a completely written stream. */
-  finish(): void {
-    this.res.end();
+  /**
+   * Ends the stream whose last part ended; `framed` as in `ResponseMetadata`. The response is aborted if its framing would
+   * state that it is complete and the last part didn't.
+   */
+  finish(framed: boolean): void {
+    if (framed || !this.openedFramed) this.res.end();
+    else this.abort();
   }
 
-  /** Destroys the connection so that a partial stream can't be taken for complete. */
+  /** Closes the connection so that a partial response can't be taken for complete. */
   abort(): void {
+    // A regular close is how a response without framing ends.
+    if (this.endsWithConnection) this.res.socket?.resetAndDestroy();
     this.res.destroy();
   }
 
@@ -138,26 +152,11 @@
     this.closeIfStopping();
     const { framed } = response.metadata;
     const headers = this.responseHeaders(response.rawHeaders, framed);
-    // Another node is told in a header, so that it can tell a complete response from one that this node broke off.
-    if (!framed && this.forwarded === undefined) {
-      this.relayUnframed(response, headers);
-      return;
-    }
-    const length = this.req.method === "HEAD" ? (response.metadata.contentLength ?? 0) : response.body.length;
-    if (response.metadata.status !== 204 && response.metadata.status !== 304)
-      headers.push("Content-Length", String(length));
-    this.res.writeHead(response.metadata.status, headers);
-    this.res.end(response.body);
-  }
-
-  /**
-   * Relays a response without framing as received. With a length added by the gateway, a truncated response would look
-   * complete to the caller.
-   */
-  private relayUnframed(response: BufferedResponse, headers: string[]): void {
-    this.res.useChunkedEncodingByDefault = false;
-    this.res.shouldKeepAlive = false;
-    this.res.writeHead(response.metadata.status, headers);
+    const { status, contentLength } = response.metadata;
+    const length = this.req.method === "HEAD" ? (contentLength ?? 0) : response.body.length;
+    if (!framed && !this.isPeers) this.omitFraming();
+    else if (status !== 204 && status !== 304) headers.push("Content-Length", String(length));
+    this.res.writeHead(status, headers);
     this.res.end(response.body);
   }
 
@@ -181,6 +180,24 @@
     this.res.end(body);
   }
 
+  /**
+   * The response ends with its connection, as the server's did: with framing added by the gateway, a truncated response
+   * would look complete to the caller.
+   */
+  private omitFraming(): void {
+    this.endsWithConnection = true;
+    this.res.useChunkedEncodingByDefault = false;
+    this.res.shouldKeepAlive = false;
+  }
+
+  /**
+   * Whether the connection is another node's, which is told in a header whether the server's response was framed. Its own
+   * framing lets that node tell a response that this node broke off.
+   */
+  private get isPeers(): boolean {
+    return this.forwarded !== undefined;
+  }
+
   private responseHeaders(raw: readonly string[], framed: boolean): string[] {
     const headers = this.options.codec.responseHeaders(raw);
     if (this.forwarded === undefined) return headers;
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -103,6 +103,7 @@
   }
 
   async dispose(): Promise<void> {
+    for (const exchange of this.exchanges) exchange.dispose();
     this.options.forwarder.dispose();
     await close(this.server);
   }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -125,6 +125,11 @@
     this.attempt?.cancel();
   }
 
+  /** The node exits: breaks off a response in progress. */
+  dispose(): void {
+    if (this.caller.started) this.caller.abort();
+  }
+
   private async prepare(): Promise<void> {
     const { context } = this;
     const { req, forwarded } = this.caller;
@@ -442,8 +447,8 @@
       case "answered":
         return this.onResponse(outcome);
       case "streamed":
-        this.caller.finish();
-        this.recordOutcome("ok");
+        this.caller.finish(outcome.framed);
+        this.recordOutcome(outcome.framed ? "ok" : "unframed");
         return false;
       case "cancelled":
         if (!this.abandoned) {
--- a/src/gateway/peerForwarder.ts
+++ b/src/gateway/peerForwarder.ts
@@ -151,8 +151,8 @@
 
 function withoutNodeHeadersIn(sink: StreamSink): StreamSink {
   return {
-    open: (rawHeaders) => {
-      sink.open(withoutNodeHeaders(rawHeaders));
+    open: (rawHeaders, framed) => {
+      sink.open(withoutNodeHeaders(rawHeaders), framed);
     },
     write: (bytes) => sink.write(bytes),
     onDrain: (callback) => {
