--- a/src/gateway/sendRecord.ts
+++ b/src/gateway/sendRecord.ts
@@ -23,9 +23,13 @@
 type CompletedOutcome = Extract<AttemptOutcome, { kind: "answered" | "streamed" }>;
 
 /** Whether the response ended with its connection, so that a truncation would not show. */
-function isUnframed(outcome: AttemptOutcome): outcome is CompletedOutcome {
-  if (outcome.kind === "streamed") return !outcome.framed;
-  return outcome.kind === "answered" && !outcome.response.metadata.framed;
+function isUnframed(outcome: CompletedOutcome): boolean {
+  return outcome.kind === "streamed" ? !outcome.framed : !outcome.response.metadata.framed;
+}
+
+/** Size of the response: events of a stream, bytes of another one. */
+function sizeOf(outcome: CompletedOutcome): number {
+  return outcome.kind === "streamed" ? outcome.timing.events : outcome.response.body.length;
 }
 
 /** Updates the load, health and speed estimates of the node from the sends of one request. */
@@ -62,15 +66,11 @@
     const { context, service } = this.options;
     const { server } = candidate;
     const now = performance.now();
-    context.metrics.attempts.inc({ service: service.name, outcome: outcome.kind });
-    if (outcome.kind === "answered" && outcome.response.metadata.status >= serverErrorStatus) {
-      context.outliers.recordFailure(server.id, now);
-    } else if (outcome.kind === "answered" || outcome.kind === "streamed") {
-      context.outliers.recordSuccess(server.id, outcome.firstByteMs, candidate.baselineMs);
-      this.observePrefill(candidate, outcome.firstByteMs);
-      if (outcome.kind === "streamed" && service.engine !== undefined)
-        context.engineSpeed.observe(outcome.timing, service.engine.tokensPerEvent);
-    } else if (outcome.kind === "unreachable") {
+    const isCompleted = outcome.kind === "answered" || outcome.kind === "streamed";
+    const label = isCompleted && isUnframed(outcome) ? "unframed" : outcome.kind;
+    context.metrics.attempts.inc({ service: service.name, outcome: label });
+    if (isCompleted) this.recordCompletion(candidate, outcome, sentMs, now);
+    else if (outcome.kind === "unreachable") {
       context.reachability.recordConnectFailure(server.id, sentMs, now);
     } else if (outcome.kind === "broken" || outcome.kind === "silent") {
       context.outliers.recordFailure(server.id, now);
@@ -82,24 +82,43 @@
     }
     if (outcome.kind === "silent" && outcome.waitedMs !== undefined)
       context.outliers.recordTimeout(server.id, outcome.waitedMs, candidate.baselineMs);
-    if (isUnframed(outcome)) this.recordUnframed(candidate, outcome, now - sentMs);
     this.log(candidate, outcome, now);
   }
 
-  private recordUnframed({ server }: ServerEstimate, outcome: CompletedOutcome, tookMs: number): void {
+  private recordCompletion(
+    candidate: ServerEstimate,
+    outcome: CompletedOutcome,
+    sentMs: number,
+    nowMs: number,
+  ): void {
+    const { outliers, engineSpeed } = this.options.context;
+    const { server, baselineMs } = candidate;
+    const { service } = this.options;
+    const isUnverified = isUnframed(outcome);
+    if (isUnverified) this.logUnframed(candidate, outcome, nowMs - sentMs);
+    if (outcome.kind === "answered" && outcome.response.metadata.status >= serverErrorStatus) {
+      outliers.recordFailure(server.id, nowMs);
+      return;
+    }
+    // Without any part of the body there was no first byte to measure either.
+    if (isUnverified && sizeOf(outcome) === 0) return;
+    if (isUnverified) outliers.recordUnverified(server.id, outcome.firstByteMs, baselineMs);
+    else outliers.recordSuccess(server.id, outcome.firstByteMs, baselineMs);
+    this.observePrefill(candidate, outcome.firstByteMs);
+    if (outcome.kind === "streamed" && !isUnverified && service.engine !== undefined)
+      engineSpeed.observe(outcome.timing, service.engine.tokensPerEvent);
+  }
+
+  private logUnframed({ server }: ServerEstimate, outcome: CompletedOutcome, tookMs: number): void {
     const { context, metadata, service } = this.options;
     context.metrics.unframed.inc({ service: service.name });
-    const size =
-      outcome.kind === "streamed"
-        ? { events: outcome.timing.events }
-        : { bodyBytes: outcome.response.body.length };
     context.log.info({
       event: "response-unframed",
       requestId: metadata.requestId,
       service: service.name,
       server: server.id,
       afterMs: Math.round(tookMs),
-      ...size,
+      [outcome.kind === "streamed" ? "events" : "bodyBytes"]: sizeOf(outcome),
     });
   }
 
--- a/src/serving/outlierDetector.ts
+++ b/src/serving/outlierDetector.ts
@@ -48,6 +48,16 @@
     this.updateSlowdown(record, observedMs, expectedMs);
   }
 
+  /**
+   * The server responded, but the response may have been truncated: counts in the averages, without the weight of a
+   * success that ends an ejection.
+   */
+  recordUnverified(serverId: string, observedMs: number, expectedMs: number): void {
+    const record = this.record(serverId);
+    record.failureShare *= 1 - newestWeight;
+    this.updateSlowdown(record, observedMs, expectedMs);
+  }
+
   /**
    * No first byte came within `waitedMs`, so the server is at least that much slower than expected. Without
    * this a server that times out on all requests would look as fast as before, as nothing else is observed of
--- a/test/gateway/unframedAnswers.spec.ts
+++ b/test/gateway/unframedAnswers.spec.ts
@@ -254,6 +254,7 @@
     await send(paths.stream, whole);
     const metrics = await metricsOf(endpoint);
     expect(metrics).to.match(/^parsleynotch_requests_total{.*outcome="unframed"} 1$/m);
+    expect(metrics).to.match(/^parsleynotch_attempts_total{.*outcome="unframed"} 1$/m);
     expect(metrics).to.match(/^parsleynotch_unframed_responses_total{service="s"} 1$/m);
     expect(metrics).to.not.match(/^parsleynotch_cut_sends_total{/m);
   });
--- a/test/serving/decisions.spec.ts
+++ b/test/serving/decisions.spec.ts
@@ -105,6 +105,16 @@
     expect(outliers.health("a", 1_800).ejected).to.equal(true);
   });
 
+  it("should not end an ejection because of a response that may be truncated", () => {
+    // Regression: a server whose responses all end early without framing looked sound.
+    const outliers = new OutlierDetector();
+    for (const atMs of [0, 100]) outliers.recordFailure("a", atMs);
+    outliers.recordUnverified("a", 10, 10);
+    expect(outliers.health("a", 200).ejected).to.equal(true);
+    outliers.recordSuccess("a", 10, 10);
+    expect(outliers.health("a", 200).ejected).to.equal(false);
+  });
+
   it("should not eject a server after a single failed request", () => {
     const outliers = new OutlierDetector();
     outliers.recordFailure("a", 0);
