--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -13,6 +13,9 @@
 /** Error codes of a connection that the server closed or reset; other errors are malformed responses. */
 const connectionLossCodes: ReadonlySet<string> = new Set(["ECONNRESET", "EPIPE"]);
 
+/** Statuses of responses without a body. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
 /** Destination of a stream's events. */
 export interface StreamSink {
   /** Starts the response with the first server's headers; `framed` as in `ResponseMetadata`. */
@@ -224,7 +227,7 @@
 
   private onResponse(res: http.IncomingMessage): void {
     this.listener.onProgress();
-    const metadata = this.options.codec.readResponse(res.statusCode ?? 0, res.headers);
+    const metadata = this.metadataOf(res);
     // A late second response on a reused connection would be taken for the response to the next request. The echoed
     // request id tells them apart; a response without an id belongs to no request.
     if (metadata.requestId !== this.options.requestId) {
@@ -241,6 +244,14 @@
     else this.bufferBody(res, metadata);
   }
 
+  private metadataOf(res: http.IncomingMessage): ResponseMetadata {
+    const status = res.statusCode ?? 0;
+    const metadata = this.options.codec.readResponse(status, res.headers);
+    // A response that has no body can't be truncated.
+    const hasBody = this.options.method !== "HEAD" && !bodilessStatuses.has(status);
+    return hasBody ? metadata : { ...metadata, framed: true };
+  }
+
   /** Drains the body of a refusal so that the connection can be reused. */
   private discardBody(res: http.IncomingMessage, metadata: ResponseMetadata): void {
     res.on("error", () => undefined);
--- a/src/gateway/callerConnection.ts
+++ b/src/gateway/callerConnection.ts
@@ -153,9 +153,10 @@
     const { framed } = response.metadata;
     const headers = this.responseHeaders(response.rawHeaders, framed);
     const { status, contentLength } = response.metadata;
-    const length = this.req.method === "HEAD" ? (contentLength ?? 0) : response.body.length;
+    const length = this.req.method === "HEAD" ? contentLength : response.body.length;
     if (!framed && !this.isPeers) this.omitFraming();
-    else if (status !== 204 && status !== 304) headers.push("Content-Length", String(length));
+    else if (status !== 204 && status !== 304 && length !== undefined)
+      headers.push("Content-Length", String(length));
     this.res.writeHead(status, headers);
     this.res.end(response.body);
   }
--- a/test/gateway/unframedAnswers.spec.ts
+++ b/test/gateway/unframedAnswers.spec.ts
@@ -250,6 +250,20 @@
     expect([sendsOf(`q-${paths.resumable}`), sendsOf(`q-${paths.stream}`)]).to.deep.equal([2, 1]);
   });
 
+  it("should not retry a response that has no body to be truncated", async () => {
+    // Regression: without a length, the response to HEAD counted as possibly truncated.
+    const reply = await send(
+      paths.call,
+      { framing: "none", end: "fin", events: 0 },
+      {
+        method: "HEAD",
+        leaveAfterMs: 500,
+      },
+    );
+    expect(reply.status).to.equal(200);
+    expect(sendsOf(`q-${paths.call}`)).to.equal(1);
+  });
+
   it("should count it as neither complete nor a lost connection", async () => {
     await send(paths.stream, whole);
     const metrics = await metricsOf(endpoint);
