--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -306,7 +306,7 @@
       if (this.requestFailed || !res.complete || this.settled) return;
       this.closeIfRequestUnsent();
       if (splitter.incomplete.length > 0) {
-        this.endBroken("stream ended inside an event", true);
+        this.endBroken("stream ended inside an event", !framed);
         return;
       }
       const firstByteMs = this.firstByteMs ?? 0;
--- a/test/gateway/unframedAnswers.spec.ts
+++ b/test/gateway/unframedAnswers.spec.ts
@@ -272,4 +272,10 @@
     expect(metrics).to.match(/^parsleynotch_unframed_responses_total{service="s"} 1$/m);
     expect(metrics).to.not.match(/^parsleynotch_cut_sends_total{/m);
   });
+
+  it("should not count a framed stream that ends inside an event as a lost connection", async () => {
+    // Regression: the server's connection lives on, so it has not crashed.
+    await send(paths.stream, { framing: "chunks", end: "fin", events: eventCount, insideEvent: true });
+    expect(await metricsOf(endpoint)).to.not.match(/^parsleynotch_cut_sends_total{/m);
+  });
 });
