--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -13,10 +13,13 @@
 /** Error codes of a connection that the server closed or reset; other errors are malformed responses. */
 const connectionLossCodes: ReadonlySet<string> = new Set(["ECONNRESET", "EPIPE"]);
 
+/** Statuses of responses without a body. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
 /** Destination of a stream's events. */
 export interface StreamSink {
-  /** Starts the response with the first server's headers. */
-  open(rawHeaders: readonly string[]): void;
+  /** Starts the response with the first server's headers; `framed` as in `ResponseMetadata`. */
+  open(rawHeaders: readonly string[], framed: boolean): void;
   /** Writes complete events; returns false if the writer should wait for `onDrain`. */
   write(bytes: Buffer): boolean;
   /** Calls back once the sink accepts more data. */
@@ -63,7 +66,7 @@
       readonly kind: "streamed";
       readonly firstByteMs: number;
       readonly timing: StreamTiming;
-      /** Whether the end of the stream was marked by its framing rather than by the end of the connection. */
+      /** As in `ResponseMetadata`. */
       readonly framed: boolean;
     }
   | { readonly kind: "not-run"; readonly metadata: ResponseMetadata }
@@ -224,7 +227,7 @@
 
   private onResponse(res: http.IncomingMessage): void {
     this.listener.onProgress();
-    const metadata = this.options.codec.readResponse(res.statusCode ?? 0, res.headers);
+    const metadata = this.metadataOf(res);
     // A late second response on a reused connection would be taken for the response to the next request. The echoed
     // request id tells them apart; a response without an id belongs to no request.
     if (metadata.requestId !== this.options.requestId) {
@@ -237,10 +240,18 @@
       return;
     }
     if (this.options.sink !== undefined && metadata.status === 200)
-      this.relayStream(res, metadata.framed, this.options.sink);
+      this.relayStream(res, metadata, this.options.sink);
     else this.bufferBody(res, metadata);
   }
 
+  private metadataOf(res: http.IncomingMessage): ResponseMetadata {
+    const status = res.statusCode ?? 0;
+    const metadata = this.options.codec.readResponse(status, res.headers);
+    // A response that has no body can't be truncated.
+    const hasBody = this.options.method !== "HEAD" && !bodilessStatuses.has(status);
+    return hasBody ? metadata : { ...metadata, framed: true };
+  }
+
   /** Drains the body of a refusal so that the connection can be reused. */
   private discardBody(res: http.IncomingMessage, metadata: ResponseMetadata): void {
     res.on("error", () => undefined);
@@ -266,7 +277,8 @@
     });
   }
 
-  private relayStream(res: http.IncomingMessage, framed: boolean, sink: StreamSink): void {
+  private relayStream(res: http.IncomingMessage, metadata: ResponseMetadata, sink: StreamSink): void {
+    const { framed } = metadata;
     const splitter = new EventSplitter();
     res.on("data", (chunk: Buffer) => {
       if (this.settled) return;
@@ -275,7 +287,7 @@
       if (events.length === 0) return;
       if (this.firstByteMs === undefined) {
         this.recordFirstByte();
-        sink.open(res.rawHeaders);
+        sink.open(res.rawHeaders, framed);
       }
       this.lastEvent = events.at(-1)?.id ?? this.lastEvent;
       this.eventCount += events.length;
@@ -294,11 +306,17 @@
       if (this.requestFailed || !res.complete || this.settled) return;
       this.closeIfRequestUnsent();
       if (splitter.incomplete.length > 0) {
-        this.endBroken("stream ended inside an event", true);
+        this.endBroken("stream ended inside an event", !framed);
         return;
       }
-      if (this.firstByteMs === undefined) sink.open(res.rawHeaders);
       const firstByteMs = this.firstByteMs ?? 0;
+      // Most likely it was broken off before its first event. Nothing is delivered yet, so that it can be retried.
+      if (!framed && this.eventCount === 0) {
+        const response = { metadata, rawHeaders: res.rawHeaders, body: Buffer.alloc(0) };
+        this.settleWith({ kind: "answered", response, firstByteMs });
+        return;
+      }
+      if (this.firstByteMs === undefined) sink.open(res.rawHeaders, framed);
       this.settleWith({ kind: "streamed", firstByteMs, timing: this.timing(), framed });
     });
   }
--- a/src/gateway/sendRecord.ts
+++ b/src/gateway/sendRecord.ts
@@ -19,6 +19,19 @@
   readonly arrivedMs: number;
 }
 
+/** Outcomes with a response that may be complete. */
+type CompletedOutcome = Extract<AttemptOutcome, { kind: "answered" | "streamed" }>;
+
+/** Whether the response ended with its connection, so that a truncation would not show. */
+function isUnframed(outcome: CompletedOutcome): boolean {
+  return outcome.kind === "streamed" ? !outcome.framed : !outcome.response.metadata.framed;
+}
+
+/** Size of the response: events of a stream, bytes of another one. */
+function sizeOf(outcome: CompletedOutcome): number {
+  return outcome.kind === "streamed" ? outcome.timing.events : outcome.response.body.length;
+}
+
 /** Updates the load, health and speed estimates of the node from the sends of one request. */
 export class SendRecord {
   constructor(private readonly options: SendRecordOptions) {}
@@ -53,15 +66,11 @@
     const { context, service } = this.options;
     const { server } = candidate;
     const now = performance.now();
-    context.metrics.attempts.inc({ service: service.name, outcome: outcome.kind });
-    if (outcome.kind === "answered" && outcome.response.metadata.status >= serverErrorStatus) {
-      context.outliers.recordFailure(server.id, now);
-    } else if (outcome.kind === "answered" || outcome.kind === "streamed") {
-      context.outliers.recordSuccess(server.id, outcome.firstByteMs, candidate.baselineMs);
-      this.observePrefill(candidate, outcome.firstByteMs);
-      if (outcome.kind === "streamed" && service.engine !== undefined)
-        context.engineSpeed.observe(outcome.timing, service.engine.tokensPerEvent);
-    } else if (outcome.kind === "unreachable") {
+    const isCompleted = outcome.kind === "answered" || outcome.kind === "streamed";
+    const label = isCompleted && isUnframed(outcome) ? "unframed" : outcome.kind;
+    context.metrics.attempts.inc({ service: service.name, outcome: label });
+    if (isCompleted) this.recordCompletion(candidate, outcome, sentMs, now);
+    else if (outcome.kind === "unreachable") {
       context.reachability.recordConnectFailure(server.id, sentMs, now);
     } else if (outcome.kind === "broken" || outcome.kind === "silent") {
       context.outliers.recordFailure(server.id, now);
@@ -76,6 +85,43 @@
     this.log(candidate, outcome, now);
   }
 
+  private recordCompletion(
+    candidate: ServerEstimate,
+    outcome: CompletedOutcome,
+    sentMs: number,
+    nowMs: number,
+  ): void {
+    const { outliers, engineSpeed } = this.options.context;
+    const { server, baselineMs } = candidate;
+    const { service } = this.options;
+    const isUnverified = isUnframed(outcome);
+    if (isUnverified) this.logUnframed(candidate, outcome, nowMs - sentMs);
+    if (outcome.kind === "answered" && outcome.response.metadata.status >= serverErrorStatus) {
+      outliers.recordFailure(server.id, nowMs);
+      return;
+    }
+    // Without any part of the body there was no first byte to measure either.
+    if (isUnverified && sizeOf(outcome) === 0) return;
+    if (isUnverified) outliers.recordUnverified(server.id, outcome.firstByteMs, baselineMs);
+    else outliers.recordSuccess(server.id, outcome.firstByteMs, baselineMs);
+    this.observePrefill(candidate, outcome.firstByteMs);
+    if (outcome.kind === "streamed" && !isUnverified && service.engine !== undefined)
+      engineSpeed.observe(outcome.timing, service.engine.tokensPerEvent);
+  }
+
+  private logUnframed({ server }: ServerEstimate, outcome: CompletedOutcome, tookMs: number): void {
+    const { context, metadata, service } = this.options;
+    context.metrics.unframed.inc({ service: service.name });
+    context.log.info({
+      event: "response-unframed",
+      requestId: metadata.requestId,
+      service: service.name,
+      server: server.id,
+      afterMs: Math.round(tookMs),
+      [outcome.kind === "streamed" ? "events" : "bodyBytes"]: sizeOf(outcome),
+    });
+  }
+
   private log(candidate: ServerEstimate, outcome: AttemptOutcome, now: number): void {
     const { context, metadata, arrivedMs } = this.options;
     context.log.debug({
