--- a/src/explain/requestTimeline.ts
+++ b/src/explain/requestTimeline.ts
@@ -23,10 +23,11 @@
 
 /** Returns the lines of the timeline in chronological order. */
 export function requestTimeline(lines: readonly LogLine[], requestId: string): string[] {
-  const own = lines.filter((line) => line.requestId === requestId);
+  const own = linesOfStream(lines, requestId);
   // A node that the request was passed on to logs a line of its own, with the node that the caller asked.
   const ends = own.filter((line) => line.event === "request");
-  const end = ends.find((line) => line.fields.from === undefined) ?? ends[0] ?? own.at(-1);
+  const ofCaller = ends.filter((line) => line.fields.from === undefined);
+  const end = ofCaller.find((line) => line.requestId === requestId) ?? ofCaller[0] ?? ends[0] ?? own.at(-1);
   if (end === undefined) {
     throw new Failure(
       "unknown-request",
@@ -43,6 +44,14 @@
   return chronological.map((line) => formatLine(line, arrivedMs));
 }
 
+/** The lines of the request, of the one that began the stream that it resumes, and of those that resumed it. */
+function linesOfStream(lines: readonly LogLine[], requestId: string): LogLine[] {
+  const isOwn = (line: LogLine): boolean => line.requestId === requestId;
+  const resumed = lines.find((line) => isOwn(line) && line.fields.resumes !== undefined)?.fields.resumes;
+  const first = typeof resumed === "string" ? resumed : requestId;
+  return lines.filter((line) => isOwn(line) || line.requestId === first || line.fields.resumes === first);
+}
+
 /** Returns the newest line of each state event before the arrival. */
 function statesAtArrival(lines: readonly LogLine[], source: string, arrivedMs: number): LogLine[] {
   const newest = new Map<string, LogLine>();
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -164,6 +164,8 @@
       // A request is passed on once: the node that it was passed on to serves or refuses it.
       choosePeer: forwarded === undefined ? (servers, need) => this.choosePeer(servers, need) : undefined,
     });
+    if (this.metadata.resumedRequestId !== undefined && forwarded === undefined)
+      context.metrics.resumedStreams.inc({ service: service.name });
     if (forwarded === undefined) this.countDemand();
     else this.context.metrics.receivedForwarded.inc({ service: service.name });
     this.body = await this.readBody(table.configuration.limits.maxBodyBytes);
@@ -583,6 +585,7 @@
       tookMs: Math.round(performance.now() - this.readAtMs),
       outcome,
       detail,
+      resumes: this.metadata.resumedRequestId,
       via: this.via,
       from: this.caller.forwarded?.host,
       ...(this.maxUnreadMs > lateReadThresholdMs ? { readLateMs: Math.round(this.maxUnreadMs) } : {}),
--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/fleetTask.ts
@@ -350,6 +350,7 @@
       event: server.leaving ? "server-leaving" : "server-found",
       server: server.id,
       service: server.service,
+      softwareVersion: server.softwareVersion,
       goneInMs: server.goneInMs,
     });
   }
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -33,6 +33,15 @@
     "Sends whose connection ended before the answer",
     ["service"],
   );
+  /** Software versions of a service's servers, and streams that callers resumed, by service. */
+  readonly softwareVersions = this.gauge(
+    "service_software_versions",
+    "Software versions of a service's servers",
+    ["service"],
+  );
+  readonly resumedStreams = this.counter("resumed_streams_total", "Streams that callers resumed", [
+    "service",
+  ]);
   /** Responses that stated no length and ended with their connection, by service. */
   readonly unframed = this.counter("unframed_responses_total", "Responses that ended with their connection", [
     "service",
@@ -99,7 +108,7 @@
     return new prom.Histogram({ ...options, registers: [this.registry] });
   }
 
-  private gauge(name: string, help: string): prom.Gauge {
-    return new prom.Gauge({ name: `parsleynotch_${name}`, help, registers: [this.registry] });
+  private gauge<T extends string>(name: string, help: string, labelNames: T[] = []): prom.Gauge<T> {
+    return new prom.Gauge({ name: `parsleynotch_${name}`, help, labelNames, registers: [this.registry] });
   }
 }
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -461,6 +461,8 @@
       metrics: () => {
         this.reachability.updateMetrics();
         const { metrics, concurrency, fleet } = this.context;
+        for (const [service, versions] of fleet.softwareVersions())
+          metrics.softwareVersions.set({ service }, versions.size);
         metrics.brittleServers.set(concurrency.countLimited(fleet.all(), performance.now()));
         this.context.metrics.peers.set(this.peerTable.alive(this.readUpToMs).length);
         return this.context.metrics.registry;
--- a/src/gateway/sendRecord.ts
+++ b/src/gateway/sendRecord.ts
@@ -128,6 +128,8 @@
       event: "attempt",
       requestId: metadata.requestId,
       server: candidate.server.id,
+      softwareVersion: candidate.server.softwareVersion,
+      resumes: metadata.resumedRequestId,
       model: metadata.model,
       promptTokens: metadata.promptTokens,
       expectedMs: Math.round(candidate.expectedMs),
--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -19,6 +19,8 @@
   /** IP:PORT. */
   address: Schema.String,
   zone: Schema.String,
+  /** Version of its software; absent for servers that don't report it. */
+  softwareVersion: Schema.optionalKey(Schema.String),
   /** Maximum concurrent requests. */
   slots: Schema.Number,
   /** It is shutting down. */
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -25,6 +25,8 @@
   readonly prefix: readonly PromptPart[];
   /** The caller resumes a stream after this event. */
   readonly lastEventId: number | undefined;
+  /** Id of the request that brought the first event of the stream that the caller resumes. */
+  readonly resumedRequestId: string | undefined;
 }
 
 /** Metadata that the gateway sets on a request to a server. */
--- a/src/serving/fleet.ts
+++ b/src/serving/fleet.ts
@@ -361,6 +361,19 @@
     return [...this.entries.values()].map((entry) => entry.server);
   }
 
+  /** The software versions of the servers of each service, as far as they report them. */
+  softwareVersions(): Map<string, Set<string>> {
+    const versions = new Map<string, Set<string>>();
+    for (const { registered } of this.entries.values()) {
+      const { service, softwareVersion } = registered;
+      if (softwareVersion === undefined) continue;
+      const known = versions.get(service);
+      if (known === undefined) versions.set(service, new Set([softwareVersion]));
+      else known.add(softwareVersion);
+    }
+    return versions;
+  }
+
   /** Whether any available server holds the model, and the adapter if one is named. */
   hasHolder(service: string, model: string, adapter: string | undefined): boolean {
     return this.available(service).some((server) => holds(server, model, adapter));
--- a/test/explain.spec.ts
+++ b/test/explain.spec.ts
@@ -44,6 +44,21 @@
     expect(orders[0]).to.match(/^-1\.000 s {2}holder {2}order .*inFavourOf=m/);
   });
 
+  it("should show the first request of a stream beside those that resumed it", () => {
+    const text = [
+      line(1, "request", { requestId: "first", outcome: "upstream-failed", tookMs: 100 }),
+      line(2, "attempt", { requestId: "later", resumes: "first", softwareVersion: "v1" }),
+      line(3, "request", { requestId: "later", resumes: "first", outcome: "ok", tookMs: 1_200 }),
+      line(4, "request", { requestId: "other", resumes: "another", outcome: "ok", tookMs: 100 }),
+    ].join("\n");
+    for (const id of ["first", "later"]) {
+      const timeline = requestTimeline(readLog("entry", text).lines, id).join("\n");
+      expect(timeline.match(/requestId=\w+|attempt|request /g)).to.have.length.at.least(3);
+      expect(timeline).to.include("softwareVersion=v1");
+      expect(timeline).to.not.include("resumes=another");
+    }
+  });
+
   it("should show both hosts of a request that was passed on, from its arrival at the first", () => {
     const peer = line(11.9, "request", { requestId: "q2", from: "entry", outcome: "not-run", tookMs: 100 });
     const first = [
--- a/test/platform/codecs.spec.ts
+++ b/test/platform/codecs.spec.ts
@@ -110,6 +110,13 @@
     );
   });
 
+  it("should read a server's software version, and the stream that a caller resumes", () => {
+    const server = decodeServer("i-1", registration({ version: "v1.2" })).unsafeCoerce();
+    expect(server.softwareVersion).to.equal("v1.2");
+    const metadata = requestHeaders.readRequest({ "last-event-id": "12", resumes: "first" });
+    expect(metadata).to.include({ lastEventId: 12, resumedRequestId: "first" });
+  });
+
   it("should reject entries that were not written by a server", () => {
     // Another program writes to the table of servers. Without validation, requests are sent to addresses in its entries,
     // or one undecodable entry hides all others.
