--- /dev/null
+++ b/test/gateway/streamVersions.spec.ts
@@ -0,0 +1,182 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { expect } from "chai";
+import { GatewayProcesses, GatewayProgram } from "../fixtures/gatewayProcesses.ts";
+import { paths } from "../fixtures/recordingServer.ts";
+import {
+  offerStreams,
+  reportOfStreams,
+  type StreamLoad,
+  type StreamReport,
+} from "../fixtures/resumingCallers.ts";
+import { VersionedServer } from "../fixtures/versionedServer.ts";
+
+/** Load of a run, and its duration, ms. */
+const ratePerS = 25;
+const runMs = 12_000;
+/** Streams that may hold events of two versions. */
+const maxMixed = 2;
+/** From this number on, resumed streams are judged by how many of them went on. */
+const minJudgedResumes = 12;
+const minWentOnRatio = 0.5;
+const drainMs = 2_000;
+
+interface Fault {
+  readonly title: string;
+  readonly hosts?: number;
+  readonly versions?: readonly string[];
+  readonly load?: Partial<StreamLoad>;
+  /** Whether the resumed streams can't be judged, as the nodes lost all memory. */
+  readonly forgets?: boolean;
+  readonly act?: (processes: GatewayProcesses, servers: readonly VersionedServer[]) => Promise<void>;
+}
+
+async function restartAll(
+  processes: GatewayProcesses,
+  hosts: readonly number[],
+  downMs: number,
+): Promise<void> {
+  for (const host of hosts) processes.kill(host);
+  await delay(downMs);
+  await Promise.all(hosts.map((host) => processes.restart(host)));
+}
+
+/** Replaces the servers by new ones of the version, one by one. */
+async function release(
+  processes: GatewayProcesses,
+  servers: readonly VersionedServer[],
+  version: string,
+): Promise<void> {
+  const drained: Promise<void>[] = [];
+  for (const [i, server] of servers.entries()) {
+    await processes.addServer(new VersionedServer({ id: `new-${version}-${i}`, version }));
+    await delay(500);
+    drained.push(processes.drainServer(server, drainMs));
+    await delay(1_000);
+  }
+  await Promise.all(drained);
+}
+
+const faults: Fault[] = [
+  { title: "while servers of two versions serve" },
+  {
+    title: "while hosts are killed",
+    act: async (processes) => {
+      await delay(0.3 * runMs);
+      await restartAll(processes, [0], 1_000);
+      await delay(0.65 * runMs - 0.3 * runMs - 1_500);
+      await restartAll(processes, [1], 1_000);
+    },
+  },
+  {
+    title: "while half of the hosts are killed at the same moment",
+    hosts: 6,
+    act: async (processes) => {
+      await delay(0.4 * runMs);
+      await restartAll(processes, [0, 1, 2], 1_000);
+    },
+  },
+  {
+    title: "while the servers of a version are replaced",
+    act: async (processes, servers) => {
+      await delay(1_000);
+      await release(processes, servers.slice(0, 3), "v1.2");
+    },
+  },
+  {
+    title: "while a release begins and is rolled back",
+    versions: ["v1", "v1", "v1", "v1"],
+    act: async (processes, servers) => {
+      await delay(2_000);
+      const canary = new VersionedServer({ id: "canary", version: "v2" });
+      await processes.addServer(canary);
+      await delay(3_000);
+      await processes.drainServer(canary, drainMs);
+      await processes.addServer(
+        new VersionedServer({ id: "again", version: servers.length > 0 ? "v1" : "" }),
+      );
+    },
+  },
+  { title: "while servers of three versions serve", versions: ["v1", "v1", "v1.1", "v1.1", "v1.2", "v1.2"] },
+  { title: "while callers leave and come back elsewhere", load: { leaveRatio: 0.5 } },
+  {
+    title: "while the nodes are cut off from each other",
+    act: async (processes) => {
+      await delay(0.25 * runMs);
+      processes.cutPeers([0, 1, 2, 3]);
+    },
+  },
+  {
+    title: "when all hosts are killed at the same moment",
+    forgets: true,
+    act: async (processes) => {
+      await delay(0.4 * runMs);
+      await restartAll(processes, [0, 1, 2, 3], 1_000);
+    },
+  },
+  {
+    title: "while the store is away and hosts are killed",
+    act: async (processes) => {
+      await delay(0.2 * runMs);
+      processes.storeAway(true);
+      await delay(0.1 * runMs);
+      await restartAll(processes, [0], 1_000);
+      await delay(0.2 * runMs);
+      processes.storeAway(false);
+    },
+  },
+  { title: "on twelve hosts", hosts: 12 },
+];
+
+describe("a resumed stream", function () {
+  this.timeout(60_000);
+  let program: GatewayProgram;
+  let processes: GatewayProcesses;
+
+  before(async () => {
+    program = await GatewayProgram.build();
+  });
+
+  afterEach(async () => {
+    await processes.stop();
+  });
+
+  after(() => {
+    program.dispose();
+  });
+
+  async function reportOf({
+    hosts = 4,
+    versions = defaultVersions,
+    load,
+    act,
+  }: Fault): Promise<StreamReport> {
+    const servers = versions.map((version, i) => new VersionedServer({ id: `s-${i}`, version }));
+    processes = new GatewayProcesses({ program, hosts, servers: 0, otherServers: servers });
+    await processes.start();
+    await delay(500);
+    const streams = offerStreams({
+      endpoints: () => processes.endpoints,
+      path: paths.resumable,
+      ...{ ratePerS, forMs: runMs, seed: 5 },
+      ...load,
+    });
+    await Promise.all([streams, act?.(processes, servers)]);
+    return reportOfStreams(await streams);
+  }
+
+  for (const fault of faults) {
+    it(`should go on only at the version that began it ${fault.title}`, async () => {
+      const report = await reportOf(fault);
+      const { asked, begun, mixed, disordered, resumed, wentOn } = report;
+      const text = JSON.stringify(report);
+      if (process.env.STREAM_REPORT !== undefined) console.log(`      ${text}`);
+      expect(disordered, text).to.equal(0);
+      expect(mixed, text).to.be.at.most(maxMixed);
+      expect(begun, text).to.be.at.least(asked / 2);
+      if (fault.forgets === true || resumed < minJudgedResumes) return;
+      expect(wentOn / resumed, text).to.be.at.least((minWentOnRatio * begun) / asked);
+    });
+  }
+});
+
+const defaultVersions = ["v1", "v1", "v1", "v1.2", "v1.2"];
