--- a/src/gateway/callerConnection.ts
+++ b/src/gateway/callerConnection.ts
@@ -107,9 +107,13 @@
    * The request is being sent to the server. The node that passed it on is told, as it may have to judge how many servers
    * ran the request if this node fails.
    */
-  recordSend({ id, startedAtMs }: NonNullable<RelayedResponse["server"]>): void {
+  recordSend({ id, startedAtMs, softwareVersion }: NonNullable<RelayedResponse["server"]>): void {
     if (this.forwarded === undefined) return;
-    this.server = { id, ...(startedAtMs === undefined ? {} : { startedAtMs }) };
+    this.server = {
+      id,
+      ...(startedAtMs === undefined ? {} : { startedAtMs }),
+      ...(softwareVersion === undefined ? {} : { softwareVersion }),
+    };
     if (!this.res.headersSent) this.res.writeProcessing();
   }
 
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -12,6 +12,7 @@
 import { Exchange } from "./exchange.ts";
 import type { PlacementClient, GatewayContext } from "./gatewayContext.ts";
 import type { RunLockTask } from "./runLockTask.ts";
+import type { StreamVersionClient } from "./streamVersionTask.ts";
 
 /** Maximum size of request headers that Node.js accepts, bytes; the configured limit for callers is lower. */
 const maxHeaderBytes = 64 * 1024;
@@ -32,6 +33,7 @@
   readonly context: GatewayContext;
   readonly placement: PlacementClient;
   readonly runLocks: Pick<RunLockTask, "acquire">;
+  readonly streamVersions: StreamVersionClient;
   readonly forwarder: PeerForwarder;
   readonly retryRatio: number;
   /** Retries on top of the ratio that all nodes together may make within a window. */
@@ -120,7 +122,7 @@
     res: http.ServerResponse,
     forwarded?: ForwardedRequest,
   ): Promise<void> {
-    const { context, placement, runLocks, forwarder } = this.options;
+    const { context, placement, runLocks, streamVersions, forwarder } = this.options;
     context.watermark.recordRequest();
     const caller = new CallerConnection({
       ...{ req, res, codec: context.codec },
@@ -132,6 +134,7 @@
       context,
       placement,
       runLocks,
+      streamVersions,
       caller,
       forwarder,
       budgetFor: (service) => this.budgetFor(service),
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -10,15 +10,16 @@
 import { shouldShed } from "../serving/overload.ts";
 import { firstByteTimeoutMs, eventGapTimeoutMs } from "../serving/sendRules.ts";
 import type { ServerEstimate } from "../serving/serverChoice.ts";
-import { Attempt, type AttemptOutcome, type BufferedResponse } from "./attempt.ts";
+import { Attempt, type AttemptOutcome, type BufferedResponse, type StreamSink } from "./attempt.ts";
 import type { CallerConnection } from "./callerConnection.ts";
 import { QuarantineCheck } from "./quarantineCheck.ts";
 import { withoutNodeHeaders, type RelayedResponse } from "./forwardedRequest.ts";
-import type { PeerForwarder, PeerNeed } from "./peerForwarder.ts";
+import type { ForwardedSend, PeerForwarder, PeerNeed } from "./peerForwarder.ts";
 import { SendRecord, serverErrorStatus } from "./sendRecord.ts";
 import { ServerSelector, defaultRetryS } from "./serverSelector.ts";
 import { adapterKey, demandKey, type PlacementClient, type GatewayContext } from "./gatewayContext.ts";
 import type { RunLockTask } from "./runLockTask.ts";
+import type { StreamVersionClient } from "./streamVersionTask.ts";
 
 /** Refused sends allowed on top of the route's `maxAttempts`; bounds the retries of a request that no server runs. */
 const maxExtraRefusedSends = 3;
@@ -44,6 +45,7 @@
   readonly context: GatewayContext;
   readonly placement: PlacementClient;
   readonly runLocks: Pick<RunLockTask, "acquire">;
+  readonly streamVersions: StreamVersionClient;
   readonly budgetFor: (service: string) => RetryBudget;
   readonly caller: CallerConnection;
   readonly forwarder: Pick<PeerForwarder, "choosePeer" | "send">;
@@ -80,6 +82,8 @@
   /** Sends after which the server may have run the request. */
   private possibleRuns: number;
   private lastEvent: number | undefined;
+  /** The software version of the server that began the stream, which is the only one that can continue it. */
+  private softwareVersion: string | undefined;
   private attempt: Attempt | undefined;
   private lastFailure = "";
   private timedOut = false;
@@ -140,7 +144,7 @@
     const path = (req.url ?? "/").split("?")[0] ?? "/";
     const route = table.match(this.metadata.host, path);
     if (route === undefined) throw new Failure("unknown-route", `no route for ${this.metadata.host}${path}`);
-    const service = table.service(table.selectService(route, this.metadata.requestId) ?? "");
+    const service = table.service(table.selectService(route, this.streamId) ?? "");
     if (service === undefined) throw new Failure("not-run", `route ${route.name} refers to no known service`);
     this.route = route;
     this.service = service;
@@ -157,6 +161,7 @@
       service,
       deadlines: this.deadlines,
       arrivedMs: this.arrivedMs,
+      softwareVersion: () => this.softwareVersion,
       // A request that is quarantined while it waits is refused immediately.
       isCancelled: () => this.caller.disconnected || this.abandoned || this.quarantine.timeLeftMs > 0,
       mayRun: () => this.quarantine.mayRun,
@@ -164,8 +169,6 @@
       // A request is passed on once: the node that it was passed on to serves or refuses it.
       choosePeer: forwarded === undefined ? (servers, need) => this.choosePeer(servers, need) : undefined,
     });
-    if (this.metadata.resumedRequestId !== undefined && forwarded === undefined)
-      context.metrics.resumedStreams.inc({ service: service.name });
     if (forwarded === undefined) this.countDemand();
     else this.context.metrics.receivedForwarded.inc({ service: service.name });
     this.body = await this.readBody(table.configuration.limits.maxBodyBytes);
@@ -179,6 +182,55 @@
       body: this.body,
     });
     if (forwarded === undefined) this.options.budgetFor(service.name).deposit();
+    this.softwareVersion = await this.findSoftwareVersion();
+  }
+
+  /** Id of the request that brought the first event of the stream; the request's own unless it resumes a stream. */
+  private get streamId(): string {
+    return this.metadata.resumedRequestId ?? this.metadata.requestId;
+  }
+
+  /** The version at which a stream that the caller resumes goes on; undefined if any server may serve the request. */
+  private async findSoftwareVersion(): Promise<string | undefined> {
+    const { lastEventId, resumedRequestId } = this.metadata;
+    const { name } = this.service;
+    const forwarded = this.caller.forwarded?.softwareVersion;
+    if (forwarded !== undefined) return forwarded;
+    if (this.route.kind !== "stream" || (lastEventId ?? resumedRequestId) === undefined) return undefined;
+    const { source, version } = await this.options.streamVersions.findVersion(resumedRequestId, name);
+    this.context.metrics.resumedStreams.inc({ service: name, version: source });
+    if (source !== "unknown") return version;
+    const message = "not run: the software version that began the stream is not known here; use another node";
+    throw new Failure("unknown-version", message);
+  }
+
+  /** The caller as the destination of a stream's events from a server of the given version. */
+  private sinkOf(versionOf: () => string | undefined, isAnnounced: boolean): StreamSink {
+    const { caller } = this;
+    return {
+      open: (rawHeaders, framed) => {
+        this.tieStream(versionOf(), isAnnounced);
+        caller.open(rawHeaders, framed);
+      },
+      write: (bytes) => caller.write(bytes),
+      onDrain: (callback) => {
+        caller.onDrain(callback);
+      },
+    };
+  }
+
+  /** The first event of the stream is about to leave: from now on only servers of this version may continue it. */
+  private tieStream(version: string | undefined, isAnnounced: boolean): void {
+    this.softwareVersion ??= version;
+    if (version === undefined || !this.route.resumable) return;
+    const { streamVersions } = this.options;
+    streamVersions.recordStream({
+      id: this.streamId,
+      service: this.service.name,
+      version,
+      timeoutMs: this.route.timeoutMs,
+      isAnnounced,
+    });
   }
 
   private async readBody(limit: number): Promise<Buffer | undefined> {
@@ -280,7 +332,7 @@
 
   private choosePeer(servers: readonly BackendServer[], need: PeerNeed): NodeStatus | undefined {
     if (this.triedPeers.size >= maxForwards) return undefined;
-    return this.options.forwarder.choosePeer(servers, need, this.triedPeers);
+    return this.options.forwarder.choosePeer(servers, need, this.triedPeers, this.softwareVersion);
   }
 
   /** Passes the request on to the peer; returns true if it is to be sent to a server or to another peer. */
@@ -291,12 +343,14 @@
     this.via = peer.host;
     // The peer acquires the run lock of a suspected request itself.
     this.quarantine.dispose();
-    const send = this.options.forwarder.send({
+    const send: ForwardedSend = this.options.forwarder.send({
       ...{ peer, caller, body, requestId: metadata.requestId, service: this.service.name },
       ageMs: now - this.arrivedMs,
       priorRuns: this.possibleRuns,
-      sink: route.kind === "stream" ? caller : undefined,
+      // The peer tells other nodes of the stream.
+      sink: route.kind === "stream" ? this.sinkOf(() => this.versionBehind(send.response), false) : undefined,
       resumeAfterEventId: this.lastEvent,
+      softwareVersion: this.softwareVersion,
       lastDeliveredEvent: this.lastEvent ?? metadata.lastEventId,
       // The peer notices an unresponsive server and tries another one, which takes as long again.
       firstByteTimeoutMs: Math.min(
@@ -346,6 +400,13 @@
     );
   }
 
+  /** The software version of the server that a peer relays; builds that don't state it name the server. */
+  private versionBehind(response: RelayedResponse | undefined): string | undefined {
+    const server = response?.server;
+    if (server === undefined) return undefined;
+    return server.softwareVersion ?? this.context.fleet.get(server.id)?.softwareVersion;
+  }
+
   private async send(candidate: ServerEstimate): Promise<AttemptOutcome> {
     const { context, metadata: request, route } = this;
     const now = performance.now();
@@ -377,7 +438,7 @@
         }),
         body,
         requestId: request.requestId,
-        sink: isStream ? this.caller : undefined,
+        sink: isStream ? this.sinkOf(() => server.softwareVersion, true) : undefined,
         lastDeliveredEvent: this.lastEvent ?? request.lastEventId,
         firstByteTimeoutMs: this.firstByteTimeoutMs(
           now,
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -21,6 +21,8 @@
   ageMs: Schema.Number,
   /** Servers that may have run it already. */
   runs: Schema.Number,
+  /** The software version at which the stream goes on, if it has begun. */
+  softwareVersion: Schema.optionalKey(Schema.String),
 });
 /** A decoded request header. */
 export type ForwardedRequest = typeof ForwardedRequest.Type;
@@ -31,7 +33,11 @@
   failure: Schema.optionalKey(Schema.Struct({ kind: ErrorKind, requestId: Schema.String })),
   /** The incarnation whose notices the response carries. */
   server: Schema.optionalKey(
-    Schema.Struct({ id: Schema.String, startedAtMs: Schema.optionalKey(Schema.Number) }),
+    Schema.Struct({
+      id: Schema.String,
+      startedAtMs: Schema.optionalKey(Schema.Number),
+      softwareVersion: Schema.optionalKey(Schema.String),
+    }),
   ),
   /** The server's response stated its length. */
   framed: Schema.optionalKey(Schema.Boolean),
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -19,6 +19,8 @@
 import { Refusals } from "../serving/refusals.ts";
 import { RequestCounter } from "../serving/requestCounter.ts";
 import type { RouteTable } from "../serving/routeTable.ts";
+import { StreamVersions } from "../serving/streams/streamVersions.ts";
+import { VersionHistory } from "../serving/streams/versionHistory.ts";
 import { ServerNotices } from "../serving/serverNotices.ts";
 import { GatewayMetrics } from "./gatewayMetrics.ts";
 import { SlotQueue } from "./slotQueue.ts";
@@ -91,6 +93,9 @@
   readonly slotQueue: SlotQueue;
   /** Requests that crash servers. */
   readonly quarantine: Quarantine;
+  /** Software versions of recent streams, and of each service's servers. */
+  readonly streamVersions: StreamVersions;
+  readonly versionHistory: VersionHistory;
   readonly modelWaits: ModelWaitEstimator;
   readonly prefillFactors: PrefillFactors;
   readonly engineSpeed: EngineSpeed;
@@ -144,6 +149,8 @@
     }),
     slotQueue: new SlotQueue(),
     quarantine: new Quarantine(),
+    streamVersions: new StreamVersions(),
+    versionHistory: new VersionHistory(),
     modelWaits: new ModelWaitEstimator(),
     prefillFactors: new PrefillFactors(),
     engineSpeed: new EngineSpeed(),
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -39,9 +39,17 @@
     "Software versions of a service's servers",
     ["service"],
   );
-  readonly resumedStreams = this.counter("resumed_streams_total", "Streams that callers resumed", [
-    "service",
-  ]);
+  readonly resumedStreams = this.counter(
+    "resumed_streams_total",
+    "Streams that callers resumed, by how their software version was found",
+    ["service", "version"],
+  );
+  /** Streams whose software version peers were told. */
+  readonly announcedStreams = this.counter(
+    "announced_streams_total",
+    "Streams whose software version peers were told",
+    [],
+  );
   /** Responses that stated no length and ended with their connection, by service. */
   readonly unframed = this.counter("unframed_responses_total", "Responses that ended with their connection", [
     "service",
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -40,9 +40,11 @@
 import { QuarantineTask } from "./quarantineTask.ts";
 import { StoreReaderRole } from "./storeReaderRole.ts";
 import { createGatewayContext, type GatewayContext } from "./gatewayContext.ts";
+import { StreamVersionTask } from "./streamVersionTask.ts";
 import { StoreHealth } from "./storeHealth.ts";
 import { ReachabilityTask } from "./reachabilityTask.ts";
 import { RunLockTask } from "./runLockTask.ts";
+import { VersionHistoryTask } from "./versionHistoryTask.ts";
 import { Utilization } from "./utilization.ts";
 
 /** TTL of directory responses at callers, s: short, so that a stopping node soon gets no new callers. */
@@ -100,6 +102,7 @@
   private readonly utilization = new Utilization();
   private readonly placement: PlacementTask;
   private readonly quarantine: QuarantineTask;
+  private readonly versionHistory: VersionHistoryTask;
   private readonly callers: CallerServer;
   private readonly reachability: ReachabilityTask;
   private readonly supervisor: Supervisor;
@@ -216,11 +219,26 @@
       ownerOf: (fingerprint) => this.ownerOf(fingerprint),
       readUpToMs: () => this.readUpToMs,
     });
+    const streamVersions = new StreamVersionTask({
+      context: this.context,
+      peers: this.peers,
+      livePeers: () => this.peerTable.alive(this.readUpToMs).map(({ status }) => status),
+      fleetIsCurrent: () => this.storeReader.fleetIsCurrent,
+      loadHistory: () => this.versionHistory.load(),
+    });
+    this.versionHistory = new VersionHistoryTask({
+      store,
+      log,
+      history: this.context.versionHistory,
+      lifetimeMs: () => streamVersions.lifetimeMs,
+      holdsLease: () => this.lease.holding,
+    });
     this.callers = new CallerServer({
       endpoint: settings.callers,
       context: this.context,
       placement: this.placement,
       runLocks,
+      streamVersions,
       forwarder: new PeerForwarder({ context: this.context, peers: () => this.readyPeers }),
       retryRatio: settings.retryRatio,
       retryBurst: settings.retryBurst,
@@ -324,6 +342,8 @@
         }),
         permits,
         runLocks,
+        streamVersions,
+        this.versionHistory,
         this.reachability,
         this.callers,
         this.member,
@@ -350,6 +370,7 @@
       this.peers.sendHeartbeat();
     });
     this.lease.changed.on(() => {
+      this.versionHistory.applyLease();
       this.peers.sendHeartbeat();
     });
     this.activation.changed.on((active) => {
@@ -516,6 +537,7 @@
       ...(unreachable.length === 0 ? {} : { unreachable }),
       ...(partitioned ? { partitioned } : {}),
       forwarding: true,
+      streamVersions: true,
       ...(storeEra === undefined ? {} : { storeEra }),
     };
   }
--- a/src/gateway/peerForwarder.ts
+++ b/src/gateway/peerForwarder.ts
@@ -48,6 +48,8 @@
   /** Servers that may have run the request. */
   readonly priorRuns: number;
   readonly resumeAfterEventId: number | undefined;
+  /** The software version at which the stream goes on, if it has begun. */
+  readonly softwareVersion: string | undefined;
   readonly onFirstByte: () => void;
 }
 
@@ -58,8 +60,9 @@
   private announcedRuns = 0;
 
   constructor(context: GatewayContext, agent: http.Agent, options: ForwardOptions) {
-    const { peer, caller, service, ageMs, priorRuns, resumeAfterEventId, onFirstByte, sink, ...rest } =
+    const { peer, caller, service, ageMs, priorRuns, resumeAfterEventId, softwareVersion, ...other } =
       options;
+    const { onFirstByte, sink, ...rest } = other;
     this.codec = new RelayedResponseCodec(context.codec);
     const sentMs = performance.now();
     const headers = context.codec.relayHeaders(withoutNodeHeaders(caller.rawHeaders), {
@@ -67,7 +70,12 @@
       bodyBytes: rest.body?.length,
     });
     headers.push(
-      ...forwardedRequestHeaders({ host: context.host, ageMs: Math.ceil(ageMs), runs: priorRuns }),
+      ...forwardedRequestHeaders({
+        host: context.host,
+        ageMs: Math.ceil(ageMs),
+        runs: priorRuns,
+        ...(softwareVersion === undefined ? {} : { softwareVersion }),
+      }),
     );
     this.attempt = new Attempt(
       {
@@ -117,14 +125,19 @@
     servers: readonly BackendServer[],
     need: PeerNeed,
     tried: ReadonlySet<string>,
+    softwareVersion: string | undefined,
   ): NodeStatus | undefined {
     const { context, peers } = this.options;
     const { reachability, fleet, configuration, concurrency, zone } = context;
     const now = performance.now();
+    // Builds that don't know of versions would send the stream to any server.
+    const keepsVersion = ({ status }: Peer): boolean =>
+      softwareVersion === undefined || status.streamVersions === true;
+    const able = peers().filter(keepsVersion);
     const hasSlots = ({ status }: Peer): boolean =>
       servers.some((server) => concurrency.shareOf(server, status.ip, now) > 0);
     return choosePeer({
-      peers: need === "with-slots" ? peers().filter(hasSlots) : peers(),
+      peers: need === "with-slots" ? able.filter(hasSlots) : able,
       servers: servers.map(({ id }) => ({
         id,
         failingSinceMs: reachability.failingSinceMs(id) ?? now,
--- a/src/gateway/serverCandidates.ts
+++ b/src/gateway/serverCandidates.ts
@@ -9,6 +9,8 @@
   readonly context: GatewayContext;
   readonly service: Service;
   readonly metadata: RequestMetadata;
+  /** The software version that the servers must have; undefined for any. */
+  readonly softwareVersion: () => string | undefined;
 }
 
 /** Candidate servers of one request. */
@@ -26,7 +28,17 @@
   /** Servers that may be sent the request now. */
   get ready(): BackendServer[] {
     const now = performance.now();
-    return this.eligible().filter((server) => this.acceptsNow(server, now));
+    const ready = this.eligible().filter((server) => this.acceptsNow(server, now));
+    const settled = ready.filter((server) => this.isSettled(server, now));
+    return settled.length > 0 ? settled : ready;
+  }
+
+  /** Whether servers of the required software version exist only at other versions, if at all. */
+  get lacksVersion(): boolean {
+    if (this.options.softwareVersion() === undefined) return false;
+    const { fleet } = this.options.context;
+    const { name } = this.options.service;
+    return !fleet.all().some((server) => server.service === name && this.hasVersion(server));
   }
 
   /** Servers that could serve the request but stated a limit or back-off that prevents it now. */
@@ -89,7 +101,22 @@
   }
 
   private get available(): readonly BackendServer[] {
-    return this.options.context.fleet.available(this.options.service.name);
+    const servers = this.options.context.fleet.available(this.options.service.name);
+    return this.options.softwareVersion() === undefined
+      ? servers
+      : servers.filter((server) => this.hasVersion(server));
+  }
+
+  /** Whether the server has the required software version; one that reports none can't be told apart. */
+  private hasVersion({ softwareVersion }: BackendServer): boolean {
+    const required = this.options.softwareVersion();
+    return required === undefined || softwareVersion === undefined || softwareVersion === required;
+  }
+
+  /** A new version isn't used until all nodes know it, as its streams could be resumed where it isn't known. */
+  private isSettled({ service, softwareVersion }: BackendServer, nowMs: number): boolean {
+    if (softwareVersion === undefined) return true;
+    return this.options.context.versionHistory.isSettled(service, softwareVersion, nowMs);
   }
 
   private acceptsNow(server: BackendServer, nowMs: number): boolean {
@@ -108,7 +135,9 @@
     const isOpen = ({ id }: BackendServer): boolean => context.refusals.isAvailable(id, this.scope, now);
     const servers = this.reachable(this.available, this.requiredModel, metadata.adapter).filter(isOpen);
     if (servers.length > 0) return servers;
-    const leaving = context.fleet.leavingSince(service.name, now - context.drainMs);
+    const leaving = context.fleet
+      .leavingSince(service.name, now - context.drainMs)
+      .filter((server) => this.hasVersion(server));
     return this.reachable(leaving, this.requiredModel, metadata.adapter).filter(isOpen);
   }
 
--- a/src/gateway/serverSelector.ts
+++ b/src/gateway/serverSelector.ts
@@ -46,6 +46,8 @@
   readonly service: Service;
   readonly deadlines: RequestDeadlines;
   readonly arrivedMs: number;
+  /** The software version that the server must have; undefined for any. */
+  readonly softwareVersion: () => string | undefined;
   /** Whether to stop waiting: the caller disconnected, the node stops or the request was quarantined. */
   readonly isCancelled: () => boolean;
   /** Whether the request may run now, given that duplicates of a suspected request run one at a time. */
@@ -97,6 +99,10 @@
     try {
       for (;;) {
         if (this.options.isCancelled() || this.timeLeftMs <= 0) return undefined;
+        if (this.candidates.lacksVersion) {
+          this.refusal = `no server of version ${this.options.softwareVersion() ?? ""}`;
+          return undefined;
+        }
         const { queuedServers } = this;
         if (queuedServers.length > 0) {
           if (!(await this.waitForSlot(queuedServers))) return undefined;
--- a/src/gateway/storeReaderRole.ts
+++ b/src/gateway/storeReaderRole.ts
@@ -41,6 +41,11 @@
     return Math.min(readAgeMs(), reportedReadAgeMs(), ...this.readers().map((reader) => reader.readAgeMs));
   }
 
+  /** Whether the known servers are up to date: the store was read recently, or no live peer can know anything newer. */
+  get fleetIsCurrent(): boolean {
+    return this.freshestReadAgeMs < maxFreshReadAgeMs || this.readers().length > 0;
+  }
+
   /** Whether a peer read the store recently. */
   get storeReachableByPeers(): boolean {
     return this.readers().some((reader) => reader.readAgeMs < maxFreshReadAgeMs);
--- a/src/serving/membership/owner.ts
+++ b/src/serving/membership/owner.ts
@@ -4,6 +4,15 @@
  */
 import { hashFraction } from "../routeTable.ts";
 
+/** The `count` nodes with the highest weights for the key, highest first. */
+export function ownersOf(key: string, nodes: readonly string[], count: number): string[] {
+  return nodes
+    .map((node) => ({ node, weight: hashFraction(`${key} ${node}`) }))
+    .sort((a, b) => b.weight - a.weight)
+    .slice(0, count)
+    .map(({ node }) => node);
+}
+
 /** The owner of the key among the nodes; undefined if there are none. */
 export function ownerOf(key: string, nodes: readonly string[]): string | undefined {
   let owner: string | undefined;
--- a/src/serving/membership/peerTable.ts
+++ b/src/serving/membership/peerTable.ts
@@ -49,6 +49,8 @@
   unreachable: Schema.optionalKey(Schema.Array(Schema.String)),
   /** It serves requests that other nodes pass on. */
   forwarding: Schema.optionalKey(Schema.Boolean),
+  /** It lets a stream go on only at the software version that began it. */
+  streamVersions: Schema.optionalKey(Schema.Boolean),
   /** Set while it reaches none of the servers of a service that other nodes reach. */
   partitioned: Schema.optionalKey(Schema.Boolean),
 };
