--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -40,6 +40,7 @@
 import { QuarantineTask } from "./quarantineTask.ts";
 import { StoreReaderRole } from "./storeReaderRole.ts";
 import { createGatewayContext, type GatewayContext } from "./gatewayContext.ts";
+import { StreamPublisher } from "./streamPublisher.ts";
 import { StreamVersionTask } from "./streamVersionTask.ts";
 import { StoreHealth } from "./storeHealth.ts";
 import { ReachabilityTask } from "./reachabilityTask.ts";
@@ -219,12 +220,20 @@
       ownerOf: (fingerprint) => this.ownerOf(fingerprint),
       readUpToMs: () => this.readUpToMs,
     });
+    const streamPublisher = new StreamPublisher({
+      store,
+      log,
+      ip: settings.ip,
+      isIsolated: () => this.peerTable.isIsolated(this.readUpToMs),
+      streams: () => this.context.streamVersions.own(performance.now()),
+    });
     const streamVersions = new StreamVersionTask({
       context: this.context,
       peers: this.peers,
       livePeers: () => this.peerTable.alive(this.readUpToMs).map(({ status }) => status),
       fleetIsCurrent: () => this.storeReader.fleetIsCurrent,
       loadHistory: () => this.versionHistory.load(),
+      publisher: streamPublisher,
     });
     this.versionHistory = new VersionHistoryTask({
       store,
@@ -342,6 +351,7 @@
         }),
         permits,
         runLocks,
+        streamPublisher,
         streamVersions,
         this.versionHistory,
         this.reachability,
--- a/src/gateway/streamVersionTask.ts
+++ b/src/gateway/streamVersionTask.ts
@@ -13,6 +13,7 @@
 import type { StreamVersion } from "../serving/streams/streamVersions.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
 import type { PeerTask } from "./peerTask.ts";
+import type { StreamPublisher } from "./streamPublisher.ts";
 
 /** Nodes that are told of a stream; more than can plausibly fail together with the stream's own node. */
 const toldNodes = 4;
@@ -48,7 +49,7 @@
 type VersionResult = typeof VersionResult.Type;
 
 /** How the version of a resumed stream was found; `unversioned` if the servers report none. */
-export type VersionSource = "own" | "told" | "single" | "asked" | "unversioned" | "unknown";
+export type VersionSource = "own" | "told" | "single" | "asked" | "published" | "unversioned" | "unknown";
 
 /** The version of a resumed stream, and how it was found. */
 export interface ResumedVersion {
@@ -87,6 +88,7 @@
   readonly fleetIsCurrent: () => boolean;
   /** Completes the version history from the store; rejects if the store can't be read. */
   readonly loadHistory: () => Promise<void>;
+  readonly publisher: Pick<StreamPublisher, "streamRecorded" | "read">;
 }
 
 /** Answers and asks peers. */
@@ -124,7 +126,9 @@
     const now = performance.now();
     const stream = { ...started, untilMs: now + lifetimeFactor * timeoutMs, own: true };
     this.options.context.streamVersions.record(stream, now);
-    if (isAnnounced && this.isMixed(stream.service)) this.announce([stream]);
+    if (!isAnnounced || !this.isMixed(stream.service)) return;
+    this.announce([stream]);
+    this.options.publisher.streamRecorded();
   }
 
   async findVersion(id: string | undefined, service: string): Promise<ResumedVersion> {
@@ -139,6 +143,8 @@
     if (only !== undefined) return { source: "single", version: only };
     const asked = id === undefined ? undefined : await this.askPeers(id, service);
     if (asked !== undefined) return { source: "asked", version: asked };
+    const published = await this.findPublished(id, service);
+    if (published !== undefined) return { source: "published", version: published };
     await this.completeHistory();
     const stored = this.onlyVersion(service);
     return stored === undefined
@@ -146,6 +152,11 @@
       : { source: "single", version: stored };
   }
 
+  private async findPublished(id: string | undefined, service: string): Promise<string | undefined> {
+    const streams = await this.options.publisher.read();
+    return streams.find((stream) => stream.id === id && stream.service === service)?.version;
+  }
+
   /** After the loss of all nodes' memory, only the store knows whether there were other versions. */
   private async completeHistory(): Promise<void> {
     const { context, loadHistory } = this.options;
@@ -184,7 +195,7 @@
     for (const service of versionHistory.versionedServices) {
       const isMixed = this.isMixed(service);
       if (isMixed && !this.mixedServices.has(service))
-        this.announce(streamVersions.ownOf(service, performance.now()));
+        this.announce(streamVersions.own(performance.now()).filter((stream) => stream.service === service));
       if (isMixed) this.mixedServices.add(service);
       else this.mixedServices.delete(service);
     }
--- a/src/serving/membership/peerTable.ts
+++ b/src/serving/membership/peerTable.ts
@@ -319,6 +319,12 @@
     return found;
   }
 
+  /** Whether most of the peers that were alive lately are not heard any more. */
+  isIsolated(nowMs: number): boolean {
+    const recent = [...this.peers.values()].filter(({ lastHeardMs }) => nowMs - lastHeardMs < forgetPeerMs);
+    return recent.length > 2 * this.alive(nowMs).length;
+  }
+
   /** Whether the node is in the roster of another node. */
   private isInRoster(ip: string): boolean {
     return [...this.rosters.values()].some((listedIps) => listedIps.has(ip));
--- a/src/serving/streams/streamVersions.ts
+++ b/src/serving/streams/streamVersions.ts
@@ -42,11 +42,9 @@
     return stream === undefined || stream.untilMs <= nowMs ? undefined : stream;
   }
 
-  /** The streams of the service whose events this node delivered. */
-  ownOf(service: string, nowMs: number): StreamVersion[] {
-    return [...this.streams.values()].filter(
-      (stream) => stream.own && stream.service === service && stream.untilMs > nowMs,
-    );
+  /** The streams whose events this node delivered, the least recently recorded ones first. */
+  own(nowMs: number): StreamVersion[] {
+    return [...this.streams.values()].filter(({ own, untilMs }) => own && untilMs > nowMs);
   }
 
   /** Drops streams from the front, where the least recently recorded ones are. */
