--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -45,10 +45,19 @@
   }
 }
 
+/** An adapter that a request needs. */
+export interface AdapterNeed {
+  readonly service: string;
+  readonly model: string;
+  readonly adapter: string;
+  /** The software version of the engines that can serve the request; any if absent. */
+  readonly softwareVersion?: string | undefined;
+}
+
 /** Requests models and adapters from the holder of the placement lease. */
 export interface PlacementClient {
   /** Resolves once the adapter was ordered, with its location in the fleet, or can't be ordered now. */
-  ensureAdapter(service: string, model: string, adapter: string): Promise<void>;
+  ensureAdapter(need: AdapterNeed): Promise<void>;
   /** Reports promptly to the lease holder that a request waits for a model. */
   demandChanged(): void;
 }
--- a/src/gateway/placementTask.ts
+++ b/src/gateway/placementTask.ts
@@ -19,7 +19,13 @@
 import { EngineController, type EngineOrderOutcome } from "./engineController.ts";
 import type { LeaseTask } from "./leaseTask.ts";
 import type { PeerTask } from "./peerTask.ts";
-import { adapterKey, demandKey, type PlacementClient, type GatewayContext } from "./gatewayContext.ts";
+import {
+  adapterKey,
+  demandKey,
+  type AdapterNeed,
+  type PlacementClient,
+  type GatewayContext,
+} from "./gatewayContext.ts";
 
 /** Period of placement rounds, ms. */
 const roundMs = 250;
@@ -46,7 +52,12 @@
 /** Pause before the lease holder is asked for the same adapter again, ms. */
 const ensureRetryMs = 60;
 
-const EnsureParams = Schema.Struct({ service: Schema.String, model: Schema.String, adapter: Schema.String });
+const EnsureParams = Schema.Struct({
+  service: Schema.String,
+  model: Schema.String,
+  adapter: Schema.String,
+  softwareVersion: Schema.optionalKey(Schema.String),
+});
 const ResidencyParams = Schema.Struct({
   serverId: Schema.String,
   startedAtMs: Schema.optionalKey(Schema.Number),
@@ -107,9 +118,10 @@
     else this.options.peers.sendHeartbeat();
   }
 
-  async ensureAdapter(service: string, model: string, adapter: string): Promise<void> {
-    const key = adapterKey(service, model, adapter);
-    const running = this.ensuring.get(key) ?? this.ensureOnce(service, model, adapter);
+  async ensureAdapter(need: AdapterNeed): Promise<void> {
+    const { service, model, adapter, softwareVersion = "" } = need;
+    const key = `${adapterKey(service, model, adapter)} ${softwareVersion}`;
+    const running = this.ensuring.get(key) ?? this.ensureOnce(need);
     this.ensuring.set(key, running);
     await running.finally(() => this.ensuring.delete(key));
   }
@@ -335,9 +347,9 @@
     return remainingByKey;
   }
 
-  private async ensureOnce(service: string, model: string, adapter: string): Promise<void> {
+  private async ensureOnce(need: AdapterNeed): Promise<void> {
     if (this.options.lease.holding) {
-      await this.orderAdapter(service, model, adapter);
+      await this.orderAdapter(need);
       return;
     }
     const holder = this.options.peerTable.leaseHolder(this.options.context.watermark.readUpToMs);
@@ -346,13 +358,13 @@
       return;
     }
     try {
-      const result = await this.options.peers.call(holder, "adapter.ensure", { service, model, adapter });
+      const result = await this.options.peers.call(holder, "adapter.ensure", need);
       if (result !== null) this.onResidency(result);
     } catch (error) {
       this.log.info({
         event: "adapter-not-ensured",
-        model,
-        adapter,
+        model: need.model,
+        adapter: need.adapter,
         holder: holder.host,
         detail: String(error),
       });
@@ -362,10 +374,11 @@
 
   /** Handles a peer's request for an adapter; resolves with its location, or null. */
   private async onEnsureAdapter(params: unknown): Promise<ResidencyChange | null> {
-    const { service, model, adapter } = Schema.decodeUnknownSync(EnsureParams)(params);
+    const need = Schema.decodeUnknownSync(EnsureParams)(params);
+    const { model, adapter } = need;
     if (!this.options.lease.holding) return null;
-    await this.ensureAdapter(service, model, adapter);
-    const server = this.options.context.fleet.available(service).find((s) => holds(s, model, adapter));
+    await this.ensureAdapter(need);
+    const server = this.enginesFor(need).find((s) => holds(s, model, adapter));
     if (server === undefined) return null;
     return residencyOf(server, { model, adapter, present: true });
   }
@@ -383,10 +396,19 @@
       .orDefault(false);
   }
 
-  private async orderAdapter(service: string, model: string, adapter: string): Promise<void> {
+  /** The engines that could serve a request with this need. */
+  private enginesFor({ service, softwareVersion }: AdapterNeed): readonly BackendServer[] {
+    const servers = this.options.context.fleet.available(service);
+    return softwareVersion === undefined
+      ? servers
+      : servers.filter((server) => (server.softwareVersion ?? softwareVersion) === softwareVersion);
+  }
+
+  private async orderAdapter(need: AdapterNeed): Promise<void> {
+    const { service, model, adapter } = need;
     const { context } = this.options;
     const limits = context.configuration.current?.service(service)?.engine;
-    const servers = context.fleet.available(service).filter((server) => holds(server, model, undefined));
+    const servers = this.enginesFor(need).filter((server) => holds(server, model, undefined));
     if (limits === undefined || servers.some((server) => holds(server, model, adapter))) return;
     const name = `${model}/${adapter}`;
     const move = this.planAdapterMove(service, name, limits, servers);
--- a/src/gateway/serverCandidates.ts
+++ b/src/gateway/serverCandidates.ts
@@ -41,6 +41,13 @@
     return !fleet.all().some((server) => server.service === name && this.hasVersion(server));
   }
 
+  /** Whether servers of the required software version exist, but none holds the requested model. */
+  get lacksModelAtVersion(): boolean {
+    const model = this.requiredModel;
+    if (model === undefined || this.options.softwareVersion() === undefined) return false;
+    return !this.available.some((server) => holds(server, model, undefined));
+  }
+
   /** Servers that could serve the request but stated a limit or back-off that prevents it now. */
   get throttled(): BackendServer[] {
     const { notices, concurrency } = this.options.context;
--- a/src/gateway/serverSelector.ts
+++ b/src/gateway/serverSelector.ts
@@ -25,6 +25,8 @@
 const adapterWaitRatio = 0.7;
 /** Retry-After for an adapter that got no slot, ms: model loads, during which engines take no orders, last seconds. */
 const adapterRetryAfterMs = 1_000;
+/** Retry-After of a stream whose model no server of its version holds, ms. */
+const versionRetryAfterMs = 1_000;
 /** Maximum fraction of the caller's remaining time to wait for a slot of a limited server. */
 const slotWaitRatio = 0.5;
 /** A server that requests a shorter back-off than this, ms, gets the default back-off of refusing servers instead. */
@@ -320,10 +322,16 @@
     if (this.candidates.tried.size > 0) return this.retryAllServers(progress);
     this.options.placement.demandChanged();
     if (this.outOfReach && this.pathIsUncertain()) return this.waitForChange();
+    if (this.candidates.lacksModelAtVersion) {
+      this.setRefusal(versionRetryAfterMs, "no server of the stream's version holds the model");
+      return false;
+    }
     if (this.modelLoadsTooLate()) return false;
     const { model, adapter } = this.options.metadata;
     if (model !== undefined && adapter !== undefined && this.candidates.hasModel) {
-      await this.options.placement.ensureAdapter(this.options.service.name, model, adapter);
+      const softwareVersion = this.options.softwareVersion();
+      const need = { service: this.options.service.name, model, adapter, softwareVersion };
+      await this.options.placement.ensureAdapter(need);
       if (this.choose() !== undefined) return true;
       if (this.adapterWaitExceeded()) {
         this.setRefusal(adapterRetryAfterMs, "no adapter slot is free yet");
