--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -10,7 +10,7 @@
 import { shouldShed } from "../serving/overload.ts";
 import { firstByteTimeoutMs, eventGapTimeoutMs } from "../serving/sendRules.ts";
 import type { ServerEstimate } from "../serving/serverChoice.ts";
-import { Attempt, type AttemptOutcome, type BufferedResponse, type StreamSink } from "./attempt.ts";
+import { Attempt, type AttemptOutcome, type BufferedResponse } from "./attempt.ts";
 import type { CallerConnection } from "./callerConnection.ts";
 import { QuarantineCheck } from "./quarantineCheck.ts";
 import { withoutNodeHeaders, type RelayedResponse } from "./forwardedRequest.ts";
@@ -19,6 +19,7 @@
 import { ServerSelector, defaultRetryS } from "./serverSelector.ts";
 import { adapterKey, demandKey, type PlacementClient, type GatewayContext } from "./gatewayContext.ts";
 import type { RunLockTask } from "./runLockTask.ts";
+import { ResumableStream, streamIdOf } from "./resumableStream.ts";
 import type { StreamVersionClient } from "./streamVersionTask.ts";
 
 /** Refused sends allowed on top of the route's `maxAttempts`; bounds the retries of a request that no server runs. */
@@ -82,8 +83,7 @@
   /** Sends after which the server may have run the request. */
   private possibleRuns: number;
   private lastEvent: number | undefined;
-  /** The software version of the server that began the stream, which is the only one that can continue it. */
-  private softwareVersion: string | undefined;
+  private stream!: ResumableStream;
   private attempt: Attempt | undefined;
   private lastFailure = "";
   private timedOut = false;
@@ -144,7 +144,7 @@
     const path = (req.url ?? "/").split("?")[0] ?? "/";
     const route = table.match(this.metadata.host, path);
     if (route === undefined) throw new Failure("unknown-route", `no route for ${this.metadata.host}${path}`);
-    const service = table.service(table.selectService(route, this.streamId) ?? "");
+    const service = table.service(table.selectService(route, streamIdOf(this.metadata)) ?? "");
     if (service === undefined) throw new Failure("not-run", `route ${route.name} refers to no known service`);
     this.route = route;
     this.service = service;
@@ -153,6 +153,9 @@
     if (this.options.shouldRefuseAll() || (route.kind === "stream" && this.options.shouldRefuseStreams())) {
       throw new Failure("draining", "this node is shutting down; use another address");
     }
+    const { streamVersions } = this.options;
+    const { caller, metadata } = this;
+    this.stream = new ResumableStream({ context, streamVersions, caller, metadata, route, service });
     this.selector = new ServerSelector({
       context: this.context,
       placement: this.options.placement,
@@ -161,7 +164,7 @@
       service,
       deadlines: this.deadlines,
       arrivedMs: this.arrivedMs,
-      softwareVersion: () => this.softwareVersion,
+      softwareVersion: () => this.stream.softwareVersion,
       // A request that is quarantined while it waits is refused immediately.
       isCancelled: () => this.caller.disconnected || this.abandoned || this.quarantine.timeLeftMs > 0,
       mayRun: () => this.quarantine.mayRun,
@@ -182,55 +185,7 @@
       body: this.body,
     });
     if (forwarded === undefined) this.options.budgetFor(service.name).deposit();
-    this.softwareVersion = await this.findSoftwareVersion();
-  }
-
-  /** Id of the request that brought the first event of the stream; the request's own unless it resumes a stream. */
-  private get streamId(): string {
-    return this.metadata.resumedRequestId ?? this.metadata.requestId;
-  }
-
-  /** The version at which a stream that the caller resumes goes on; undefined if any server may serve the request. */
-  private async findSoftwareVersion(): Promise<string | undefined> {
-    const { lastEventId, resumedRequestId } = this.metadata;
-    const { name } = this.service;
-    const forwarded = this.caller.forwarded?.softwareVersion;
-    if (forwarded !== undefined) return forwarded;
-    if (this.route.kind !== "stream" || (lastEventId ?? resumedRequestId) === undefined) return undefined;
-    const { source, version } = await this.options.streamVersions.findVersion(resumedRequestId, name);
-    this.context.metrics.resumedStreams.inc({ service: name, version: source });
-    if (source !== "unknown") return version;
-    const message = "not run: the software version that began the stream is not known here; use another node";
-    throw new Failure("unknown-version", message);
-  }
-
-  /** The caller as the destination of a stream's events from a server of the given version. */
-  private sinkOf(versionOf: () => string | undefined, isAnnounced: boolean): StreamSink {
-    const { caller } = this;
-    return {
-      open: (rawHeaders, framed) => {
-        this.tieStream(versionOf(), isAnnounced);
-        caller.open(rawHeaders, framed);
-      },
-      write: (bytes) => caller.write(bytes),
-      onDrain: (callback) => {
-        caller.onDrain(callback);
-      },
-    };
-  }
-
-  /** The first event of the stream is about to leave: from now on only servers of this version may continue it. */
-  private tieStream(version: string | undefined, isAnnounced: boolean): void {
-    this.softwareVersion ??= version;
-    if (version === undefined || !this.route.resumable) return;
-    const { streamVersions } = this.options;
-    streamVersions.recordStream({
-      id: this.streamId,
-      service: this.service.name,
-      version,
-      timeoutMs: this.route.timeoutMs,
-      isAnnounced,
-    });
+    await this.stream.findVersion();
   }
 
   private async readBody(limit: number): Promise<Buffer | undefined> {
@@ -332,7 +287,7 @@
 
   private choosePeer(servers: readonly BackendServer[], need: PeerNeed): NodeStatus | undefined {
     if (this.triedPeers.size >= maxForwards) return undefined;
-    return this.options.forwarder.choosePeer(servers, need, this.triedPeers, this.softwareVersion);
+    return this.options.forwarder.choosePeer(servers, need, this.triedPeers, this.stream.softwareVersion);
   }
 
   /** Passes the request on to the peer; returns true if it is to be sent to a server or to another peer. */
@@ -348,9 +303,12 @@
       ageMs: now - this.arrivedMs,
       priorRuns: this.possibleRuns,
       // The peer tells other nodes of the stream.
-      sink: route.kind === "stream" ? this.sinkOf(() => this.versionBehind(send.response), false) : undefined,
+      sink:
+        route.kind === "stream"
+          ? this.stream.sinkOf(() => this.versionBehind(send.response), false)
+          : undefined,
       resumeAfterEventId: this.lastEvent,
-      softwareVersion: this.softwareVersion,
+      softwareVersion: this.stream.softwareVersion,
       lastDeliveredEvent: this.lastEvent ?? metadata.lastEventId,
       // The peer notices an unresponsive server and tries another one, which takes as long again.
       firstByteTimeoutMs: Math.min(
@@ -438,7 +396,7 @@
         }),
         body,
         requestId: request.requestId,
-        sink: isStream ? this.sinkOf(() => server.softwareVersion, true) : undefined,
+        sink: isStream ? this.stream.sinkOf(() => server.softwareVersion, true) : undefined,
         lastDeliveredEvent: this.lastEvent ?? request.lastEventId,
         firstByteTimeoutMs: this.firstByteTimeoutMs(
           now,
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -42,7 +42,7 @@
   readonly resumedStreams = this.counter(
     "resumed_streams_total",
     "Streams that callers resumed, by how their software version was found",
-    ["service", "version"],
+    ["service", "source"],
   );
   /** Streams whose software version peers were told. */
   readonly announcedStreams = this.counter(
--- a/src/gateway/streamVersionTask.ts
+++ b/src/gateway/streamVersionTask.ts
@@ -107,6 +107,7 @@
 
   start(): Promise<void> {
     const { context } = this.options;
+    this.observeFleet();
     this.subscriptions.push(
       context.fleetChanged.on(() => {
         this.observeFleet();
