--- a/src/gateway/serverCandidates.ts
+++ b/src/gateway/serverCandidates.ts
@@ -41,11 +41,15 @@
     return !fleet.all().some((server) => server.service === name && this.hasVersion(server));
   }
 
-  /** Whether servers of the required software version exist, but none holds the requested model. */
+  /** Whether the requested model is held by servers of other software versions only, so that it won't be loaded again. */
   get lacksModelAtVersion(): boolean {
     const model = this.requiredModel;
     if (model === undefined || this.options.softwareVersion() === undefined) return false;
-    return !this.available.some((server) => holds(server, model, undefined));
+    const { fleet } = this.options.context;
+    return (
+      !this.available.some((server) => holds(server, model, undefined)) &&
+      fleet.hasHolder(this.options.service.name, model, undefined)
+    );
   }
 
   /** Servers that could serve the request but stated a limit or back-off that prevents it now. */
