--- a/src/gateway/serverCandidates.ts
+++ b/src/gateway/serverCandidates.ts
@@ -33,12 +33,10 @@
     return settled.length > 0 ? settled : ready;
   }
 
-  /** Whether servers of the required software version exist only at other versions, if at all. */
+  /** Whether no server of the required software version is left that takes new requests. */
   get lacksVersion(): boolean {
     if (this.options.softwareVersion() === undefined) return false;
-    const { fleet } = this.options.context;
-    const { name } = this.options.service;
-    return !fleet.all().some((server) => server.service === name && this.hasVersion(server));
+    return this.available.length + this.leavingAt(performance.now()).length === 0;
   }
 
   /** Whether the requested model is held by servers of other software versions only, so that it won't be loaded again. */
@@ -118,6 +116,14 @@
       : servers.filter((server) => this.hasVersion(server));
   }
 
+  /** Servers that announced their shutdown so recently that they may still be sent requests. */
+  private leavingAt(nowMs: number): BackendServer[] {
+    const { fleet, drainMs } = this.options.context;
+    return fleet
+      .leavingSince(this.options.service.name, nowMs - drainMs)
+      .filter((server) => this.hasVersion(server));
+  }
+
   /** Whether the server has the required software version; one that reports none can't be told apart. */
   private hasVersion({ softwareVersion }: BackendServer): boolean {
     const required = this.options.softwareVersion();
@@ -141,15 +147,12 @@
 
   /** Servers that don't refuse requests of this scope; if there are none, those that recently announced a shutdown. */
   private eligible(): BackendServer[] {
-    const { metadata, service, context } = this.options;
+    const { metadata, context } = this.options;
     const now = performance.now();
     const isOpen = ({ id }: BackendServer): boolean => context.refusals.isAvailable(id, this.scope, now);
     const servers = this.reachable(this.available, this.requiredModel, metadata.adapter).filter(isOpen);
     if (servers.length > 0) return servers;
-    const leaving = context.fleet
-      .leavingSince(service.name, now - context.drainMs)
-      .filter((server) => this.hasVersion(server));
-    return this.reachable(leaving, this.requiredModel, metadata.adapter).filter(isOpen);
+    return this.reachable(this.leavingAt(now), this.requiredModel, metadata.adapter).filter(isOpen);
   }
 
   /**
