--- a/src/gateway/streamVersionTask.ts
+++ b/src/gateway/streamVersionTask.ts
@@ -21,6 +21,8 @@
 const askedNodes = 6;
 /** Streams named in one datagram, which then fits into a packet. */
 const maxStreamsPerMessage = 16;
+/** Streams with longer ids, which no usual caller has, aren't remembered, so that memory and datagrams stay bounded. */
+const maxIdLength = 128;
 /** Multiple of a route's time limit for which its streams may be resumed. */
 const lifetimeFactor = 2;
 /** Lifetime of streams until a configuration is loaded, ms. */
@@ -81,7 +83,7 @@
 /** Options of a `StreamVersionTask`. */
 export interface StreamVersionTaskOptions {
   readonly context: GatewayContext;
-  readonly peers: PeerTask;
+  readonly peers: Pick<PeerTask, "handle" | "notifyOne" | "call">;
   /** Live peers. */
   readonly livePeers: () => readonly PeerAddress[];
   /** Whether the known servers are up to date: the store was read recently, or live peers know nothing newer. */
@@ -124,6 +126,7 @@
   }
 
   recordStream({ timeoutMs, isAnnounced, ...started }: StartedStream): void {
+    if (started.id.length > maxIdLength) return;
     const now = performance.now();
     const stream = { ...started, untilMs: now + lifetimeFactor * timeoutMs, own: true };
     this.options.context.streamVersions.record(stream, now);
@@ -138,8 +141,7 @@
     this.observeFleet();
     const known = id === undefined ? undefined : context.streamVersions.get(id, now);
     if (known?.service === service) return { source: known.own ? "own" : "told", version: known.version };
-    if (!context.versionHistory.versionedServices.includes(service))
-      return { source: "unversioned", version: undefined };
+    if (this.isUnversioned(service)) return { source: "unversioned", version: undefined };
     const only = this.onlyVersion(service);
     if (only !== undefined) return { source: "single", version: only };
     const asked = id === undefined ? undefined : await this.askPeers(id, service);
@@ -153,6 +155,13 @@
       : { source: "single", version: stored };
   }
 
+  /** Whether servers of the service are known and none reports a version. */
+  private isUnversioned(service: string): boolean {
+    const { fleet, versionHistory } = this.options.context;
+    if (versionHistory.versionedServices.includes(service)) return false;
+    return fleet.all().some((server) => server.service === service);
+  }
+
   private async findPublished(id: string | undefined, service: string): Promise<string | undefined> {
     const streams = await this.options.publisher.read();
     return streams.find((stream) => stream.id === id && stream.service === service)?.version;
--- a/src/serving/streams/versionHistory.ts
+++ b/src/serving/streams/versionHistory.ts
@@ -93,7 +93,7 @@
     if (sighting?.present === true) return false;
     if (sighting === undefined)
       this.sightingsOf(service).set(version, { firstMs: nowMs, lastMs: nowMs, present: true });
-    else sighting.present = true;
+    else Object.assign(sighting, { present: true, firstMs: nowMs });
     return true;
   }
 
--- a/test/serving/streamVersions.spec.ts
+++ b/test/serving/streamVersions.spec.ts
@@ -48,6 +48,14 @@
     expect(history.isSettled("s", "v2", 6_000)).to.equal(true);
   });
 
+  it("should not count a version as settled that is back after it was gone", () => {
+    const history = new VersionHistory();
+    history.observe(present("v1", "v2"), 0);
+    history.observe(present("v2"), 5_000);
+    history.observe(present("v1", "v2"), 60_000);
+    expect(history.isSettled("s", "v1", 60_500)).to.equal(false);
+  });
+
   it("should report changes of the versions only", () => {
     const history = new VersionHistory();
     let changes = 0;
