--- a/src/gateway/streamVersionTask.ts
+++ b/src/gateway/streamVersionTask.ts
@@ -97,6 +97,8 @@
 export class StreamVersionTask implements Task, StreamVersionClient {
   readonly name = "stream-versions";
   private readonly mixedServices = new Set<string>();
+  /** Revision of the fleet that was observed last. */
+  private observedRevision = -1;
   private readonly subscriptions: Disposable[] = [];
 
   constructor(private readonly options: StreamVersionTaskOptions) {
@@ -180,6 +182,9 @@
 
   private observeFleet(): void {
     const { fleet, versionHistory } = this.options.context;
+    // Most changes concern models or limits.
+    if (fleet.presenceRevision === this.observedRevision) return;
+    this.observedRevision = fleet.presenceRevision;
     versionHistory.observe(fleet.softwareVersions(), performance.now());
   }
 
--- a/src/serving/membership/owner.ts
+++ b/src/serving/membership/owner.ts
@@ -15,13 +15,5 @@
 
 /** The owner of the key among the nodes; undefined if there are none. */
 export function ownerOf(key: string, nodes: readonly string[]): string | undefined {
-  let owner: string | undefined;
-  let highest = -1;
-  for (const node of nodes) {
-    const weight = hashFraction(`${key} ${node}`);
-    if (weight <= highest) continue;
-    highest = weight;
-    owner = node;
-  }
-  return owner;
+  return ownersOf(key, nodes, 1)[0];
 }
