--- a/src/gateway/streamVersionTask.ts
+++ b/src/gateway/streamVersionTask.ts
@@ -132,7 +132,12 @@
     const now = performance.now();
     const stream = { ...started, untilMs: now + lifetimeFactor * timeoutMs, own: true };
     this.options.context.streamVersions.record(stream, now);
-    if (!isAnnounced || !this.isMixed(stream.service)) return;
+    if (!this.isMixed(stream.service)) {
+      // Peers are told of this stream once the service gets a second version, also if it had several before.
+      this.mixedServices.delete(stream.service);
+      return;
+    }
+    if (!isAnnounced) return;
     this.announce([stream]);
     this.options.publisher.streamRecorded();
   }
