--- a/src/common/readWatermark.ts
+++ b/src/common/readWatermark.ts
@@ -4,6 +4,7 @@
  * for the time of arrival.
  */
 import { Emitter } from "./emitter.ts";
+import { elapsedMsSince, takeInstant, type Instant } from "./instant.ts";
 import type { Task } from "./supervisor.ts";
 
 /** Period of marks while the process is in use, ms: the maximum lag of a process that keeps up. */
@@ -12,8 +13,6 @@
 const idleMarkPeriodMs = 250;
 /** Without a request for this long the process counts as idle, ms. */
 const idleAfterMs = 1_000;
-/** A difference between monotonic and wall clock above this means that the host was suspended; below it is drift, ms. */
-const suspendThresholdMs = 300;
 /** libuv reads at most this many datagrams of a socket per event-loop iteration; more may be pending. */
 const datagramsPerIteration = 32;
 /** Work waits until the backlog of connections is accepted, for at most this long, ms. */
@@ -24,9 +23,7 @@
 /** If the sockets were last polled longer ago than this, ms, they are polled again before anything is sent. */
 const maxReadAgeMs = 50;
 
-interface Mark {
-  readonly monotonicMs: number;
-  readonly wallMs: number;
+interface Mark extends Instant {
   /** Time for which the event loop was active since its start. */
   readonly activeMs: number;
 }
@@ -129,13 +126,11 @@
     // Without marks the lag is unknown.
     if (this.state === "stopped") return 0;
     const now = takeMark();
-    const elapsedMs = now.monotonicMs - mark.monotonicMs;
-    const suspendedMs = now.wallMs - mark.wallMs - elapsedMs;
-    if (suspendedMs > suspendThresholdMs) return elapsedMs + suspendedMs;
+    const elapsedMs = elapsedMsSince(mark, now);
+    const wasSuspended = elapsedMs > now.monotonicMs - mark.monotonicMs;
+    if (wasSuspended || this.currentPeriodMs === markPeriodMs) return elapsedMs;
     // While idle, marks are rare: the time that the loop spent waiting for input isn't lag.
-    return this.currentPeriodMs === markPeriodMs
-      ? elapsedMs
-      : Math.min(elapsedMs, now.activeMs - mark.activeMs);
+    return Math.min(elapsedMs, now.activeMs - mark.activeMs);
   }
 
   private scheduleNextPoll(): void {
@@ -225,5 +220,5 @@
 
 function takeMark(): Mark {
   const { active } = performance.eventLoopUtilization();
-  return { monotonicMs: performance.now(), wallMs: Date.now(), activeMs: active };
+  return { ...takeInstant(), activeMs: active };
 }
--- a/src/gateway/activationTask.ts
+++ b/src/gateway/activationTask.ts
@@ -357,7 +357,7 @@
   private roster(): Roster {
     const { table, readAgeMs, readUpToMs } = this.options;
     const self = this.options.nodeStatus();
-    const { host, boot, ip, port, version, storeEra } = self;
+    const { host, boot, ip, port, version, configurationAgeMs, storeEra } = self;
     const fleetRevision = this.options.presenceRevision();
     const quarantinePosition = this.options.quarantinePosition();
     const overutilization = this.overutilization(self);
@@ -365,7 +365,8 @@
     const age = readAgeMs();
     const read = Number.isFinite(age) ? { readAgeMs: Math.round(age) } : {};
     const era = storeEra === undefined ? {} : { storeEra };
-    const known = { version, fleetRevision, quarantinePosition, ...era };
+    const confirmed = configurationAgeMs === undefined ? {} : { configurationAgeMs };
+    const known = { version, ...confirmed, fleetRevision, quarantinePosition, ...era };
     return { host, boot, ip, port, ...known, digest, ...read };
   }
 
--- a/src/gateway/configurationTask.ts
+++ b/src/gateway/configurationTask.ts
@@ -9,7 +9,7 @@
 import { RouteTable } from "../serving/routeTable.ts";
 import type { RowSet } from "../serving/store.ts";
 import type { PeerVersions } from "./peerCalls.ts";
-import type { ActiveConfiguration } from "./gatewayContext.ts";
+import type { ActiveConfiguration } from "./activeConfiguration.ts";
 import type { StoreHealth } from "./storeHealth.ts";
 import { TableTask, type TableTaskOptions } from "./tableTask.ts";
 
@@ -31,6 +31,8 @@
   readonly decode: (text: string) => purify.Either<Failure, Configuration>;
   /** Calls a peer. */
   readonly callPeer: (peer: PeerVersions, method: string, params: unknown) => Promise<unknown>;
+  /** Longest time for which a message that is read now may have been unread, ms. */
+  readonly unreadMs: () => number;
 }
 
 /** Reads the configuration, then waits for changes. */
@@ -47,10 +49,17 @@
     return { "configuration.get": () => Promise.resolve({ text: this.text ?? "" }) };
   }
 
-  /** Pulls the peer's configuration if it is newer. */
-  async pullIfNewer(peer: PeerVersions): Promise<void> {
-    const { configuration, log } = this.options;
-    if (peer.version <= (configuration.current?.version ?? 0) || this.pulling) return;
+  /** Applies a peer's message: its confirmation of a version that this node has, or its configuration if that is newer. */
+  async applyPeerVersion(peer: PeerVersions): Promise<void> {
+    const { configuration, unreadMs } = this.options;
+    if (peer.version > configuration.version) await this.pull(peer);
+    else if (peer.configurationAgeMs !== undefined)
+      configuration.confirm(peer.configurationAgeMs + unreadMs(), peer.host);
+  }
+
+  private async pull(peer: PeerVersions): Promise<void> {
+    const { log } = this.options;
+    if (this.pulling) return;
     this.pulling = true;
     try {
       const { text } = decode(
@@ -75,9 +84,10 @@
     return this.options.store.get(table, key);
   }
 
-  protected override applyRows({ rows }: RowSet): void {
+  protected override applyRows({ rows }: RowSet, _complete: boolean, ageMs: number): void {
     const found = rows.find(({ key }) => key === this.options.row.key);
     if (found !== undefined) this.applyText(found.value, "store");
+    this.options.configuration.confirm(ageMs, "store");
   }
 
   protected override recordResult(failure: Failure | undefined): void {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -143,7 +143,11 @@
       throw new Failure("no-configuration", "no configuration loaded yet; retry later");
     const path = (req.url ?? "/").split("?")[0] ?? "/";
     const route = table.match(this.metadata.host, path);
-    if (route === undefined) throw new Failure("unknown-route", `no route for ${this.metadata.host}${path}`);
+    if (route === undefined) {
+      const { version, ageMs, source = "none" } = this.context.configuration;
+      const knowledge = `version ${version}, confirmed ${Math.round(ageMs)} ms ago by ${source}`;
+      throw new Failure("unknown-route", `no route for ${this.metadata.host}${path} (${knowledge})`);
+    }
     const service = table.service(table.selectService(route, streamIdOf(this.metadata)) ?? "");
     if (service === undefined) throw new Failure("not-run", `route ${route.name} refers to no known service`);
     this.route = route;
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -18,33 +18,14 @@
 import { Permits } from "../serving/permits/permits.ts";
 import { Refusals } from "../serving/refusals.ts";
 import { RequestCounter } from "../serving/requestCounter.ts";
-import type { RouteTable } from "../serving/routeTable.ts";
 import { StreamVersions } from "../serving/streams/streamVersions.ts";
 import { VersionHistory } from "../serving/streams/versionHistory.ts";
 import { ServerNotices } from "../serving/serverNotices.ts";
+import { ActiveConfiguration } from "./activeConfiguration.ts";
 import { GatewayMetrics } from "./gatewayMetrics.ts";
 import { SlotQueue } from "./slotQueue.ts";
 import { UpstreamPool } from "./upstreamPool.ts";
 
-/** The active configuration of this node. */
-export class ActiveConfiguration {
-  private table: RouteTable | undefined;
-  readonly changed = new Emitter<RouteTable>();
-
-  /** The active routes; undefined until a first configuration is loaded. */
-  get current(): RouteTable | undefined {
-    return this.table;
-  }
-
-  /** Activates a configuration if it is newer than the active one; returns whether it did. */
-  applyIfNewer(table: RouteTable): boolean {
-    if (this.table !== undefined && table.version <= this.table.version) return false;
-    this.table = table;
-    this.changed.fire(table);
-    return true;
-  }
-}
-
 /** An adapter that a request needs. */
 export interface AdapterNeed {
   readonly service: string;
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -78,6 +78,11 @@
   readonly overloaded = this.gauge("overloaded", "1 while this node has more to do than it can");
   /** Version of the active configuration. */
   readonly configVersion = this.gauge("config_version", "Version of the configuration in force");
+  /** Time since which a newer configuration may have been acknowledged without this node knowing, s. */
+  readonly configAge = this.gauge(
+    "config_age_seconds",
+    "Time since the configuration in force was last known to be the newest",
+  );
   /** 1 while this node holds the placement lease. */
   readonly leaseHeld = this.gauge("lease_held", "1 while this node holds the placement lease");
   /** Number of live peers. */
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -266,6 +266,7 @@
       shouldReadStore,
       active: () => this.activation.active,
       callPeer,
+      unreadMs: () => this.context.watermark.lagMs,
     });
     this.fleet = new FleetTask({
       store,
@@ -321,7 +322,7 @@
       if (heartbeat.coming !== undefined)
         this.context.modelWaits.setAnnouncedLoads(heartbeat.coming, performance.now());
       this.reachability.applyPeerReport(heartbeat.ip, heartbeat.unreachable ?? []);
-      void this.configuration.pullIfNewer(heartbeat);
+      void this.configuration.applyPeerVersion(heartbeat);
       void this.quarantine.pullIfNewer(heartbeat);
       // Changes are first known to nodes that read the store.
       if (heartbeat.readAgeMs !== undefined)
@@ -329,7 +330,7 @@
     });
     this.activation.rosterReceived.on((roster) => {
       this.observeEra(roster);
-      void this.configuration.pullIfNewer(roster);
+      void this.configuration.applyPeerVersion(roster);
       void this.quarantine.pullIfNewer(roster);
       void this.fleet.pullIfNewer(roster, "presence");
     });
@@ -491,7 +492,8 @@
       directory: () => platform.encodeDirectory(this.addresses(), this.ttlS),
       metrics: () => {
         this.reachability.updateMetrics();
-        const { metrics, concurrency, fleet } = this.context;
+        const { metrics, concurrency, fleet, configuration } = this.context;
+        metrics.configAge.set(configuration.ageMs / 1000);
         for (const [service, versions] of fleet.softwareVersions())
           metrics.softwareVersions.set({ service }, versions.size);
         metrics.brittleServers.set(concurrency.countLimited(fleet.all(), performance.now()));
@@ -529,6 +531,7 @@
     const { settings, cpuUtilization } = this.options;
     const token = this.lease.currentToken;
     const { readAgeMs } = this.fleet;
+    const { ageMs: configurationAgeMs } = this.context.configuration;
     const { unreachable, partitioned } = this.reachability;
     const { current: storeEra } = this.options.platform.store.eras;
     return {
@@ -540,7 +543,8 @@
       // An overloaded node has no spare CPU time, whatever its measured utilization.
       busy: this.context.overloadDetector.overloaded ? 1 : (cpuUtilization?.() ?? this.utilization.recent),
       steadyBusy: cpuUtilization?.() ?? this.utilization.steady,
-      version: this.context.configuration.current?.version ?? 0,
+      version: this.context.configuration.version,
+      ...(Number.isFinite(configurationAgeMs) ? { configurationAgeMs: Math.round(configurationAgeMs) } : {}),
       ...(Number.isFinite(readAgeMs) ? { readAgeMs: Math.round(readAgeMs) } : {}),
       fleetRevision: this.context.fleet.revision,
       ...(token === undefined ? {} : { token }),
--- a/src/gateway/peerCalls.ts
+++ b/src/gateway/peerCalls.ts
@@ -24,8 +24,9 @@
 export interface PeerVersions extends PeerAddress {
   readonly host: string;
   readonly boot: number;
-  /** Version of its configuration. */
+  /** Version of its configuration, and the time since which a newer one may have been acknowledged, ms. */
   readonly version: number;
+  readonly configurationAgeMs?: number;
   /** Revision of the newest change of servers that it can be asked for. */
   readonly fleetRevision: number;
   /** Store position of the newest change to the quarantine that it knows. */
--- a/src/gateway/tableTask.ts
+++ b/src/gateway/tableTask.ts
@@ -1,6 +1,7 @@
 /** Follows a table of the store while this node is a store reader: reads all rows, then waits for changes. */
 import { LoopTask } from "../common/loopTask.ts";
 import { toFailure, type Failure } from "../common/errors.ts";
+import { elapsedMsSince, takeInstant, type Instant } from "../common/instant.ts";
 import type { RowSet, Store } from "../serving/store.ts";
 import type { StorePosition } from "../serving/storePosition.ts";
 
@@ -60,8 +61,11 @@
   /** Reads all followed rows. */
   protected abstract readAll(): Promise<RowSet>;
 
-  /** Applies the rows read: all of them if `complete`, otherwise the changes. */
-  protected abstract applyRows(set: RowSet, complete: boolean): void;
+  /**
+   * Applies the rows read: all of them if `complete`, otherwise the changes. Later changes than those of `ageMs` ago may be
+   * missing.
+   */
+  protected abstract applyRows(set: RowSet, complete: boolean, ageMs: number): void;
 
   /** Records whether the store answered; `failure` is undefined if it did. */
   protected abstract recordResult(failure: Failure | undefined): void;
@@ -72,9 +76,10 @@
     const { table, waitMs } = this.followed;
     try {
       const complete = after === undefined;
+      const sentAt = takeInstant();
       const set = await (complete ? this.readAll() : store.changes(table, after, waitMs));
       this.recordResult(undefined);
-      this.applyRows(set, complete);
+      this.applyRows(set, complete, complete ? elapsedMsSince(sentAt) : this.ageOfChanges(set, sentAt));
       return set.position;
     } catch (error) {
       const failure = toFailure(error);
@@ -84,4 +89,11 @@
       return undefined;
     }
   }
+
+  /** The store knew of no change until the end of the wait if it waited for the whole time and returned none. */
+  private ageOfChanges({ rows, removed }: RowSet, sentAt: Instant): number {
+    const elapsedMs = elapsedMsSince(sentAt);
+    const waitedMs = rows.length + removed.length === 0 ? this.followed.waitMs : 0;
+    return elapsedMs >= waitedMs ? elapsedMs - waitedMs : elapsedMs;
+  }
 }
--- a/src/serving/membership/peerTable.ts
+++ b/src/serving/membership/peerTable.ts
@@ -62,6 +62,8 @@
   ...rosterStatusFields,
   /** CPU utilization over several seconds, from 0 to 1. */
   steadyBusy: Schema.optionalKey(Schema.Number),
+  /** Time since which a configuration newer than `version` may have been acknowledged, ms; absent if unknown. */
+  configurationAgeMs: Schema.optionalKey(Schema.Number),
   /** The latest era of the store that the node knows. */
   storeEra: Schema.optionalKey(Schema.Number),
 };
@@ -95,8 +97,9 @@
   boot: Schema.Number,
   ip: Schema.String,
   port: Schema.Number,
-  /** Version of its configuration. */
+  /** Version of its configuration, and the time since which a newer one may have been acknowledged, ms. */
   version: Schema.Number,
+  configurationAgeMs: Schema.optionalKey(Schema.Number),
   /** Revision of the latest change of the set of servers. */
   fleetRevision: Schema.Number,
   /** Store position of the latest quarantine change that the sender knows. */
