--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -85,6 +85,11 @@
   );
   /** 1 while this node holds the placement lease. */
   readonly leaseHeld = this.gauge("lease_held", "1 while this node holds the placement lease");
+  /** Messages sent to peers and results of calls received from them, and their bytes, by method. */
+  private readonly peerMessages = this.counter("peer_messages_total", "Messages between nodes", ["method"]);
+  private readonly peerBytes = this.counter("peer_message_bytes_total", "Bytes of messages between nodes", [
+    "method",
+  ]);
   /** Number of live peers. */
   readonly peers = this.gauge("peers_alive", "Peers heard from lately");
   /** Number of registered backend servers, and of those that this node can connect to. */
@@ -112,6 +117,11 @@
     [],
   );
 
+  recordPeerMessage(method: string, bytes: number): void {
+    this.peerMessages.inc({ method });
+    this.peerBytes.inc({ method }, bytes);
+  }
+
   private counter<T extends string>(name: string, help: string, labelNames: T[]): prom.Counter<T> {
     return new prom.Counter({ name: `parsleynotch_${name}`, help, labelNames, registers: [this.registry] });
   }
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -134,6 +134,7 @@
       onDatagram: () => {
         this.context.watermark.recordDatagram();
       },
+      metrics: this.context.metrics,
       heartbeat: () => this.heartbeat(),
       loads: () => this.context.loads.nextUpdate(performance.now()),
       demand: () => this.callerDemand(),
@@ -306,6 +307,7 @@
     });
     this.peerCalls = new PeerCalls(
       settings.peers,
+      this.context.metrics,
       {
         ...this.configuration.handlers,
         ...this.fleet.handlers,
--- a/src/gateway/peerCalls.ts
+++ b/src/gateway/peerCalls.ts
@@ -11,6 +11,7 @@
 import type { Task } from "../common/supervisor.ts";
 import type { Endpoint } from "../serving/hostSettings.ts";
 import { requestHeader } from "./forwardedRequest.ts";
+import type { GatewayMetrics } from "./gatewayMetrics.ts";
 import type { PeerAddress } from "../serving/membership/peerTable.ts";
 import type { StorePosition } from "../serving/storePosition.ts";
 
@@ -44,6 +45,7 @@
 
   constructor(
     private readonly endpoint: Endpoint,
+    private readonly metrics: GatewayMetrics,
     handlers: Readonly<Record<string, Handler>>,
     handleForwarded: (req: http.IncomingMessage, res: http.ServerResponse) => void,
   ) {
@@ -82,6 +84,7 @@
       body: JSON.stringify(rpc.createJSONRPCRequest(this.callCount, method, params)),
       timeoutMs: callTimeoutMs,
     });
+    this.metrics.recordPeerMessage(method, reply.text.length);
     const response = JSON.parse(reply.text) as rpc.JSONRPCResponse;
     if (response.error !== undefined) throw new Failure("upstream-failed", response.error.message);
     return response.result;
--- a/src/gateway/peerTask.ts
+++ b/src/gateway/peerTask.ts
@@ -17,6 +17,7 @@
   type PeerAddress,
   type PeerTable,
 } from "../serving/membership/peerTable.ts";
+import type { GatewayMetrics } from "./gatewayMetrics.ts";
 
 /** Period of heartbeats, ms. */
 const heartbeatPeriodMs = 300;
@@ -48,6 +49,7 @@
   readonly readUpToMs: () => number;
   /** Called when a datagram has been read. */
   readonly onDatagram: () => void;
+  readonly metrics: GatewayMetrics;
   /** The heartbeat to send now. */
   readonly heartbeat: () => Heartbeat;
   /** Changes in this node's requests in flight that peers don't know; undefined if there are none. */
@@ -121,14 +123,14 @@
 
   /** Sends a notification to one peer; there is no response. */
   notifyOne(method: string, params: unknown, peer: PeerAddress): void {
-    this.send(notification(method, params), peer);
+    this.send(method, notification(method, params), peer);
   }
 
   /** Sends a notification to every live peer; there is no response. */
   notify(method: string, params: unknown): void {
     const bytes = notification(method, params);
     for (const peer of this.options.table.recipients(this.options.readUpToMs(), false))
-      this.send(bytes, peer);
+      this.send(method, bytes, peer);
   }
 
   /** Schedules the next load message, and the heartbeats at their longer period. */
@@ -155,7 +157,8 @@
     const holder = table.leaseHolder(readMs);
     for (const peer of table.recipients(readMs, toAll)) {
       const toHolder = peer.ip === holder?.ip;
-      this.send(toHolder ? notification("pulse", { ...heartbeat, asked: demand() }) : bytes, peer);
+      const message = toHolder ? notification("pulse", { ...heartbeat, asked: demand() }) : bytes;
+      this.send("pulse", message, peer);
     }
   }
 
@@ -185,7 +188,7 @@
           return;
         }
         sendsLeft -= 1;
-        this.send(bytes, peer);
+        this.send(method, bytes, peer);
         // The response may have arrived and not been read yet.
         timer = setTimeout(() => void waitForPendingInput().then(again), resendMs);
       };
@@ -212,7 +215,8 @@
     });
   }
 
-  private send(bytes: Buffer, peer: PeerAddress): void {
+  private send(method: string, bytes: Buffer, peer: PeerAddress): void {
+    this.options.metrics.recordPeerMessage(method, bytes.length);
     this.socket.send(bytes, peer.port, peer.ip, (error) => {
       if (error !== null)
         this.options.log.debug({ event: "peer-send-failed", peer: peer.ip, detail: error.message });
@@ -241,7 +245,7 @@
       return;
     }
     const response = await this.server.receive(value);
-    if (response !== null) this.send(Buffer.from(JSON.stringify(response)), from);
+    if (response !== null) this.send("response", Buffer.from(JSON.stringify(response)), from);
   }
 
   /** Calls the handler without the library's middleware: most messages are notifications, and they have no response. */
