--- a/src/gateway/peerTask.ts
+++ b/src/gateway/peerTask.ts
@@ -73,6 +73,8 @@
   private readonly handlers = new Map<string, (params: unknown) => unknown>();
   private readonly pending = new Map<string, (response: rpc.JSONRPCResponse) => void>();
   private timer: NodeJS.Timeout | undefined;
+  /** Timer of a heartbeat about changes soon after the last one. */
+  private heartbeatTimer: NodeJS.Timeout | undefined;
   private heartbeatCount = 0;
   private lastHeartbeatMs = Number.NEGATIVE_INFINITY;
   private callCount = 0;
@@ -107,17 +109,26 @@
   }
 
   /**
-   * Sends a heartbeat now, as something changed that peers should know. A standby node sends it only to the lease holder,
-   * and only while callers use this node.
+   * Sends a heartbeat, as something changed that peers should know: at once, or `minIntervalMs` after the last one. While
+   * servers crash, something changes all the time on every node, and a heartbeat for each change would fill small links. A
+   * standby node sends it only to the lease holder, and only while callers use this node.
    */
   sendHeartbeat(): void {
-    this.heartbeatCount += 1;
-    if (this.options.active()) this.sendHeartbeats(this.heartbeatCount % broadcastEvery === 1);
-    else if (this.options.inUse()) this.sendHeartbeatToLeaseHolder();
+    if (this.heartbeatTimer !== undefined) return;
+    const waitMs = this.lastHeartbeatMs + this.minIntervalMs - performance.now();
+    if (waitMs <= 0) {
+      this.sendHeartbeatNow();
+      return;
+    }
+    this.heartbeatTimer = setTimeout(() => {
+      this.heartbeatTimer = undefined;
+      this.sendHeartbeatNow();
+    }, waitMs);
   }
 
   /** Sends a heartbeat to all nodes that may exist, as when this node becomes active or returns to standby. */
   broadcastHeartbeat(): void {
+    this.lastHeartbeatMs = performance.now();
     this.sendHeartbeats(true);
   }
 
@@ -133,10 +144,22 @@
       this.send(method, bytes, peer);
   }
 
+  private sendHeartbeatNow(): void {
+    this.heartbeatCount += 1;
+    this.lastHeartbeatMs = performance.now();
+    if (this.options.active()) this.sendHeartbeats(this.heartbeatCount % broadcastEvery === 1);
+    else if (this.options.inUse()) this.sendHeartbeatToLeaseHolder();
+  }
+
+  /** Minimum interval between two messages of a kind to all peers, ms. */
+  private get minIntervalMs(): number {
+    const peers = this.options.table.alive(this.options.readUpToMs()).length;
+    return Math.min(heartbeatPeriodMs, Math.max(loadsPeriodMs, peers * loadsPeriodPerPeerMs));
+  }
+
   /** Schedules the next load message, and the heartbeats at their longer period. */
   private schedule(): void {
-    const peers = this.options.table.alive(this.options.readUpToMs()).length;
-    const periodMs = Math.min(heartbeatPeriodMs, Math.max(loadsPeriodMs, peers * loadsPeriodPerPeerMs));
+    const periodMs = this.minIntervalMs;
     this.timer = setTimeout(
       () => {
         const heartbeatIsDue = performance.now() - this.lastHeartbeatMs >= heartbeatPeriodMs - periodMs / 2;
@@ -149,7 +172,6 @@
   }
 
   private sendHeartbeats(toAll: boolean): void {
-    this.lastHeartbeatMs = performance.now();
     const { table, heartbeat: createHeartbeat, demand, readUpToMs } = this.options;
     const readMs = readUpToMs();
     const heartbeat = createHeartbeat();
@@ -208,6 +230,7 @@
 
   dispose(): Promise<void> {
     clearTimeout(this.timer);
+    clearTimeout(this.heartbeatTimer);
     return new Promise((resolve) => {
       this.socket.close(() => {
         resolve();
