--- a/src/explain/requestTimeline.ts
+++ b/src/explain/requestTimeline.ts
@@ -10,6 +10,7 @@
 /** State changes on the request's host: the last of each kind before its arrival was current. */
 const stateEvents = new Set([
   "configuration-applied",
+  "configuration-refreshed",
   "store-lost",
   "store-regained",
   "store-era-changed",
--- a/src/gateway/activeConfiguration.ts
+++ b/src/gateway/activeConfiguration.ts
@@ -14,6 +14,7 @@
 export class ActiveConfiguration {
   private table: RouteTable | undefined;
   private confirmation: Confirmation | undefined;
+  private newestAnnounced = 0;
   readonly changed = new Emitter<RouteTable>();
 
   /** The active routes; undefined until a first configuration is loaded. */
@@ -36,6 +37,16 @@
     return this.confirmation?.source;
   }
 
+  /** Whether a newer version is known to exist. */
+  get outdated(): boolean {
+    return this.newestAnnounced > this.version;
+  }
+
+  /** A peer has this version. */
+  announce(version: number): void {
+    this.newestAnnounced = Math.max(this.newestAnnounced, version);
+  }
+
   /** Activates a configuration if it is newer than the active one; returns whether it did. */
   applyIfNewer(table: RouteTable): boolean {
     if (this.table !== undefined && table.version <= this.table.version) return false;
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -11,6 +11,7 @@
 import type { PeerForwarder } from "./peerForwarder.ts";
 import { Exchange } from "./exchange.ts";
 import type { PlacementClient, GatewayContext } from "./gatewayContext.ts";
+import type { RouteResolver } from "./routeResolver.ts";
 import type { RunLockTask } from "./runLockTask.ts";
 import type { StreamVersionClient } from "./streamVersionTask.ts";
 
@@ -32,6 +33,7 @@
   readonly endpoint: Endpoint;
   readonly context: GatewayContext;
   readonly placement: PlacementClient;
+  readonly routes: RouteResolver;
   readonly runLocks: Pick<RunLockTask, "acquire">;
   readonly streamVersions: StreamVersionClient;
   readonly forwarder: PeerForwarder;
@@ -122,7 +124,7 @@
     res: http.ServerResponse,
     forwarded?: ForwardedRequest,
   ): Promise<void> {
-    const { context, placement, runLocks, streamVersions, forwarder } = this.options;
+    const { context, placement, routes, runLocks, streamVersions, forwarder } = this.options;
     context.watermark.recordRequest();
     const caller = new CallerConnection({
       ...{ req, res, codec: context.codec },
@@ -133,6 +135,7 @@
     const exchange = new Exchange({
       context,
       placement,
+      routes,
       runLocks,
       streamVersions,
       caller,
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -19,7 +19,8 @@
 import { ServerSelector, defaultRetryS } from "./serverSelector.ts";
 import { adapterKey, demandKey, type PlacementClient, type GatewayContext } from "./gatewayContext.ts";
 import type { RunLockTask } from "./runLockTask.ts";
-import { ResumableStream, streamIdOf } from "./resumableStream.ts";
+import { ResumableStream } from "./resumableStream.ts";
+import type { RouteResolver } from "./routeResolver.ts";
 import type { StreamVersionClient } from "./streamVersionTask.ts";
 
 /** Refused sends allowed on top of the route's `maxAttempts`; bounds the retries of a request that no server runs. */
@@ -45,6 +46,7 @@
 export interface ExchangeOptions {
   readonly context: GatewayContext;
   readonly placement: PlacementClient;
+  readonly routes: Pick<RouteResolver, "resolve">;
   readonly runLocks: Pick<RunLockTask, "acquire">;
   readonly streamVersions: StreamVersionClient;
   readonly budgetFor: (service: string) => RetryBudget;
@@ -138,18 +140,9 @@
     const { context } = this;
     const { req, forwarded } = this.caller;
     this.metadata = this.context.codec.readRequest(req.headers);
-    const table = this.context.configuration.current;
-    if (table === undefined)
-      throw new Failure("no-configuration", "no configuration loaded yet; retry later");
     const path = (req.url ?? "/").split("?")[0] ?? "/";
-    const route = table.match(this.metadata.host, path);
-    if (route === undefined) {
-      const { version, ageMs, source = "none" } = this.context.configuration;
-      const knowledge = `version ${version}, confirmed ${Math.round(ageMs)} ms ago by ${source}`;
-      throw new Failure("unknown-route", `no route for ${this.metadata.host}${path} (${knowledge})`);
-    }
-    const service = table.service(table.selectService(route, streamIdOf(this.metadata)) ?? "");
-    if (service === undefined) throw new Failure("not-run", `route ${route.name} refers to no known service`);
+    const resolved = await this.options.routes.resolve(this.metadata, path, this.arrivedMs);
+    const { route, service, maxBodyBytes } = resolved;
     this.route = route;
     this.service = service;
     this.deadlines = deadlinesOf(route, this.metadata.deadlineMs, this.arrivedMs);
@@ -178,7 +171,7 @@
     });
     if (forwarded === undefined) this.countDemand();
     else this.context.metrics.receivedForwarded.inc({ service: service.name });
-    this.body = await this.readBody(table.configuration.limits.maxBodyBytes);
+    this.body = await this.readBody(maxBodyBytes);
     this.record = new SendRecord({ context, service, metadata: this.metadata, arrivedMs: this.arrivedMs });
     const { runLocks } = this.options;
     this.quarantine = new QuarantineCheck({
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -83,6 +83,12 @@
     "config_age_seconds",
     "Time since the configuration in force was last known to be the newest",
   );
+  /** Refreshes of the configuration that decisions needed, by outcome. */
+  readonly configRefreshes = this.counter(
+    "config_refreshes_total",
+    "Confirmations of the configuration asked for as decisions needed them",
+    ["outcome"],
+  );
   /** 1 while this node holds the placement lease. */
   readonly leaseHeld = this.gauge("lease_held", "1 while this node holds the placement lease");
   /** Messages sent to peers and results of calls received from them, and their bytes, by method. */
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -7,6 +7,7 @@
 import { Supervisor, type Task } from "../common/supervisor.ts";
 import type { BackendServer } from "../serving/backendServer.ts";
 import type { Configuration } from "../serving/configuration.ts";
+import { configurationAgeLimits } from "../serving/configurationAge.ts";
 import { negligibleDemand } from "../serving/demandMeter.ts";
 import type { HeaderCodec } from "../serving/exchange.ts";
 import { formatEndpoint, type HostSettings } from "../serving/hostSettings.ts";
@@ -44,6 +45,7 @@
 import { StreamVersionTask } from "./streamVersionTask.ts";
 import { StoreHealth } from "./storeHealth.ts";
 import { ReachabilityTask } from "./reachabilityTask.ts";
+import { RouteResolver } from "./routeResolver.ts";
 import { RunLockTask } from "./runLockTask.ts";
 import { VersionHistoryTask } from "./versionHistoryTask.ts";
 import { Utilization } from "./utilization.ts";
@@ -243,20 +245,9 @@
       lifetimeMs: () => streamVersions.lifetimeMs,
       holdsLease: () => this.lease.holding,
     });
-    this.callers = new CallerServer({
-      endpoint: settings.callers,
-      context: this.context,
-      placement: this.placement,
-      runLocks,
-      streamVersions,
-      forwarder: new PeerForwarder({ context: this.context, peers: () => this.readyPeers }),
-      retryRatio: settings.retryRatio,
-      retryBurst: settings.retryBurst,
-      budgetShare: () => this.peerTable.budgetShare(this.activation.active, this.readUpToMs),
-    });
     const shouldReadStore = (): boolean => this.storeReader.shouldRead;
-    const callPeer = (peer: PeerVersions, method: string, params: unknown): Promise<unknown> =>
-      this.peerCalls.call(peer, method, params);
+    const callPeer: PeerCalls["call"] = (...args) => this.peerCalls.call(...args);
+    const limits = configurationAgeLimits(settings.configApplyMs);
     this.configuration = new ConfigurationTask({
       store,
       storeHealth,
@@ -266,9 +257,27 @@
       decode: platform.decodeConfiguration,
       shouldReadStore,
       active: () => this.activation.active,
+      limits,
+      metrics: this.context.metrics,
       callPeer,
+      informedPeers: () => this.peerTable.informedPeers(limits.refreshAgeMs, this.readUpToMs),
       unreadMs: () => this.context.watermark.lagMs,
     });
+    this.callers = new CallerServer({
+      endpoint: settings.callers,
+      context: this.context,
+      placement: this.placement,
+      routes: new RouteResolver({
+        configuration: this.context.configuration,
+        refresh: this.configuration.refresh,
+      }),
+      runLocks,
+      streamVersions,
+      forwarder: new PeerForwarder({ context: this.context, peers: () => this.readyPeers }),
+      retryRatio: settings.retryRatio,
+      retryBurst: settings.retryBurst,
+      budgetShare: () => this.peerTable.budgetShare(this.activation.active, this.readUpToMs),
+    });
     this.fleet = new FleetTask({
       store,
       storeHealth,
--- a/src/gateway/peerCalls.ts
+++ b/src/gateway/peerCalls.ts
@@ -40,6 +40,7 @@
 export class PeerCalls implements Task {
   readonly name = "peer-calls";
   private readonly agent = new http.Agent({ keepAlive: true, maxFreeSockets: 1 });
+  private readonly newConnections = new http.Agent();
   private readonly server: http.Server;
   private callCount = 0;
 
@@ -69,14 +70,20 @@
 
   async dispose(): Promise<void> {
     this.agent.destroy();
+    this.newConnections.destroy();
     await close(this.server);
   }
 
-  /** Calls a peer's method; the result is still to be decoded. */
-  async call(peer: PeerAddress, method: string, params: unknown): Promise<unknown> {
+  /** Calls a peer's method, over a new connection if asked to; the result is still to be decoded. */
+  async call(
+    peer: PeerAddress,
+    method: string,
+    params: unknown,
+    { newConnection = false } = {},
+  ): Promise<unknown> {
     this.callCount += 1;
     const reply = await callHttp({
-      agent: this.agent,
+      agent: newConnection ? this.newConnections : this.agent,
       ip: peer.ip,
       port: peer.port,
       method: "POST",
--- a/src/serving/hostSettings.ts
+++ b/src/serving/hostSettings.ts
@@ -31,6 +31,8 @@
   graceMs: Schema.Number,
   /** A server may be sent requests for this long after it announced its shutdown, ms. */
   drainMs: Schema.Number,
+  /** A configuration has to be in force this long after its acknowledgement, ms. */
+  configApplyMs: Schema.Number,
   /** Longest time for which callers cache a response of the directory, s. */
   maxTtlS: Schema.Number,
   /** Retries earned per request, and how many may accumulate, over all nodes. */
--- a/src/serving/membership/peerTable.ts
+++ b/src/serving/membership/peerTable.ts
@@ -302,6 +302,20 @@
       .map(({ peer }) => peer.status);
   }
 
+  /** Live peers whose configuration isn't known to be older than `maxAgeMs`, the most recently confirmed first. */
+  informedPeers(maxAgeMs: number, nowMs: number): NodeStatus[] {
+    return this.alive(nowMs)
+      .map(({ status, lastHeardMs }) => {
+        const { configurationAgeMs } = status;
+        // Entries of a roster don't tell.
+        const ageMs = configurationAgeMs === undefined ? 0 : configurationAgeMs + nowMs - lastHeardMs;
+        return { status, ageMs };
+      })
+      .filter(({ ageMs }) => ageMs < maxAgeMs)
+      .sort((a, b) => a.ageMs - b.ageMs)
+      .map(({ status }) => status);
+  }
+
   /** Hash of the set of active nodes and their status, without fields that change all the time. */
   digest(nowMs: number): string {
     const entries = this.alive(nowMs).map(({ status }) => {
--- a/src/serving/store.ts
+++ b/src/serving/store.ts
@@ -43,6 +43,8 @@
 export interface StoreCallOptions {
   /** Aborts the call after this time, ms. */
   readonly timeoutMs?: number;
+  /** Uses a new connection, as the open ones may be dead. */
+  readonly newConnection?: boolean;
 }
 
 /**
