--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -1,8 +1,6 @@
 /** The gateway node of one host: wires its tasks together and supervises them. */
-import * as Schema from "effect/Schema";
 import type * as purify from "purify-ts";
 import type { Failure } from "../common/errors.ts";
-import { decodeEither } from "../common/decode.ts";
 import type { Log } from "../common/log.ts";
 import { Supervisor, type Task } from "../common/supervisor.ts";
 import type { BackendServer } from "../serving/backendServer.ts";
@@ -12,7 +10,6 @@
 import type { HeaderCodec } from "../serving/exchange.ts";
 import { formatEndpoint, type HostSettings } from "../serving/hostSettings.ts";
 import { reachesAny } from "../serving/forwarding.ts";
-import { LoadsMessage } from "../serving/loadTracker.ts";
 import { chooseAddresses } from "../serving/membership/directory.ts";
 import type { EngineApi } from "../serving/orders.ts";
 import {
@@ -40,6 +37,7 @@
 import { QuarantineGossip } from "./quarantineGossip.ts";
 import { QuarantineTask } from "./quarantineTask.ts";
 import { StoreReaderRole } from "./storeReaderRole.ts";
+import { ServerGossip } from "./serverGossip.ts";
 import { createGatewayContext, type GatewayContext } from "./gatewayContext.ts";
 import { StreamPublisher } from "./streamPublisher.ts";
 import { StreamVersionTask } from "./streamVersionTask.ts";
@@ -59,13 +57,6 @@
 /** Part of the grace period reserved for the exit itself, ms. */
 const exitMarginMs = 700;
 
-/** What a server stated to a peer about the rejections that it bears. */
-const BrittleMessage = Schema.Struct({
-  incarnation: Schema.String,
-  service: Schema.String,
-  rejectionsPerS: Schema.optionalKey(Schema.Number),
-});
-
 /** Platform integrations of a gateway node. */
 export interface GatewayPlatform {
   readonly store: Store;
@@ -191,13 +182,9 @@
         if (this.reachability.partitionedFromEngines && this.lease.holding) void this.lease.stepDown();
       },
     });
-    this.peers.handle("loads", (params) => this.onLoads(params));
     this.peers.handle("server.leaving", (params) => {
       this.fleet.onLeaving(params);
     });
-    this.peers.handle("server.brittle", (params) => {
-      this.onBrittle(params);
-    });
     this.peers.handle("lease.yield", (params) => this.lease.onYield(params));
     this.placement = new PlacementTask({
       context: this.context,
@@ -361,6 +348,7 @@
           peers: this.peers,
           savesEntries: () => this.lease.holding,
         }),
+        new ServerGossip({ context: this.context, peers: this.peers }),
         permits,
         runLocks,
         streamPublisher,
@@ -381,10 +369,6 @@
     platform.engines.noticeReceived.on(({ target: { serverId: id, startedAtMs }, notice }) => {
       this.context.notices.recordPartialNotice({ id, startedAtMs }, notice, performance.now());
     });
-    this.context.concurrency.changed.on((statement) => {
-      log.warn({ event: "server-brittle", ...statement });
-      this.peers.notify("server.brittle", statement);
-    });
     store.eras.changed.on(({ from, to }) => {
       this.context.metrics.storeEra.set(to);
       if (from === undefined) return;
@@ -577,28 +561,6 @@
     };
   }
 
-  private onLoads(params: unknown): boolean {
-    return decodeEither(LoadsMessage, params)
-      .ifLeft((failure) => {
-        this.options.log.warn({ event: "peer-message-rejected", detail: failure.message });
-      })
-      .map((message) => {
-        this.context.loads.applyPeerLoads(message, performance.now());
-        return true;
-      })
-      .orDefault(false);
-  }
-
-  private onBrittle(params: unknown): void {
-    decodeEither(BrittleMessage, params)
-      .ifLeft((failure) => {
-        this.options.log.warn({ event: "peer-message-rejected", detail: failure.message });
-      })
-      .ifRight((statement) => {
-        this.context.concurrency.applyPeerStatement(statement, performance.now());
-      });
-  }
-
   private callerDemand(): CallerDemand {
     const now = performance.now();
     const running = Object.fromEntries(
--- /dev/null
+++ b/src/gateway/serverGossip.ts
@@ -0,0 +1,64 @@
+/** Exchanges observations of servers with the other nodes: requests in flight, and what brittle servers state. */
+import * as Schema from "effect/Schema";
+import { decodeEither } from "../common/decode.ts";
+import { DisposableStore } from "../common/disposables.ts";
+import type { Task } from "../common/supervisor.ts";
+import { LoadsMessage } from "../serving/loadTracker.ts";
+import type { GatewayContext } from "./gatewayContext.ts";
+import type { PeerTask } from "./peerTask.ts";
+
+/** What a server stated to a peer about the rejections that it bears. */
+const BrittleMessage = Schema.Struct({
+  incarnation: Schema.String,
+  service: Schema.String,
+  rejectionsPerS: Schema.optionalKey(Schema.Number),
+});
+
+/** Options of a `ServerGossip`. */
+export interface ServerGossipOptions {
+  readonly context: GatewayContext;
+  readonly peers: Pick<PeerTask, "handle" | "notify">;
+}
+
+/** Handles the messages of peers and sends those of this node; load messages are sent by the `PeerTask`. */
+export class ServerGossip implements Task {
+  readonly name = "server-gossip";
+  private readonly disposables = new DisposableStore();
+
+  constructor(private readonly options: ServerGossipOptions) {
+    const { context, peers } = options;
+    peers.handle("loads", (params) => {
+      this.apply(LoadsMessage, params, (message) => {
+        context.loads.applyPeerLoads(message, performance.now());
+      });
+    });
+    peers.handle("server.brittle", (params) => {
+      this.apply(BrittleMessage, params, (statement) => {
+        context.concurrency.applyPeerStatement(statement, performance.now());
+      });
+    });
+  }
+
+  start(): Promise<void> {
+    const { context, peers } = this.options;
+    this.disposables.add(
+      context.concurrency.changed.on((statement) => {
+        context.log.warn({ event: "server-brittle", ...statement });
+        peers.notify("server.brittle", statement);
+      }),
+    );
+    return Promise.resolve();
+  }
+
+  async dispose(): Promise<void> {
+    await this.disposables.dispose();
+  }
+
+  private apply<A>(schema: Schema.Codec<A, unknown>, params: unknown, action: (message: A) => void): void {
+    decodeEither(schema, params)
+      .ifLeft((failure) => {
+        this.options.context.log.warn({ event: "peer-message-rejected", detail: failure.message });
+      })
+      .ifRight(action);
+  }
+}
