--- a/src/gateway/configurationRefresh.ts
+++ b/src/gateway/configurationRefresh.ts
@@ -10,6 +10,8 @@
 const hedgeDelayMs = 100;
 /** Time after a failed refresh during which none is started, ms. */
 const retryDelayMs = 500;
+/** The store counts as away for this long after a failed refresh, ms: longer than it takes to retry one. */
+const storeAwayMs = 2_000;
 
 /**
  * Whether decisions may rest on the configuration: `unconfirmed` while it isn't known whether a newer version is in force,
@@ -42,7 +44,7 @@
     const { configuration, limits } = this.options;
     if (configuration.ageMs < limits.maxAgeMs) return "current";
     // A peer that has a newer version can be reached, so it isn't the store that keeps this node from knowing it.
-    return this.failedRecently && !configuration.outdated ? "store-away" : "unconfirmed";
+    return this.failedWithin(storeAwayMs) && !configuration.outdated ? "store-away" : "unconfirmed";
   }
 
   /** Waits until the configuration is confirmed, no source could tell, or for `limitMs`; immediately if it is current. */
@@ -62,15 +64,15 @@
 
   /** Starts a refresh unless one is running or has just failed. */
   refresh(): Promise<void> {
-    if (this.failedRecently) return Promise.resolve();
+    if (this.failedWithin(retryDelayMs)) return Promise.resolve();
     this.running ??= this.run().finally(() => {
       this.running = undefined;
     });
     return this.running;
   }
 
-  private get failedRecently(): boolean {
-    return performance.now() - this.failedMs < retryDelayMs;
+  private failedWithin(ms: number): boolean {
+    return performance.now() - this.failedMs < ms;
   }
 
   private async settled(limitMs: number): Promise<void> {
@@ -84,7 +86,7 @@
     await this.askSources();
     const { version, source } = configuration;
     const outcome = this.isConfirmed ? "confirmed" : "failed";
-    if (outcome === "failed") this.failedMs = performance.now();
+    this.failedMs = this.isConfirmed ? Number.NEGATIVE_INFINITY : performance.now();
     metrics.configRefreshes.inc({ outcome });
     const tookMs = Math.round(performance.now() - startedMs);
     log.info({ event: "configuration-refreshed", outcome, ...before, newVersion: version, source, tookMs });
--- a/test/gateway/routeResolver.spec.ts
+++ b/test/gateway/routeResolver.spec.ts
@@ -115,6 +115,26 @@
     expect(await outcomeOf("/second/")).to.equal("no-configuration");
   });
 
+  // While the store was away, each refresh that was tried held the requests that came meanwhile.
+  it("should hold no request once the store is known to be away", async () => {
+    active.confirm(oldMs, "peer");
+    const slow: ConfigurationSource = async () => {
+      await new Promise((done) => setTimeout(done, 300));
+      await failing();
+    };
+    sources = [slow];
+    expect(await outcomeOf("/first/")).to.equal("found");
+    for (let i = 0; i < 40; i += 1) {
+      const startedMs = performance.now();
+      expect(await outcomeOf("/first/")).to.equal("found");
+      expect(performance.now() - startedMs).to.be.below(50);
+      await new Promise((done) => setTimeout(done, 50));
+    }
+    sources = [learnsOfSecond];
+    await new Promise((done) => setTimeout(done, 900));
+    expect(await outcomeOf("/second/")).to.equal("found");
+  });
+
   // A host whose reads were lost on a full link took the store for away and went on with a version that peers had replaced.
   it("should refuse while it can't read a version that a peer has announced", async () => {
     active.confirm(oldMs, "peer");
