--- a/src/gateway/quarantineCheck.ts
+++ b/src/gateway/quarantineCheck.ts
@@ -11,6 +11,10 @@
 /** Requests with a longer body, bytes, are fingerprinted only while there are suspected requests. */
 const maxLikelyRepeatedBodyBytes = 4_096;
 
+/** Maximum number of prompt parts in a log line, and of characters of each id, which come from callers. */
+const maxLoggedParts = 8;
+const maxLoggedIdLength = 40;
+
 /** Interval between attempts to acquire the run lock, ms. */
 const lockRetryMs = 40;
 
@@ -99,6 +103,7 @@
       server: server.id,
       model: metadata.model,
       adapter: metadata.adapter,
+      parts: metadata.prefix.slice(0, maxLoggedParts).map(({ id }) => id.slice(0, maxLoggedIdLength)),
       lastEvent,
       afterMs: Math.round(now - sentMs),
       reason,
