--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -166,6 +166,9 @@
       isCancelled: () => this.caller.disconnected || this.abandoned || this.quarantine.timeLeftMs > 0,
       mayRun: () => this.quarantine.mayRun,
       awaitLock: () => this.quarantine.awaitLock(),
+      releaseLocks: () => {
+        this.quarantine.dispose();
+      },
       // A request is passed on once: the node that it was passed on to serves or refuses it.
       choosePeer: forwarded === undefined ? (servers, need) => this.choosePeer(servers, need) : undefined,
     });
@@ -179,6 +182,7 @@
       runLocks,
       req,
       metadata: this.metadata,
+      service: service.name,
       body: this.body,
     });
     if (forwarded === undefined) this.options.budgetFor(service.name).deposit();
@@ -266,16 +270,11 @@
     return new Failure("overloaded", "not run: this node is overloaded; use another node");
   }
 
-  /**
-   * Refuses a quarantined request (one that crashes servers). Checked before each send, including retries after a lost
-   * connection and resumed streams: if each attempt counted as a new request, only its server would be blamed and the
-   * request would crash one server after another. Requests are identified by content, so all nodes agree on the
-   * identity whatever id the caller sent.
-   */
+  /** Refuses a quarantined request. Checked before each send, also of retries and resumed streams. */
   private refuseIfQuarantined(): boolean {
     const { timeLeftMs } = this.quarantine;
     if (timeLeftMs <= 0) return false;
-    this.lastFailure = "quarantined, as servers crashed while running it";
+    this.lastFailure = this.quarantine.reason;
     this.refusalRetryS = timeLeftMs / 1000;
     if (this.possibleRuns > 0) this.giveUp();
     else this.refuse(new Failure("quarantined", `not run: ${this.lastFailure}`));
@@ -374,6 +373,7 @@
     const inFlight = this.record.start(candidate);
     context.reachability.recordSend(server.id, now);
     this.caller.recordSend(server);
+    this.quarantine.recordSend();
     const responseTimeoutMs = this.deadlines.responseDeadlineMs - now - responseMarginMs;
     const isStream = route.kind === "stream";
     const body = this.body;
@@ -421,6 +421,7 @@
         },
         onFirstByte: () => {
           inFlight.started();
+          if (isStream) this.quarantine.recordFirstEvent();
           this.observeFirstByte();
         },
         onProgress: () => {
--- a/src/gateway/quarantineCheck.ts
+++ b/src/gateway/quarantineCheck.ts
@@ -1,8 +1,12 @@
-/** Quarantine of one request: checks whether it may be sent and records what its sends reveal about crashes. */
+/**
+ * Quarantine of one request and of the parts of its prompt: checks whether it may be sent and records what its sends reveal
+ * about crashes.
+ */
 import type * as http from "node:http";
 import { incarnationOf, type BackendServer } from "../serving/backendServer.ts";
 import type { RequestMetadata } from "../serving/exchange.ts";
 import { fingerprintOf } from "../serving/quarantine/fingerprint.ts";
+import { partKeysOf } from "../serving/quarantine/promptParts.ts";
 import type { AttemptOutcome } from "./attempt.ts";
 import { serverErrorStatus } from "./sendRecord.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
@@ -24,41 +28,78 @@
   readonly runLocks: Pick<RunLockTask, "acquire">;
   readonly req: http.IncomingMessage;
   readonly metadata: RequestMetadata;
+  readonly service: string;
   readonly body: Buffer | undefined;
 }
 
 /** Checked before each send and updated after it. */
 export class QuarantineCheck {
   private cachedFingerprint: string | undefined;
-  /** Held while this duplicate of a suspected request runs. */
-  private lock: RunLock | undefined;
-
-  constructor(private readonly options: QuarantineCheckOptions) {}
+  private readonly partKeys: readonly string[];
+  /** Held while this duplicate of a suspected request runs, and until the first event of one with a suspected part. */
+  private readonly locks = new Map<string, RunLock>();
+  /** Crashes that counted against the parts when the request was sent; empty if there were none. */
+  private crashesBefore: ReadonlyMap<string, number> = new Map();
+  private hadFirstEvent = false;
+
+  constructor(private readonly options: QuarantineCheckOptions) {
+    this.partKeys = partKeysOf(options.service, options.metadata.prefix);
+  }
 
   /** Remaining quarantine of the request, ms; 0 if it may be sent now. */
   get timeLeftMs(): number {
     const { quarantine } = this.options.context;
     // Avoids hashing the body while nothing is quarantined.
-    return quarantine.entries.size === 0 ? 0 : quarantine.timeLeftMs(this.fingerprint, performance.now());
+    return quarantine.entries.size === 0 ? 0 : quarantine.timeLeftOfAll(this.keys, performance.now());
+  }
+
+  /** Why the request may not be sent. */
+  get reason(): string {
+    const held = this.options.context.quarantine.heldAmong(this.keys, performance.now());
+    const parts = held.filter((key) => key !== this.fingerprint);
+    return parts.length === 0
+      ? "quarantined, as servers crashed while running it"
+      : `quarantined, as servers crashed under requests with ${parts.join(", ")}`;
   }
 
-  /** Whether the request may run now: duplicates of a suspected request run one at a time over all nodes. */
+  /**
+   * Whether the request may run now: duplicates of a suspected request, and requests with a suspected part, run one at a time
+   * over all nodes.
+   */
   get mayRun(): boolean {
-    if (this.lock !== undefined) return true;
-    const { quarantine } = this.options.context;
-    return quarantine.isEmpty || !quarantine.isSuspected(this.fingerprint, performance.now());
+    return this.missingLocks.length === 0;
   }
 
-  /** Acquires the run lock, or sleeps briefly if a duplicate holds it. */
+  /** Acquires the run locks, or sleeps briefly if another request holds one of them. */
   async awaitLock(): Promise<void> {
-    this.lock = await this.options.runLocks.acquire(this.fingerprint);
-    if (this.lock === undefined) await new Promise((resolve) => setTimeout(resolve, lockRetryMs));
+    for (const key of this.missingLocks.sort()) {
+      const lock = await this.options.runLocks.acquire(key);
+      if (lock === undefined) {
+        this.dispose();
+        await this.options.context.quarantine.cleared.waitForNext(lockRetryMs);
+        return;
+      }
+      this.locks.set(key, lock);
+    }
   }
 
-  /** Releases the lock. */
+  /** Releases the locks. */
   dispose(): void {
-    void this.lock?.dispose();
-    this.lock = undefined;
+    this.release([...this.locks.keys()]);
+  }
+
+  /** The request is being sent. */
+  recordSend(): void {
+    const { quarantine } = this.options.context;
+    this.hadFirstEvent = false;
+    this.crashesBefore = quarantine.isEmpty ? new Map() : quarantine.partCrashes(this.partKeys);
+  }
+
+  /** The server sent the first event of a stream, or a whole answer. */
+  recordFirstEvent(): void {
+    this.hadFirstEvent = true;
+    this.options.context.quarantine.recordFirstEvent(this.partKeys, performance.now());
+    this.release(this.partKeys);
   }
 
   /** Records the outcome of a send made at `sentMs`. */
@@ -66,10 +107,11 @@
     const { quarantine } = this.options.context;
     if (outcome.kind === "broken" && outcome.connectionLost) {
       this.recordConnectionLoss(server, outcome.reason, outcome.lastEvent, sentMs);
-      this.lock?.markConnectionLost();
+      for (const lock of this.locks.values()) lock.markConnectionLost();
     }
     const now = performance.now();
     if (hasResponded(outcome)) quarantine.recordResponse(incarnationOf(server), sentMs, now);
+    if (outcome.kind === "answered") this.recordFirstEvent();
     if (ranToCompletion(outcome) && (this.isLikelyRepeated || !quarantine.isEmpty))
       quarantine.recordSuccess(this.fingerprint, now);
     this.dispose();
@@ -93,7 +135,12 @@
     // a crash would quarantine requests because servers were removed.
     const crashed =
       known !== undefined && !known.leaving && context.notices.leavingSinceMs(known) === undefined;
-    if (crashed) context.quarantine.recordConnectionLoss(this.fingerprint, incarnationOf(server), now);
+    if (crashed) {
+      const incarnation = incarnationOf(server);
+      context.quarantine.recordConnectionLoss(this.fingerprint, incarnation, now);
+      if (!this.hadFirstEvent)
+        context.quarantine.recordPartLoss(this.partKeys, this.crashesBefore, incarnation, now);
+    }
     context.metrics.lostConnections.inc({ service: server.service });
     context.log.info({
       event: "request-cut",
@@ -104,6 +151,7 @@
       model: metadata.model,
       adapter: metadata.adapter,
       parts: metadata.prefix.slice(0, maxLoggedParts).map(({ id }) => id.slice(0, maxLoggedIdLength)),
+      partCrashes: [...context.quarantine.partCrashes(this.partKeys).values()].slice(0, maxLoggedParts),
       lastEvent,
       afterMs: Math.round(now - sentMs),
       reason,
@@ -111,6 +159,25 @@
     });
   }
 
+  private release(keys: readonly string[]): void {
+    for (const key of keys) {
+      void this.locks.get(key)?.dispose();
+      this.locks.delete(key);
+    }
+  }
+
+  /** Keys of the suspects among the request and its parts whose locks this request doesn't hold. */
+  private get missingLocks(): string[] {
+    const { quarantine } = this.options.context;
+    if (quarantine.isEmpty) return [];
+    const now = performance.now();
+    return this.keys.filter((key) => !this.locks.has(key) && quarantine.isSuspected(key, now));
+  }
+
+  private get keys(): string[] {
+    return [this.fingerprint, ...this.partKeys];
+  }
+
   private get fingerprint(): string {
     const { req, metadata, body } = this.options;
     this.cachedFingerprint ??= fingerprintOf({
--- a/src/gateway/serverSelector.ts
+++ b/src/gateway/serverSelector.ts
@@ -56,6 +56,8 @@
   readonly mayRun: () => boolean;
   /** Tries to acquire the run lock; sleeps briefly if it is taken. */
   readonly awaitLock: () => Promise<void>;
+  /** Releases the run lock, as the request isn't sent soon. */
+  readonly releaseLocks: () => void;
   /** Chooses a peer that can send to one of the servers; undefined if the request may not be passed on. */
   readonly choosePeer:
     ((servers: readonly BackendServer[], need: PeerNeed) => NodeStatus | undefined) | undefined;
@@ -113,6 +115,7 @@
         }
         const candidate = this.choose();
         if (candidate === undefined) {
+          this.options.releaseLocks();
           const peer = this.peerInstead();
           if (peer !== undefined) return { kind: "peer", peer };
           if (this.outOfReach && this.options.choosePeer === undefined) return undefined;
--- a/src/serving/quarantine/quarantineList.ts
+++ b/src/serving/quarantine/quarantineList.ts
@@ -61,6 +61,21 @@
     return this.entries.has(fingerprint);
   }
 
+  /** Whether the request is in quarantine or was, rather than only watched. */
+  wasQuarantined(fingerprint: string): boolean {
+    return (this.entries.get(fingerprint)?.forMs ?? 0) >= firstQuarantineMs;
+  }
+
+  /** Incarnations whose crashes led to the entry. */
+  crashedIncarnations(fingerprint: string): readonly string[] {
+    return this.entries.get(fingerprint)?.ended ?? [];
+  }
+
+  /** What is in quarantine now. */
+  active(nowMs: number): string[] {
+    return [...this.entries].filter(([, { untilMs }]) => untilMs > nowMs).map(([fingerprint]) => fingerprint);
+  }
+
   /** Number of requests in quarantine now. */
   activeCount(nowMs: number): number {
     return [...this.entries.values()].filter(({ untilMs }) => untilMs > nowMs).length;
@@ -90,11 +105,11 @@
   }
 
   /** Quarantines the request from now on, for twice as long as the last time. Returns for how long, ms. */
-  quarantine(fingerprint: string, own: boolean, nowMs: number): number {
+  quarantine(fingerprint: string, own: boolean, nowMs: number, ended?: readonly string[]): number {
     const known = this.entries.get(fingerprint);
     const forMs = known === undefined ? firstQuarantineMs : Math.min(maxQuarantineMs, known.forMs * 2);
     const row = known?.row;
-    this.set(fingerprint, { untilMs: nowMs + forMs, forMs, sinceMs: nowMs, own, row, saved: false });
+    this.set(fingerprint, { untilMs: nowMs + forMs, forMs, ended, sinceMs: nowMs, own, row, saved: false });
     return forMs;
   }
 
--- a/src/serving/quarantine/suspects.ts
+++ b/src/serving/quarantine/suspects.ts
@@ -1,6 +1,10 @@
 /**
- * Tracks which requests were running when servers crashed, and on how many. A crash makes suspects of all requests
- * that ran on the server, of which only one may be the cause; that one is running again when the next server crashes.
+ * Tracks which requests and prompt parts were on servers when these crashed, and how often. A crash makes suspects of all
+ * requests that ran on the server, of which only one may be the cause; that one is running again when the next server
+ * crashes.
+ *
+ * Many requests share a part, so several servers may crash at the same moment with the same parts on them. Such crashes
+ * count as one round: only a request that was sent after a crash, and crashes another server, is further evidence.
  */
 
 /** A suspicion is dropped if no further crash is added for this long, ms: callers that retry do so within minutes. */
@@ -15,50 +19,75 @@
 interface Crash {
   /** Time of the latest connection loss, ms. */
   atMs: number;
-  readonly fingerprints: Set<string>;
+  readonly keys: Set<string>;
 }
 
-/** Suspected requests by fingerprint, with the incarnations that crashed while running them. */
+/** How a crash counts against a suspect. */
+export interface CrashEvidence {
+  /** Number of earlier crashes that the sender knew of when it sent the request, plus one; each crash counts without it. */
+  readonly round?: number;
+  /** The suspect was served a short time before. */
+  readonly proven?: boolean;
+}
+
+interface Suspicion extends CrashEvidence {
+  readonly atMs: number;
+}
+
+/** Suspected requests by fingerprint, and parts by key, with the incarnations that crashed while running them. */
 export class Suspects {
   /** In order of their latest crash. */
-  private readonly crashesByRequest = new Map<string, Map<string, number>>();
+  private readonly crashesByKey = new Map<string, Map<string, Suspicion>>();
   private readonly crashes = new Map<string, Crash>();
 
   get size(): number {
-    return this.crashesByRequest.size;
+    return this.crashesByKey.size;
+  }
+
+  has(key: string): boolean {
+    return this.crashesByKey.has(key);
   }
 
-  has(fingerprint: string): boolean {
-    return this.crashesByRequest.has(fingerprint);
+  /** Number of crashes that count against the suspect. */
+  crashCount(key: string): number {
+    const rounds = [...(this.crashesByKey.get(key) ?? [])].map(
+      ([incarnation, { round }]) => round ?? incarnation,
+    );
+    return new Set(rounds).size;
   }
 
-  /** Number of incarnations that crashed while running the request. */
-  crashCount(fingerprint: string): number {
-    return this.crashesByRequest.get(fingerprint)?.size ?? 0;
+  /** Whether the suspect was served a short time before one of the crashes. */
+  isProven(key: string): boolean {
+    return [...(this.crashesByKey.get(key)?.values() ?? [])].some(({ proven }) => proven === true);
   }
 
-  /** The incarnations that crashed while running the request. */
-  crashedIncarnations(fingerprint: string): readonly string[] {
-    return [...(this.crashesByRequest.get(fingerprint)?.keys() ?? [])];
+  /** The incarnations that crashed while running the suspect, one of each round, in order. */
+  crashedIncarnations(key: string): readonly string[] {
+    const byRound = new Map<number | string, string>();
+    for (const [incarnation, { round }] of this.crashesByKey.get(key) ?? [])
+      if (!byRound.has(round ?? incarnation)) byRound.set(round ?? incarnation, incarnation);
+    return [...byRound]
+      .sort(([a], [b]) => (typeof a === "number" && typeof b === "number" ? a - b : 0))
+      .map(([, incarnation]) => incarnation);
   }
 
-  /** Whether the request is suspected of having crashed the incarnation. */
-  isSuspectedOf(fingerprint: string, incarnation: string): boolean {
-    return this.crashesByRequest.get(fingerprint)?.has(incarnation) ?? false;
+  /** Whether the suspect is suspected of having crashed the incarnation. */
+  isSuspectedOf(key: string, incarnation: string): boolean {
+    return this.crashesByKey.get(key)?.has(incarnation) ?? false;
   }
 
-  /** An incarnation crashed while running the request. Returns the number of incarnations that have. */
-  add(fingerprint: string, incarnation: string, nowMs: number): number {
-    const incarnations = this.crashesByRequest.get(fingerprint) ?? new Map<string, number>();
-    incarnations.set(incarnation, nowMs);
-    this.crashesByRequest.delete(fingerprint);
-    this.crashesByRequest.set(fingerprint, incarnations);
-    const crash = this.crashes.get(incarnation) ?? { atMs: nowMs, fingerprints: new Set() };
+  /** An incarnation crashed while running the suspect. Returns the number of crashes that count. */
+  add(key: string, incarnation: string, nowMs: number, evidence: CrashEvidence = {}): number {
+    const incarnations = this.crashesByKey.get(key) ?? new Map<string, Suspicion>();
+    incarnations.set(incarnation, { ...evidence, atMs: nowMs });
+    this.crashesByKey.delete(key);
+    this.crashesByKey.set(key, incarnations);
+    const crash = this.crashes.get(incarnation) ?? { atMs: nowMs, keys: new Set() };
     crash.atMs = nowMs;
-    crash.fingerprints.add(fingerprint);
+    crash.keys.add(key);
     this.crashes.set(incarnation, crash);
-    if (this.crashesByRequest.size > maxSuspects) this.dropOldest();
-    return incarnations.size;
+    if (this.crashesByKey.size > maxSuspects) this.dropOldest();
+    return this.crashCount(key);
   }
 
   /** When a connection to the incarnation was last lost, ms; undefined if none was. */
@@ -66,38 +95,38 @@
     return this.crashes.get(incarnation)?.atMs;
   }
 
-  /** The incarnation is alive, so its connection losses weren't crashes. Returns the requests concerned. */
+  /** The incarnation is alive, so its connection losses weren't crashes. Returns the suspects concerned. */
   clearCrash(incarnation: string): readonly string[] {
-    const fingerprints = [...(this.crashes.get(incarnation)?.fingerprints ?? [])];
+    const keys = [...(this.crashes.get(incarnation)?.keys ?? [])];
     this.crashes.delete(incarnation);
-    for (const fingerprint of fingerprints) {
-      const incarnations = this.crashesByRequest.get(fingerprint);
+    for (const key of keys) {
+      const incarnations = this.crashesByKey.get(key);
       incarnations?.delete(incarnation);
-      if (incarnations?.size === 0) this.crashesByRequest.delete(fingerprint);
+      if (incarnations?.size === 0) this.crashesByKey.delete(key);
     }
-    return fingerprints;
+    return keys;
   }
 
-  /** Drops the request from suspicion. */
-  clear(fingerprint: string): void {
-    for (const incarnation of this.crashesByRequest.get(fingerprint)?.keys() ?? []) {
+  /** Drops the suspect. */
+  clear(key: string): void {
+    for (const incarnation of this.crashesByKey.get(key)?.keys() ?? []) {
       const crash = this.crashes.get(incarnation);
-      crash?.fingerprints.delete(fingerprint);
-      if (crash?.fingerprints.size === 0) this.crashes.delete(incarnation);
+      crash?.keys.delete(key);
+      if (crash?.keys.size === 0) this.crashes.delete(incarnation);
     }
-    this.crashesByRequest.delete(fingerprint);
+    this.crashesByKey.delete(key);
   }
 
   /** Drops suspicions that are too old. */
   expire(nowMs: number): void {
-    for (const [fingerprint, incarnations] of this.crashesByRequest) {
-      if (nowMs - Math.max(...incarnations.values()) < suspicionTtlMs) return;
-      this.clear(fingerprint);
+    for (const [key, incarnations] of this.crashesByKey) {
+      if (nowMs - Math.max(...[...incarnations.values()].map(({ atMs }) => atMs)) < suspicionTtlMs) return;
+      this.clear(key);
     }
   }
 
   private dropOldest(): void {
-    const [oldest] = this.crashesByRequest.keys();
+    const [oldest] = this.crashesByKey.keys();
     if (oldest !== undefined) this.clear(oldest);
   }
 }
--- a/test/gateway/promptParts.spec.ts
+++ b/test/gateway/promptParts.spec.ts
@@ -87,6 +87,15 @@
       await restart(processes, [0, 1, 2, 3, 4, 5]);
     },
   },
+  {
+    title: "while the nodes are cut off from each other",
+    seed: 9,
+    shape: inTheMiddle,
+    act: async (processes) => {
+      await delay(1_000);
+      processes.cutPeers([0, 1, 2, 3, 4, 5]);
+    },
+  },
 ];
 
 describe("a prompt part that crashes servers", () => {
@@ -138,6 +147,26 @@
     });
   }
 
+  // Connections were reset at servers that lived on, and the parts on them were suspected.
+  it("should not be suspected if connections of living servers are reset", async function () {
+    this.timeout(60_000);
+    const report = await run({
+      ...{ title: "", seed: 10, shape: inTheMiddle, withBad: false },
+      act: async (_processes, load) => {
+        await delay(3_000);
+        for (let i = 0; i < 5; i += 1) {
+          for (const server of load.servers.values()) {
+            server.resetConnections();
+            await delay(200);
+          }
+        }
+      },
+    });
+    expectSoundServed(report);
+    const [begun, sent] = report.after;
+    expect(begun / sent).to.be.at.least(0.95);
+  });
+
   // Parts that all requests share were on every server that crashed for another reason.
   it("should not be suspected if half of the servers crash for another reason", async function () {
     this.timeout(60_000);
