--- a/test/gateway/nodes.spec.ts
+++ b/test/gateway/nodes.spec.ts
@@ -50,6 +50,25 @@
     expect(await statusOf(b, "/old/")).to.equal(404);
   });
 
+  // Routes are denied only by a configuration that is known to be in force.
+  it("should go on with the routes that it knows while the store is away, and deny none", async () => {
+    cluster.register(server.registration("s"));
+    cluster.configure(configuration(1, [route({ pathPrefix: "/known/" })]));
+    const nodes = [await cluster.startNode(), await cluster.startNode()];
+    for (const node of nodes) {
+      await waitUntil(async () => (await statusOf(node, "/known/")) === 200);
+      expect(await statusOf(node, "/other/")).to.equal(404);
+    }
+    for (const { storeClient } of nodes) storeClient.disconnected = true;
+    await new Promise((resolve) => setTimeout(resolve, 2_000));
+    for (const node of nodes) {
+      expect(await statusOf(node, "/known/")).to.equal(200);
+      expect(await statusOf(node, "/other/")).to.equal(503);
+    }
+    for (const { storeClient } of nodes) storeClient.disconnected = false;
+    for (const node of nodes) await waitUntil(async () => (await statusOf(node, "/other/")) === 404, 2_000);
+  });
+
   it("should log an invalid registration once and use the other servers", async () => {
     // The table contains rows of another program, which were logged at each read, twice a second.
     const lines: string[] = [];
