--- a/src/gateway/quarantineCheck.ts
+++ b/src/gateway/quarantineCheck.ts
@@ -38,8 +38,8 @@
   private readonly partKeys: readonly string[];
   /** Held while this duplicate of a suspected request runs, and until the first event of one with a suspected part. */
   private readonly locks = new Map<string, RunLock>();
-  /** Crashes that counted against the parts when the request was sent; empty if there were none. */
-  private crashesBefore: ReadonlyMap<string, number> = new Map();
+  /** The latest rounds of crashes known against the parts when the request was sent; empty if there were none. */
+  private roundsBefore: ReadonlyMap<string, number> = new Map();
   private hadFirstEvent = false;
 
   constructor(private readonly options: QuarantineCheckOptions) {
@@ -92,7 +92,7 @@
   recordSend(): void {
     const { quarantine } = this.options.context;
     this.hadFirstEvent = false;
-    this.crashesBefore = quarantine.isEmpty ? new Map() : quarantine.partCrashes(this.partKeys);
+    this.roundsBefore = quarantine.isEmpty ? new Map() : quarantine.partRounds(this.partKeys);
   }
 
   /** The server sent the first event of a stream, or a whole answer. */
@@ -139,7 +139,7 @@
       const incarnation = incarnationOf(server);
       context.quarantine.recordConnectionLoss(this.fingerprint, incarnation, now);
       if (!this.hadFirstEvent)
-        context.quarantine.recordPartLoss(this.partKeys, this.crashesBefore, incarnation, now);
+        context.quarantine.recordPartLoss(this.partKeys, this.roundsBefore, incarnation, now);
     }
     context.metrics.lostConnections.inc({ service: server.service });
     context.log.info({
--- a/src/serving/quarantine/quarantine.ts
+++ b/src/serving/quarantine/quarantine.ts
@@ -111,7 +111,12 @@
     return keys.filter((key) => this.timeLeftMs(key, nowMs) > 0 && !this.isExplained(key, keys, nowMs));
   }
 
-  /** Number of crashes that count against each of the suspected parts; to be passed on if the request is cut. */
+  /** The latest round of crashes known against each of the parts; to be passed on if the request is cut. */
+  partRounds(keys: readonly string[]): ReadonlyMap<string, number> {
+    return new Map(keys.map((key) => [key, this.suspects.latestRound(key)]));
+  }
+
+  /** Number of crashes that count against each of the parts. */
   partCrashes(keys: readonly string[]): ReadonlyMap<string, number> {
     return new Map(keys.map((key) => [key, this.suspects.crashCount(key)]));
   }
@@ -127,12 +132,12 @@
   }
 
   /**
-   * The connection to the incarnation was lost before the first event of a request with these parts; `crashesBefore` as of
+   * The connection to the incarnation was lost before the first event of a request with these parts; `roundsBefore` as of
    * when it was sent.
    */
   recordPartLoss(
     keys: readonly string[],
-    crashesBefore: ReadonlyMap<string, number>,
+    roundsBefore: ReadonlyMap<string, number>,
     incarnation: string,
     nowMs: number,
   ): void {
@@ -140,7 +145,7 @@
     const parts = (this.update.parts[incarnation] ??= {});
     for (const key of keys) {
       const evidence = {
-        round: (crashesBefore.get(key) ?? 0) + 1,
+        round: (roundsBefore.get(key) ?? 0) + 1,
         proven: this.recentParts.has(key, nowMs),
       };
       parts[key] = [evidence.round, evidence.proven ? 1 : 0];
--- a/src/serving/quarantine/suspects.ts
+++ b/src/serving/quarantine/suspects.ts
@@ -24,7 +24,7 @@
 
 /** How a crash counts against a suspect. */
 export interface CrashEvidence {
-  /** Number of earlier crashes that the sender knew of when it sent the request, plus one; each crash counts without it. */
+  /** The latest round that the sender knew of when it sent the request, plus one; each crash counts without it. */
   readonly round?: number;
   /** The suspect was served a short time before. */
   readonly proven?: boolean;
@@ -56,6 +56,11 @@
     return new Set(rounds).size;
   }
 
+  /** The latest round of crashes known against the suspect; 0 without any. */
+  latestRound(key: string): number {
+    return Math.max(0, ...[...(this.crashesByKey.get(key)?.values() ?? [])].map(({ round }) => round ?? 0));
+  }
+
   /** Whether the suspect was served a short time before one of the crashes. */
   isProven(key: string): boolean {
     return [...(this.crashesByKey.get(key)?.values() ?? [])].some(({ proven }) => proven === true);
