--- a/src/serving/quarantine/quarantine.ts
+++ b/src/serving/quarantine/quarantine.ts
@@ -145,7 +145,7 @@
     const parts = (this.update.parts[incarnation] ??= {});
     for (const key of keys) {
       const evidence = {
-        round: (roundsBefore.get(key) ?? 0) + 1,
+        round: Math.max((roundsBefore.get(key) ?? 0) + 1, parts[key]?.[0] ?? 0),
         proven: this.recentParts.has(key, nowMs),
       };
       parts[key] = [evidence.round, evidence.proven ? 1 : 0];
@@ -288,7 +288,7 @@
     }
     const crashesBefore = this.suspects.crashCount(key);
     const crashes = this.suspects.add(key, incarnation, nowMs, evidence);
-    if (!isNewCrash || crashes === crashesBefore) return;
+    if (evidence === undefined ? !isNewCrash : crashes === crashesBefore) return;
     const isRelapse = isPartKey(key) ? this.entries.wasQuarantined(key) : this.entries.has(key);
     if (crashes >= this.crashesAllowed(key) || isRelapse) this.quarantine(key, own, nowMs);
     else if (crashes >= watchedFromCrashes && !this.entries.has(key))
--- a/src/serving/quarantine/suspects.ts
+++ b/src/serving/quarantine/suspects.ts
@@ -84,7 +84,7 @@
   /** An incarnation crashed while running the suspect. Returns the number of crashes that count. */
   add(key: string, incarnation: string, nowMs: number, evidence: CrashEvidence = {}): number {
     const incarnations = this.crashesByKey.get(key) ?? new Map<string, Suspicion>();
-    incarnations.set(incarnation, { ...evidence, atMs: nowMs });
+    incarnations.set(incarnation, { ...mergeEvidence(evidence, incarnations.get(incarnation)), atMs: nowMs });
     this.crashesByKey.delete(key);
     this.crashesByKey.set(key, incarnations);
     const crash = this.crashes.get(incarnation) ?? { atMs: nowMs, keys: new Set() };
@@ -135,3 +135,9 @@
     if (oldest !== undefined) this.clear(oldest);
   }
 }
+
+/** The evidence of two requests that one server crashed under. */
+function mergeEvidence(one: CrashEvidence, other: CrashEvidence = {}): CrashEvidence {
+  if (one.round === undefined || other.round === undefined) return one;
+  return { round: Math.max(one.round, other.round), proven: one.proven === true || other.proven === true };
+}
--- a/test/serving/promptParts.spec.ts
+++ b/test/serving/promptParts.spec.ts
@@ -119,6 +119,22 @@
     expect(leftMs(bad)).to.be.above(0);
   });
 
+  // Of two requests that a server crashed under, the one that had been sent before the last crash was recorded last.
+  it("should be counted by the latest of the requests that a server crashed under", () => {
+    const before = quarantine.partRounds([bad]);
+    crash(quarantine, [bad], "i-1", 0);
+    const peer = new Quarantine();
+    for (const rounds of [quarantine.partRounds([bad]), before]) {
+      quarantine.recordPartLoss([bad], rounds, "i-2", 10);
+      peer.recordPartLoss([bad], rounds, "i-2", 10);
+    }
+    expect(quarantine.partCrashes([bad]).get(bad)).to.equal(2);
+    const other = new Quarantine();
+    crash(other, [bad], "i-1", 0);
+    gossip(peer, other, 20);
+    expect(other.partCrashes([bad]).get(bad)).to.equal(2);
+  });
+
   it("should not be refused if the servers are alive", () => {
     for (let i = 1; i <= 2; i += 1) {
       crash(quarantine, [shared], `i-${i}`, i);
