--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -12,6 +12,7 @@
 import { Exchange } from "./exchange.ts";
 import type { PlacementClient, GatewayContext } from "./gatewayContext.ts";
 import type { RouteResolver } from "./routeResolver.ts";
+import type { QuotaTask } from "./customers/quotaTask.ts";
 import type { RunLockTask } from "./runLockTask.ts";
 import type { StreamVersionClient } from "./streamVersionTask.ts";
 
@@ -35,6 +36,7 @@
   readonly placement: PlacementClient;
   readonly routes: RouteResolver;
   readonly runLocks: Pick<RunLockTask, "acquire">;
+  readonly quotas: Pick<QuotaTask, "admit">;
   readonly streamVersions: StreamVersionClient;
   readonly forwarder: PeerForwarder;
   readonly retryRatio: number;
@@ -124,7 +126,7 @@
     res: http.ServerResponse,
     forwarded?: ForwardedRequest,
   ): Promise<void> {
-    const { context, placement, routes, runLocks, streamVersions, forwarder } = this.options;
+    const { context, placement, routes, runLocks, quotas, streamVersions, forwarder } = this.options;
     context.watermark.recordRequest();
     const caller = new CallerConnection({
       ...{ req, res, codec: context.codec },
@@ -137,6 +139,7 @@
       placement,
       routes,
       runLocks,
+      quotas,
       streamVersions,
       caller,
       forwarder,
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -3,6 +3,7 @@
 import type { BackendServer } from "../serving/backendServer.ts";
 import { isRepeatable, type Model, type Route, type Service } from "../serving/configuration.ts";
 import { engineWorkMs } from "../serving/engineSpeed.ts";
+import { priorityOf } from "../serving/customers/customer.ts";
 import type { RequestMetadata } from "../serving/exchange.ts";
 import type { NodeStatus } from "../serving/membership/peerTable.ts";
 import { deadlinesOf, type RequestDeadlines } from "../serving/requestDeadlines.ts";
@@ -18,9 +19,10 @@
 import { SendRecord, serverErrorStatus } from "./sendRecord.ts";
 import { ServerSelector, defaultRetryS } from "./serverSelector.ts";
 import { adapterKey, demandKey, type PlacementClient, type GatewayContext } from "./gatewayContext.ts";
+import type { QuotaGrant, QuotaTask } from "./customers/quotaTask.ts";
 import type { RunLockTask } from "./runLockTask.ts";
 import { ResumableStream } from "./resumableStream.ts";
-import type { RouteResolver } from "./routeResolver.ts";
+import type { CustomerIdentity, RouteResolver } from "./routeResolver.ts";
 import type { StreamVersionClient } from "./streamVersionTask.ts";
 
 /** Refused sends allowed on top of the route's `maxAttempts`; bounds the retries of a request that no server runs. */
@@ -48,6 +50,7 @@
   readonly placement: PlacementClient;
   readonly routes: Pick<RouteResolver, "resolve">;
   readonly runLocks: Pick<RunLockTask, "acquire">;
+  readonly quotas: Pick<QuotaTask, "admit">;
   readonly streamVersions: StreamVersionClient;
   readonly budgetFor: (service: string) => RetryBudget;
   readonly caller: CallerConnection;
@@ -71,11 +74,16 @@
   private metadata!: RequestMetadata;
   private route!: Route;
   private service!: Service;
+  private customer: CustomerIdentity | undefined;
   private deadlines!: RequestDeadlines;
   private selector!: ServerSelector;
   private body: Buffer | undefined;
   private quarantine!: QuarantineCheck;
   private record!: SendRecord;
+  /** Set while the request counts towards its customer's quota. */
+  private quotaGrant: QuotaGrant | undefined;
+  /** Whether the outcome of a send leaves open that the request was run. */
+  private mayHaveRun = false;
   /** Retry-After, s, where the request is refused regardless of the available servers. */
   private refusalRetryS: number | undefined;
   private sends = 0;
@@ -114,6 +122,7 @@
       this.refuse(toFailure(error));
     } finally {
       this.caller.onDisconnect(undefined);
+      if (!this.mayHaveRun) this.quotaGrant?.refund();
       // Undefined if the request was refused before server selection.
       (this.selector as ServerSelector | undefined)?.releaseSlot();
       // Undefined if the request was refused before its body was read.
@@ -141,15 +150,22 @@
     const { req, forwarded } = this.caller;
     this.metadata = this.context.codec.readRequest(req.headers);
     const path = (req.url ?? "/").split("?")[0] ?? "/";
-    const resolved = await this.options.routes.resolve(this.metadata, path, this.arrivedMs);
+    const resolved = await this.options.routes.resolve(
+      this.metadata,
+      path,
+      this.arrivedMs,
+      forwarded?.customer,
+    );
     const { route, service, maxBodyBytes } = resolved;
     this.route = route;
     this.service = service;
+    this.customer = resolved.customer;
     this.deadlines = deadlinesOf(route, this.metadata.deadlineMs, this.arrivedMs);
     if (this.shouldShed()) throw this.overloadedFailure();
     if (this.options.shouldRefuseAll() || (route.kind === "stream" && this.options.shouldRefuseStreams())) {
       throw new Failure("draining", "this node is shutting down; use another address");
     }
+    if (forwarded === undefined) await this.checkQuota();
     const { streamVersions } = this.options;
     const { caller, metadata } = this;
     this.stream = new ResumableStream({ context, streamVersions, caller, metadata, route, service });
@@ -159,6 +175,7 @@
       metadata: this.metadata,
       route,
       service,
+      priority: this.priority,
       deadlines: this.deadlines,
       arrivedMs: this.arrivedMs,
       softwareVersion: () => this.stream.softwareVersion,
@@ -189,6 +206,21 @@
     await this.stream.findVersion();
   }
 
+  /** Refuses a request beyond the quota of its customer; the node that the caller asked decides. */
+  private async checkQuota(): Promise<void> {
+    const { metadata, customer } = this;
+    if (customer === undefined || this.route.open === true) return;
+    const { requestId, promptTokens, outputTokens } = metadata;
+    const request = { requestId, customer: customer.name, promptTokens, outputTokens };
+    const outcome = await this.options.quotas.admit(request);
+    if (outcome.kind === "admitted") {
+      this.quotaGrant = outcome.grant;
+      return;
+    }
+    this.refusalRetryS = outcome.retryAfterMs / 1000;
+    throw new Failure("rate-limited", `not run: customer ${customer.name} is ${outcome.detail}`);
+  }
+
   private async readBody(limit: number): Promise<Buffer | undefined> {
     const body = await this.caller.readBody(limit);
     const { headers } = this.caller.req;
@@ -283,7 +315,9 @@
 
   private choosePeer(servers: readonly BackendServer[], need: PeerNeed): NodeStatus | undefined {
     if (this.triedPeers.size >= maxForwards) return undefined;
-    return this.options.forwarder.choosePeer(servers, need, this.triedPeers, this.stream.softwareVersion);
+    const { softwareVersion } = this.stream;
+    const customer = this.customer?.name;
+    return this.options.forwarder.choosePeer(servers, need, this.triedPeers, { softwareVersion, customer });
   }
 
   /** Passes the request on to the peer; returns true if it is to be sent to a server or to another peer. */
@@ -305,6 +339,7 @@
           : undefined,
       resumeAfterEventId: this.lastEvent,
       softwareVersion: this.stream.softwareVersion,
+      customer: this.customer?.name,
       lastDeliveredEvent: this.lastEvent ?? metadata.lastEventId,
       // The peer notices an unresponsive server and tries another one, which takes as long again.
       firstByteTimeoutMs: Math.min(
@@ -318,8 +353,10 @@
       },
     });
     this.attempt = send.attempt;
+    this.mayHaveRun = true;
     const outcome = await send.attempt.outcome;
     this.attempt = undefined;
+    if (provesNotRun(outcome)) this.mayHaveRun = this.possibleRuns > 0;
     return this.shouldRetryForwarded(outcome, send.response, send.runs);
   }
 
@@ -387,7 +424,8 @@
         headers: context.codec.forwardHeaders(this.caller.rawHeaders, {
           serverId: server.id,
           deadlineMs: Math.max(1, Math.floor(this.deadlines.responseDeadlineMs - now)),
-          priority: this.service.engine === undefined ? undefined : Math.min(9, route.priority),
+          customer: this.customer?.name,
+          priority: this.service.engine === undefined ? undefined : Math.min(9, this.priority),
           resumeAfterEventId: this.lastEvent,
           bodyBytes: body?.length,
         }),
@@ -429,8 +467,10 @@
         },
       },
     );
+    this.mayHaveRun = true;
     const outcome = await this.attempt.outcome;
     this.attempt = undefined;
+    if (provesNotRun(outcome)) this.mayHaveRun = this.possibleRuns > 0;
     inFlight.done();
     context.reachability.recordEnd(server.id);
     this.selector.releaseSlot();
@@ -452,6 +492,11 @@
     this.context.metrics.firstByte.observe(labels, (performance.now() - this.arrivedMs) / 1000);
   }
 
+  /** 0 is the most urgent. */
+  private get priority(): number {
+    return priorityOf(this.route, this.customer?.customer);
+  }
+
   /** The requested model, if the service runs on engines. */
   private get model(): Model | undefined {
     return this.service.engine?.models.find((m) => m.name === this.metadata.model);
@@ -595,6 +640,7 @@
       requestId: this.metadata.requestId,
       route: route?.name,
       service: service?.name,
+      customer: this.customer?.name,
       model: this.metadata.model,
       adapter: this.metadata.adapter,
       version: this.context.configuration.current?.version,
@@ -611,3 +657,8 @@
     else this.context.log.info(line);
   }
 }
+
+/** Whether no server ran the request after a send with this outcome. */
+function provesNotRun({ kind }: AttemptOutcome): boolean {
+  return kind === "unreachable" || kind === "not-run";
+}
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -23,6 +23,8 @@
   runs: Schema.Number,
   /** The software version at which the stream goes on, if it has begun. */
   softwareVersion: Schema.optionalKey(Schema.String),
+  /** Name of the customer for whom it runs; the API key stays with the first node. */
+  customer: Schema.optionalKey(Schema.String),
 });
 /** A decoded request header. */
 export type ForwardedRequest = typeof ForwardedRequest.Type;
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -3,6 +3,7 @@
 import { Emitter } from "../common/emitter.ts";
 import { ReadWatermark } from "../common/readWatermark.ts";
 import { ConcurrencyLimiter } from "../serving/concurrencyLimiter.ts";
+import { Quotas, type QuotasOptions } from "../serving/customers/quotas.ts";
 import { DemandMeter } from "../serving/demandMeter.ts";
 import type { HeaderCodec } from "../serving/exchange.ts";
 import { EngineSpeed } from "../serving/engineSpeed.ts";
@@ -81,6 +82,8 @@
   readonly concurrency: ConcurrencyLimiter;
   /** Requests that wait for a slot of such a server. */
   readonly slotQueue: SlotQueue;
+  /** Limits on what customers use, over all nodes. */
+  readonly quotas: Quotas;
   /** Requests that crash servers. */
   readonly quarantine: Quarantine;
   /** Software versions of recent streams, and of each service's servers. */
@@ -105,12 +108,14 @@
   readonly sendingNodes: (service: string) => readonly string[];
   /** Number of nodes that currently serve callers, including this one. */
   readonly nodeCount: () => number;
+  readonly quotas: Omit<QuotasOptions, "nodeCount">;
 }
 
 /** Creates the components in their initial state. */
 export function createGatewayContext({
   nodeCount,
   sendingNodes,
+  quotas,
   ...options
 }: GatewayContextOptions): GatewayContext {
   const notices = new ServerNotices();
@@ -138,6 +143,7 @@
       servers: (service) => fleet.available(service),
     }),
     slotQueue: new SlotQueue(),
+    quotas: new Quotas({ ...quotas, nodeCount }),
     quarantine: new Quarantine(),
     streamVersions: new StreamVersions(),
     versionHistory: new VersionHistory(),
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -8,6 +8,18 @@
   readonly registry = new prom.Registry();
   /** Completed requests, by route kind, service and outcome (a status or an error kind). */
   readonly requests = this.counter("requests_total", "Requests ended", ["kind", "service", "outcome"]);
+  /** Requests checked against their customers' quotas, by outcome; only customers of the active configuration. */
+  readonly customerRequests = this.counter("customer_requests_total", "Requests of customers", [
+    "customer",
+    "outcome",
+  ]);
+  /** What each customer can use now, over all nodes as far as this one knows, in the unit of its quota. */
+  readonly quotaBalance = this.gauge("quota_balance", "What the customer can use now", ["customer"]);
+  /** Share of the quotas that this node and those in contact with it use. */
+  readonly quotaShare = this.gauge(
+    "quota_share",
+    "Share of the quotas in use, less than 1 while peers are lost",
+  );
   /** Sends to servers, by service and outcome. */
   readonly attempts = this.counter("attempts_total", "Sends to servers", ["service", "outcome"]);
   /** Requests passed on to peers, by service and outcome. */
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -44,6 +44,7 @@
 import { StoreHealth } from "./storeHealth.ts";
 import { ReachabilityTask } from "./reachabilityTask.ts";
 import { RouteResolver } from "./routeResolver.ts";
+import { QuotaTask } from "./customers/quotaTask.ts";
 import { RunLockTask } from "./runLockTask.ts";
 import { VersionHistoryTask } from "./versionHistoryTask.ts";
 import { Utilization } from "./utilization.ts";
@@ -54,6 +55,8 @@
 const minDrainMs = 2_600;
 /** Waiting requests get their final response this long before exit, ms, so that it reaches the callers. */
 const finalResponseLeadMs = 300;
+/** Time until a report of another node has been sent, received and read, ms. */
+const reportDelayMs = 50;
 /** Part of the grace period reserved for the exit itself, ms. */
 const exitMarginMs = 700;
 
@@ -96,11 +99,14 @@
   private readonly utilization = new Utilization();
   private readonly placement: PlacementTask;
   private readonly quarantine: QuarantineTask;
+  private readonly quotas: QuotaTask;
   private readonly versionHistory: VersionHistoryTask;
   private readonly callers: CallerServer;
   private readonly reachability: ReachabilityTask;
   private readonly supervisor: Supervisor;
   private readonly boot = Date.now();
+  /** When it last became active or returned to standby, ms. */
+  private activeSinceMs = performance.now();
   private stopping = false;
 
   constructor(private readonly options: GatewayNodeOptions) {
@@ -115,6 +121,11 @@
       ip: settings.ip,
       sendingNodes: (service) => this.sendingNodes(service),
       nodeCount: () => this.activeNodeCount,
+      quotas: {
+        boot: this.boot,
+        share: () => this.quotaShare,
+        reportAgeMs: () => this.peers.minIntervalMs / 2 + reportDelayMs,
+      },
     });
     for (const seed of settings.seeds) this.peerTable.addContact(seed, performance.now());
     const storeHealth = new StoreHealth(log, this.context.metrics);
@@ -130,6 +141,7 @@
       metrics: this.context.metrics,
       heartbeat: () => this.heartbeat(),
       loads: () => this.context.loads.nextUpdate(performance.now()),
+      quotas: () => this.quotas.nextReport(),
       demand: () => this.callerDemand(),
       active: () => this.activation.active,
       inUse: () => this.callers.activeRequests > 0,
@@ -203,6 +215,15 @@
       self: memberOf(settings),
       shouldReadStore: () => this.storeReader.shouldRead,
     });
+    this.quotas = new QuotaTask({
+      log,
+      metrics: this.context.metrics,
+      quotas: this.context.quotas,
+      configuration: this.context.configuration,
+      peers: this.peers,
+      active: () => this.activation.active,
+      activePeers: () => this.peerTable.rosterSources(this.readUpToMs),
+    });
     const runLocks = new RunLockTask({
       log,
       self: settings.peers,
@@ -257,8 +278,10 @@
       routes: new RouteResolver({
         configuration: this.context.configuration,
         refresh: this.configuration.refresh,
+        ...(settings.maxKeyAgeMs === undefined ? {} : { maxKeyAgeMs: settings.maxKeyAgeMs }),
       }),
       runLocks,
+      quotas: this.quotas,
       streamVersions,
       forwarder: new PeerForwarder({ context: this.context, peers: () => this.readyPeers }),
       retryRatio: settings.retryRatio,
@@ -381,6 +404,8 @@
     });
     this.activation.changed.on((active) => {
       if (active) this.utilization.reset();
+      this.activeSinceMs = performance.now();
+      this.quotas.reset();
       this.applyActivation();
     });
     this.context.configuration.changed.on((table) => {
@@ -477,6 +502,12 @@
     return !this.stopping && this.context.configuration.current !== undefined;
   }
 
+  /** Share of customers' quotas for this node and those in contact with it. */
+  private get quotaShare(): number {
+    const { active } = this.activation;
+    return this.peerTable.quotaShare(active ? this.activeSinceMs : undefined, this.readUpToMs);
+  }
+
   /** Servers for readiness checks, the directory and metrics. */
   private controlServers(): Task[] {
     const { settings, platform } = this.options;
@@ -491,6 +522,11 @@
         metrics.configAge.set(configuration.ageMs / 1000);
         for (const [service, versions] of fleet.softwareVersions())
           metrics.softwareVersions.set({ service }, versions.size);
+        const now = performance.now();
+        metrics.quotaShare.set(this.quotaShare);
+        metrics.quotaBalance.reset();
+        for (const { name } of configuration.current?.customers?.customers ?? [])
+          metrics.quotaBalance.set({ customer: name }, this.context.quotas.balance(name, now) ?? Infinity);
         metrics.brittleServers.set(concurrency.countLimited(fleet.all(), performance.now()));
         this.context.metrics.peers.set(this.peerTable.alive(this.readUpToMs).length);
         return this.context.metrics.registry;
@@ -529,6 +565,7 @@
     const { ageMs: configurationAgeMs } = this.context.configuration;
     const { unreachable, partitioned } = this.reachability;
     const { current: storeEra } = this.options.platform.store.eras;
+    const { quotaShare } = this;
     return {
       ...memberOf(settings),
       host: settings.host,
@@ -547,6 +584,8 @@
       ...(partitioned ? { partitioned } : {}),
       forwarding: true,
       streamVersions: true,
+      customers: true,
+      ...(quotaShare < 1 ? { quotaShare } : {}),
       ...(storeEra === undefined ? {} : { storeEra }),
     };
   }
--- a/src/gateway/peerForwarder.ts
+++ b/src/gateway/peerForwarder.ts
@@ -50,6 +50,8 @@
   readonly resumeAfterEventId: number | undefined;
   /** The software version at which the stream goes on, if it has begun. */
   readonly softwareVersion: string | undefined;
+  /** Name of the customer for whom it runs. */
+  readonly customer: string | undefined;
   readonly onFirstByte: () => void;
 }
 
@@ -60,9 +62,8 @@
   private announcedRuns = 0;
 
   constructor(context: GatewayContext, agent: http.Agent, options: ForwardOptions) {
-    const { peer, caller, service, ageMs, priorRuns, resumeAfterEventId, softwareVersion, ...other } =
-      options;
-    const { onFirstByte, sink, ...rest } = other;
+    const { peer, caller, service, ageMs, priorRuns, resumeAfterEventId, ...other } = options;
+    const { softwareVersion, customer, onFirstByte, sink, ...rest } = other;
     this.codec = new RelayedResponseCodec(context.codec);
     const sentMs = performance.now();
     const headers = context.codec.relayHeaders(withoutNodeHeaders(caller.rawHeaders), {
@@ -75,6 +76,7 @@
         ageMs: Math.ceil(ageMs),
         runs: priorRuns,
         ...(softwareVersion === undefined ? {} : { softwareVersion }),
+        ...(customer === undefined ? {} : { customer }),
       }),
     );
     this.attempt = new Attempt(
@@ -125,15 +127,17 @@
     servers: readonly BackendServer[],
     need: PeerNeed,
     tried: ReadonlySet<string>,
-    softwareVersion: string | undefined,
+    { softwareVersion, customer }: Pick<ForwardOptions, "softwareVersion" | "customer">,
   ): NodeStatus | undefined {
     const { context, peers } = this.options;
     const { reachability, fleet, configuration, concurrency, zone } = context;
     const now = performance.now();
-    // Builds that don't know of versions would send the stream to any server.
-    const keepsVersion = ({ status }: Peer): boolean =>
-      softwareVersion === undefined || status.streamVersions === true;
-    const able = peers().filter(keepsVersion);
+    // Builds that don't know of versions would send the stream to any server, others would run it for no customer.
+    const able = peers().filter(
+      ({ status }) =>
+        (softwareVersion === undefined || status.streamVersions === true) &&
+        (customer === undefined || status.customers === true),
+    );
     const hasSlots = ({ status }: Peer): boolean =>
       servers.some((server) => concurrency.shareOf(server, status.ip, now) > 0);
     return choosePeer({
--- a/src/gateway/peerTask.ts
+++ b/src/gateway/peerTask.ts
@@ -10,6 +10,7 @@
 import type { Log } from "../common/log.ts";
 import type { Task } from "../common/supervisor.ts";
 import type { Endpoint } from "../serving/hostSettings.ts";
+import type { QuotaReport } from "../serving/customers/quotas.ts";
 import type { LoadsMessage } from "../serving/loadTracker.ts";
 import {
   Heartbeat,
@@ -54,6 +55,8 @@
   readonly heartbeat: () => Heartbeat;
   /** Changes in this node's requests in flight that peers don't know; undefined if there are none. */
   readonly loads: () => Pick<LoadsMessage, "loads" | "whole"> | undefined;
+  /** This node's use of customers' quotas, sent with the loads; undefined if it didn't change. */
+  readonly quotas: () => QuotaReport | undefined;
   /** Callers' demand, sent to the lease holder with the heartbeat. */
   readonly demand: () => CallerDemand;
   /** Whether this node is active, rather than on standby. */
@@ -152,7 +155,7 @@
   }
 
   /** Minimum interval between two messages of a kind to all peers, ms. */
-  private get minIntervalMs(): number {
+  get minIntervalMs(): number {
     const peers = this.options.table.alive(this.options.readUpToMs()).length;
     return Math.min(heartbeatPeriodMs, Math.max(loadsPeriodMs, peers * loadsPeriodPerPeerMs));
   }
@@ -190,10 +193,14 @@
       this.notifyOne("pulse", { ...this.options.heartbeat(), asked: this.options.demand() }, holder);
   }
 
-  /** Sends changes in this node's requests in flight. */
+  /** Sends changes in this node's requests in flight and in its use of quotas. */
   private sendLoads(): void {
-    const update = this.options.active() ? this.options.loads() : undefined;
-    if (update !== undefined) this.notify("loads", { ip: this.options.endpoint.ip, ...update });
+    if (!this.options.active()) return;
+    const loads = this.options.loads();
+    const quotas = this.options.quotas();
+    if (loads === undefined && quotas === undefined) return;
+    const update = { ...(loads ?? { loads: {}, whole: false }), ...(quotas === undefined ? {} : { quotas }) };
+    this.notify("loads", { ip: this.options.endpoint.ip, ...update });
   }
 
   /** Calls a peer; the request is sent again if no response comes in time, so the method must be idempotent. */
--- a/src/gateway/serverGossip.ts
+++ b/src/gateway/serverGossip.ts
@@ -1,4 +1,7 @@
-/** Exchanges observations of servers with the other nodes: requests in flight, and what brittle servers state. */
+/**
+ * Exchanges with the other nodes what they have to know of each other's requests: those in flight, what brittle servers
+ * state, and the use of customers' quotas.
+ */
 import * as Schema from "effect/Schema";
 import { decodeEither } from "../common/decode.ts";
 import { DisposableStore } from "../common/disposables.ts";
@@ -30,6 +33,8 @@
     peers.handle("loads", (params) => {
       this.apply(LoadsMessage, params, (message) => {
         context.loads.applyPeerLoads(message, performance.now());
+        if (message.quotas !== undefined)
+          context.quotas.applyReport(message.ip, message.quotas, performance.now());
       });
     });
     peers.handle("server.brittle", (params) => {
--- a/src/gateway/serverSelector.ts
+++ b/src/gateway/serverSelector.ts
@@ -46,6 +46,8 @@
   readonly metadata: RequestMetadata;
   readonly route: Route;
   readonly service: Service;
+  /** 0 is the most urgent. */
+  readonly priority: number;
   readonly deadlines: RequestDeadlines;
   readonly arrivedMs: number;
   /** The software version that the server must have; undefined for any. */
@@ -238,7 +240,7 @@
   }
 
   private get queuePosition(): QueuePosition {
-    return { priority: this.options.route.priority, arrivedMs: this.options.arrivedMs };
+    return { priority: this.options.priority, arrivedMs: this.options.arrivedMs };
   }
 
   /** Waits until this node may send to one of the limited servers; resolves with false if that takes too long. */
@@ -304,7 +306,7 @@
       timeLeftMs: this.timeLeftMs,
       callerTimeoutMs: deadlines.firstByteDeadlineMs - arrivedMs,
       targetMs: route.targetMs,
-      priority: route.priority,
+      priority: this.options.priority,
     });
     if (admission.kind === "refuse") {
       this.setRefusal(
--- a/src/serving/configuration.ts
+++ b/src/serving/configuration.ts
@@ -3,6 +3,7 @@
  * Types are inferred from the schemas; the adapter decodes into them.
  */
 import * as Schema from "effect/Schema";
+import { Customer } from "./customers/customer.ts";
 
 /**
  * Whether requests may be retried. `idempotent` requests may run more than once, `non-idempotent` ones at most once;
@@ -34,6 +35,8 @@
   /** Maximum number of backend servers to which one request of a caller may be sent. */
   maxAttempts: Schema.Number,
   resumable: Schema.Boolean,
+  /** Requests need no API key. */
+  open: Schema.optionalKey(Schema.Boolean),
   /** One entry for a plain route, several for a split route. */
   shares: Schema.Array(TrafficShare),
 });
@@ -95,6 +98,8 @@
   routes: Schema.Array(Route),
   services: Schema.Array(Service),
   limits: CallerLimits,
+  /** If present, requests need an API key of one of the customers, except on open routes. */
+  customers: Schema.optionalKey(Schema.Array(Customer)),
 });
 /** A decoded configuration. */
 export type Configuration = typeof Configuration.Type;
--- /dev/null
+++ b/src/serving/customers/quotas.ts
@@ -0,0 +1,196 @@
+/**
+ * Keeps customers to their quotas over all nodes. Each node admits by its own estimate of what all of them used, and
+ * reports its use to the others together with its loads, so no request waits for a message. Nodes that lose contact with
+ * a part of the others use only their share of the quota.
+ */
+import * as Schema from "effect/Schema";
+import { quotaCost, type Customer, type Quota } from "./customer.ts";
+import { QuotaBucket } from "./quotaBucket.ts";
+
+/** Reports in which a change of use is repeated, as datagrams may be lost. */
+const repeatedReports = 8;
+/** A peer that was silent for longer may have used its share of the quota while it was out of contact, ms. */
+const contactTimeoutMs = 1_600;
+/** Longest Retry-After of a customer over its quota, ms: one window of the demand that was refused. */
+const maxRetryAfterMs = 8_000;
+
+/** Use by one node, by customer: the total since its start, and what it used within the last few reports. */
+export const QuotaReport = Schema.Struct({
+  /** Increases with each start of the node's process. */
+  boot: Schema.Number,
+  used: Schema.Record(Schema.String, Schema.Tuple([Schema.Number, Schema.Number])),
+});
+/** A decoded report. */
+export type QuotaReport = typeof QuotaReport.Type;
+
+/** An admitted request's use of its customer's quota. */
+export const QuotaCharge = Schema.Struct({
+  customer: Schema.String,
+  amount: Schema.Number,
+  /** On the clock of the node that charged it. */
+  atMs: Schema.Number,
+});
+/** A decoded charge. */
+export type QuotaCharge = typeof QuotaCharge.Type;
+
+/** Whether the quota has room for a request; `charge` is absent for customers without a quota. */
+export const QuotaDecision = Schema.Union([
+  Schema.Struct({ kind: Schema.Literal("admitted"), charge: Schema.optionalKey(QuotaCharge) }),
+  Schema.Struct({ kind: Schema.Literal("refused"), retryAfterMs: Schema.Number, detail: Schema.String }),
+]);
+/** A decoded decision. */
+export type QuotaDecision = typeof QuotaDecision.Type;
+
+/** Size of a request, in tokens. */
+export interface RequestSize {
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+}
+
+/** Options of `Quotas`. */
+export interface QuotasOptions {
+  /** Identifies this start of the process. */
+  readonly boot: number;
+  /** Share of all quotas that this node and those in contact with it may use, from 0 to 1. */
+  readonly share: () => number;
+  /** Number of nodes that serve callers. */
+  readonly nodeCount: () => number;
+  /** Average age of the peers' reports, ms. */
+  readonly reportAgeMs: () => number;
+}
+
+interface Account {
+  quota: Quota;
+  readonly bucket: QuotaBucket;
+  total: number;
+  /** Totals at the last reports, oldest first. */
+  readonly reported: number[];
+  /** Demand that was refused here and may return. */
+  refused: number;
+  refusedMs: number;
+}
+
+interface PeerUse {
+  readonly boot: number;
+  heardMs: number;
+  readonly totals: Map<string, number>;
+}
+
+/** The quotas of all customers. */
+export class Quotas {
+  private readonly accounts = new Map<string, Account>();
+  private readonly peers = new Map<string, PeerUse>();
+  /** The process admitted nothing before its start, whenever the first configuration arrives. */
+  private unknownUntilMs: number | undefined = 0;
+
+  constructor(private readonly options: QuotasOptions) {}
+
+  /** Applies the quotas of a configuration. */
+  apply(customers: readonly Customer[], nowMs: number): void {
+    const usedUntilMs = this.unknownUntilMs ?? nowMs;
+    this.unknownUntilMs = undefined;
+    const limited = new Map(customers.map(({ name, quota }) => [name, quota]));
+    for (const name of this.accounts.keys()) if (limited.get(name) === undefined) this.accounts.delete(name);
+    for (const [name, quota] of limited) {
+      if (quota === undefined) continue;
+      const known = this.accounts.get(name);
+      if (known === undefined) this.accounts.set(name, newAccount(quota, usedUntilMs));
+      else {
+        known.quota = quota;
+        known.bucket.resize(quota, nowMs);
+      }
+    }
+  }
+
+  /** Charges the request to the customer's quota, or refuses it if the quota is exhausted. */
+  admit(customer: string, size: RequestSize, nowMs: number): QuotaDecision {
+    const account = this.accounts.get(customer);
+    if (account === undefined) return { kind: "admitted" };
+    const amount = quotaCost(account.quota, size);
+    const balance = this.balanceOf(account, nowMs);
+    // A request larger than the burst size couldn't be admitted otherwise; the debt is repaid before the next one.
+    if (balance <= 0) return this.refuse(account, amount, balance, nowMs);
+    account.bucket.charge(amount, nowMs);
+    account.total += amount;
+    return { kind: "admitted", charge: { customer, amount, atMs: nowMs } };
+  }
+
+  /** Returns the charge of a request that was not run. */
+  refund({ customer, amount, atMs }: QuotaCharge, nowMs: number): void {
+    const account = this.accounts.get(customer);
+    if (account?.bucket.refund(amount, atMs, nowMs) === true) account.total -= amount;
+  }
+
+  /** What the customer can use now, over all nodes as far as known; undefined without a quota. */
+  balance(customer: string, nowMs: number): number | undefined {
+    const account = this.accounts.get(customer);
+    return account === undefined ? undefined : this.balanceOf(account, nowMs);
+  }
+
+  /** The report to send now; undefined if nothing changed lately. Call it once per reporting period. */
+  nextReport(): QuotaReport | undefined {
+    const used: Record<string, [number, number]> = {};
+    for (const [name, { total, reported }] of this.accounts) {
+      const recent = total - (reported[0] ?? 0);
+      const changed = reported.some((earlier) => earlier !== total);
+      reported.push(total);
+      if (reported.length > repeatedReports) reported.shift();
+      if (changed) used[name] = [Math.round(total), Math.round(recent)];
+    }
+    return Object.keys(used).length === 0 ? undefined : { boot: this.options.boot, used };
+  }
+
+  /** Applies a peer's report. */
+  applyReport(ip: string, { boot, used }: QuotaReport, nowMs: number): void {
+    const known = this.peers.get(ip);
+    if (known !== undefined && known.boot > boot) return;
+    const peer = known?.boot === boot ? known : { boot, heardMs: nowMs, totals: new Map<string, number>() };
+    this.peers.set(ip, peer);
+    const inContact = nowMs - peer.heardMs < contactTimeoutMs;
+    peer.heardMs = nowMs;
+    for (const [name, [total, recent]] of Object.entries(used)) {
+      const before = peer.totals.get(name);
+      peer.totals.set(name, total);
+      this.accounts
+        .get(name)
+        ?.bucket.chargeOther(before !== undefined && inContact ? total - before : recent, nowMs);
+    }
+  }
+
+  /** The node was suspended, or didn't hear the others for another reason: what was used until now isn't known. */
+  reset(nowMs: number): void {
+    this.peers.clear();
+    for (const { bucket } of this.accounts.values()) bucket.reset(nowMs);
+  }
+
+  private balanceOf({ bucket }: Account, nowMs: number): number {
+    bucket.setShare(this.options.share(), nowMs);
+    return bucket.balance(nowMs, this.options.reportAgeMs());
+  }
+
+  /**
+   * The Retry-After grows with the demand that was refused, so that callers return at the rate at which the quota refills
+   * rather than all at once.
+   */
+  private refuse(account: Account, amount: number, balance: number, nowMs: number): QuotaDecision {
+    const { bucket, quota } = account;
+    const nodes = Math.max(1, this.options.nodeCount());
+    const refilled = (quota.perS * Math.max(0, nowMs - account.refusedMs)) / 1_000 / nodes;
+    account.refused = Math.max(0, account.refused - refilled);
+    account.refusedMs = nowMs;
+    const retryAfterMs = Math.min(
+      maxRetryAfterMs,
+      bucket.refillMs(-balance) + bucket.refillMs(account.refused * nodes),
+    );
+    account.refused = Math.min(account.refused + amount, (quota.perS * maxRetryAfterMs) / 1_000 / nodes);
+    const detail =
+      `over its quota of ${quota.perS} ${quota.unit}/s, burst ${quota.burst}: ` +
+      `the request counts ${amount}, balance ${Math.round(balance)}`;
+    return { kind: "refused", retryAfterMs, detail };
+  }
+}
+
+function newAccount(quota: Quota, nowMs: number): Account {
+  const bucket = new QuotaBucket(quota, nowMs);
+  return { quota, bucket, total: 0, reported: [0], refused: 0, refusedMs: nowMs };
+}
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -13,6 +13,8 @@
 export interface RequestMetadata {
   readonly requestId: string;
   readonly host: string;
+  /** The caller's API key. A secret: for authentication only. */
+  readonly apiKey: string | undefined;
   /** How long the caller waits, ms. */
   readonly deadlineMs: number | undefined;
   readonly model: string | undefined;
@@ -40,6 +42,8 @@
   /** Resume a stream after this event. */
   readonly resumeAfterEventId?: number | undefined;
   readonly bodyBytes?: number | undefined;
+  /** Name of the customer for whom the request runs. */
+  readonly customer?: string | undefined;
 }
 
 /** What a server states about itself in a response. */
--- a/src/serving/hostSettings.ts
+++ b/src/serving/hostSettings.ts
@@ -33,6 +33,8 @@
   drainMs: Schema.Number,
   /** A configuration has to be in force this long after its acknowledgement, ms. */
   configApplyMs: Schema.Number,
+  /** API keys are accepted for this long without knowledge of whether they still exist, ms; forever if absent. */
+  maxKeyAgeMs: Schema.optionalKey(Schema.Number),
   /** Longest time for which callers cache a response of the directory, s. */
   maxTtlS: Schema.Number,
   /** Retries earned per request, and how many may accumulate, over all nodes. */
--- a/src/serving/loadTracker.ts
+++ b/src/serving/loadTracker.ts
@@ -4,6 +4,7 @@
  */
 
 import * as Schema from "effect/Schema";
+import { QuotaReport } from "./customers/quotas.ts";
 
 /** Work in flight at one server. */
 export interface Load {
@@ -22,7 +23,13 @@
  * A node's work in flight: at all servers (`whole`), or only at those where it changed since its last
  * message.
  */
-export const LoadsMessage = Schema.Struct({ ip: Schema.String, loads: PeerLoads, whole: Schema.Boolean });
+export const LoadsMessage = Schema.Struct({
+  ip: Schema.String,
+  loads: PeerLoads,
+  whole: Schema.Boolean,
+  /** The node's use of customers' quotas, if it changed. */
+  quotas: Schema.optionalKey(QuotaReport),
+});
 /** A decoded message. */
 export type LoadsMessage = typeof LoadsMessage.Type;
 
--- a/src/serving/membership/peerTable.ts
+++ b/src/serving/membership/peerTable.ts
@@ -51,6 +51,10 @@
   forwarding: Schema.optionalKey(Schema.Boolean),
   /** It lets a stream go on only at the software version that began it. */
   streamVersions: Schema.optionalKey(Schema.Boolean),
+  /** It runs forwarded requests for the customer that their first node found. */
+  customers: Schema.optionalKey(Schema.Boolean),
+  /** Share of customers' quotas that it lets nodes in contact with it use, if less than 1. */
+  quotaShare: Schema.optionalKey(Schema.Number),
   /** Set while it reaches none of the servers of a service that other nodes reach. */
   partitioned: Schema.optionalKey(Schema.Boolean),
 };
@@ -131,10 +135,15 @@
 /** Ratio of a fleet-wide limit that the standby nodes share. */
 const standbyBudgetRatio = 0.1;
 
+/** An active node that was lost without notice may still serve callers for this long, ms: longer than most partitions. */
+const lossMemoryMs = 15_000;
+
 /** Last known status of a peer. */
 export interface Peer {
   readonly status: NodeStatus;
   readonly lastHeardMs: number;
+  /** Since when it has been known as active, ms. */
+  readonly sinceMs?: number;
 }
 
 /** Address of a peer. */
@@ -171,7 +180,12 @@
   /** Records a heartbeat; false if it is older than the known one. */
   recordHeartbeat(heartbeat: Heartbeat, nowMs: number): boolean {
     if (this.isStale(heartbeat, nowMs)) return false;
-    if (heartbeat.active) this.peers.set(heartbeat.ip, { status: heartbeat, lastHeardMs: nowMs });
+    if (heartbeat.active)
+      this.peers.set(heartbeat.ip, {
+        status: heartbeat,
+        lastHeardMs: nowMs,
+        sinceMs: this.peers.get(heartbeat.ip)?.sinceMs ?? nowMs,
+      });
     else this.peers.delete(heartbeat.ip);
     return true;
   }
@@ -257,6 +271,26 @@
     };
   }
 
+  /**
+   * Share of customers' quotas that this node and its live peers may use together; `activeSinceMs` is undefined on standby.
+   * Active nodes that vanished may have been partitioned and still serve callers, so the quotas are divided by the numbers
+   * of nodes before that. A node that became active since takes the share that the others state.
+   */
+  quotaShare(activeSinceMs: number | undefined, nowMs: number): number {
+    if (activeSinceMs === undefined) return 1 / this.knownNodes.length;
+    const alive = this.alive(nowMs);
+    const aliveIps = new Set(alive.map(({ status }) => status.ip));
+    const lost = [...this.peers.values()].filter(
+      ({ status, lastHeardMs }) =>
+        status.ready && !aliveIps.has(status.ip) && nowMs - lastHeardMs < lossMemoryMs,
+    );
+    const firstLossMs = Math.min(...lost.map(({ lastHeardMs }) => lastHeardMs));
+    const before = alive.filter(({ sinceMs = nowMs }) => sinceMs <= firstLossMs).length + 1;
+    const ownShare = lost.length === 0 ? 1 : before / (before + lost.length);
+    if (nowMs - activeSinceMs > lossMemoryMs || alive.length === 0) return ownShare;
+    return Math.min(ownShare, Math.max(...alive.map(({ status }) => status.quotaShare ?? 1)));
+  }
+
   /** A node didn't respond: it counts as dead until its status is received again. */
   markDead(ip: string): void {
     this.peers.delete(ip);
--- a/src/serving/routeTable.ts
+++ b/src/serving/routeTable.ts
@@ -2,15 +2,19 @@
 import * as crypto from "node:crypto";
 import { weightedChoice } from "../common/weightedChoice.ts";
 import type { Configuration, Route, Service } from "./configuration.ts";
+import { CustomerTable } from "./customers/customerTable.ts";
 
 /** Routes of one configuration, indexed by host. */
 export class RouteTable {
   private readonly byHost = new Map<string, Route[]>();
   private readonly services = new Map<string, Service>();
   readonly version: number;
+  /** Undefined if requests need no API key. */
+  readonly customers: CustomerTable | undefined;
 
   constructor(readonly configuration: Configuration) {
     this.version = configuration.version;
+    if (configuration.customers !== undefined) this.customers = new CustomerTable(configuration.customers);
     for (const service of configuration.services) this.services.set(service.name, service);
     for (const route of configuration.routes) {
       const host = route.host.toLowerCase();
--- a/test/gateway/fleetTask.spec.ts
+++ b/test/gateway/fleetTask.spec.ts
@@ -32,6 +32,7 @@
       log,
       codec,
       nodeCount: () => 2,
+      quotas: { boot: 1, share: () => 1, reportAgeMs: () => 0 },
     });
     this.task = new FleetTask({
       store: store.createClient(),
--- a/test/gateway/heartbeats.spec.ts
+++ b/test/gateway/heartbeats.spec.ts
@@ -48,6 +48,7 @@
       onDatagram: () => undefined,
       heartbeat: () => heartbeatOf(ip, revision),
       loads: () => undefined,
+      quotas: () => undefined,
       demand: () => ({ demand: {}, waiting: {}, adapters: {}, running: {} }),
       active: () => true,
       inUse: () => true,
--- a/test/gateway/streamVersionTask.spec.ts
+++ b/test/gateway/streamVersionTask.spec.ts
@@ -41,6 +41,7 @@
     context = createGatewayContext({
       ...{ host: "h", ip: "10.0.1.1", zone: "a", drainMs: 2_000, log, codec: requestHeaders },
       ...{ sendingNodes: () => [], nodeCount: () => 1 },
+      quotas: { boot: 1, share: () => 1, reportAgeMs: () => 0 },
     });
     peers = new FakePeers();
     historyLoads = 0;
--- a/test/platform/codecs.spec.ts
+++ b/test/platform/codecs.spec.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { hashApiKey } from "../../src/serving/customers/apiKey.ts";
 import { decodeConfiguration } from "../../platform/configurationCodec.ts";
 import * as requestHeaders from "../../platform/requestHeaders.ts";
 import { decodeReport, decodeServer } from "../../platform/serverCodec.ts";
@@ -162,6 +163,48 @@
     ]);
   });
 
+  it("should never pass an API key on, nor a customer's name that the caller states", () => {
+    const raw = ["Host", "h", "X-Api-Key", "secret", "x-tenant-name", "forged", "X-Own", "1"];
+    const send = { serverId: "i-1", deadlineMs: 500, customer: "c" };
+    expect(requestHeaders.forwardHeaders(raw, send)).to.deep.equal([
+      ...["Host", "h", "X-Own", "1", "X-Expected-Instance", "i-1", "X-Deadline-Ms", "500"],
+      ...["X-Tenant-Name", "c", "Connection", "keep-alive"],
+    ]);
+    expect(requestHeaders.forwardHeaders(raw, { serverId: "i-1", deadlineMs: 500 }).join()).not.to.match(
+      /secret|forged/,
+    );
+    expect(requestHeaders.relayHeaders(raw, {})).to.deep.equal([
+      ...["Host", "h", "X-Own", "1", "Connection", "keep-alive"],
+    ]);
+    expect(requestHeaders.readRequest({ "x-api-key": "secret" }).apiKey).to.equal("secret");
+  });
+
+  it("should read customers without keeping their API keys", () => {
+    const limits = { maxHeaderBytes: 1, maxBodyBytes: 2, headerTimeoutMs: 3, idleTimeoutMs: 4 };
+    const tenants = [
+      {
+        name: "a",
+        apiKeys: ["secret"],
+        priority: 2,
+        unit: "token_stream",
+        plainTokens: 200,
+        ratePerS: 5,
+        burstSize: 9,
+      },
+      { name: "b", apiKeys: [], ratePerS: 0 },
+      { name: "c", apiKeys: [], ratePerS: 3, burstSize: 4 },
+    ];
+    const text = JSON.stringify({ version: 1, routes: [], services: [], limits, tenants });
+    const { customers } = decodeConfiguration(text).unsafeCoerce();
+    expect(JSON.stringify(customers)).not.to.contain("secret");
+    expect(customers?.[0]).to.deep.include({ name: "a", keyHashes: [hashApiKey("secret")], priority: 2 });
+    expect(customers?.map(({ quota }) => quota)).to.deep.equal([
+      { unit: "tokens", perS: 5, burst: 9, plainTokens: 200 },
+      undefined,
+      { unit: "requests", perS: 3, burst: 4, plainTokens: 0 },
+    ]);
+  });
+
   it("should read model, adapter, token counts and prompt parts", () => {
     const metadata = requestHeaders.readRequest({
       "x-request-id": "q",
