--- a/src/gateway/customers/quotaTask.ts
+++ b/src/gateway/customers/quotaTask.ts
@@ -21,6 +21,9 @@
   customer: Schema.String,
   promptTokens: Schema.Number,
   outputTokens: Schema.Number,
+  route: Schema.String,
+  /** Priority of the route. */
+  priority: Schema.Number,
 });
 
 /** A request of a customer. */
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -208,10 +208,12 @@
 
   /** Refuses a request beyond the quota of its customer; the node that the caller asked decides. */
   private async checkQuota(): Promise<void> {
-    const { metadata, customer } = this;
-    if (customer === undefined || this.route.open === true) return;
+    const { metadata, customer, route } = this;
+    if (customer === undefined || route.open === true) return;
     const { requestId, promptTokens, outputTokens } = metadata;
-    const request = { requestId, customer: customer.name, promptTokens, outputTokens };
+    const { name, priority } = route;
+    const size = { promptTokens, outputTokens, route: name, priority };
+    const request = { requestId, customer: customer.name, ...size };
     const outcome = await this.options.quotas.admit(request);
     if (outcome.kind === "admitted") {
       this.quotaGrant = outcome.grant;
--- a/src/serving/customers/quotas.ts
+++ b/src/serving/customers/quotas.ts
@@ -11,6 +11,17 @@
 const repeatedReports = 8;
 /** A peer that was silent for longer may have used its share of the quota while it was out of contact, ms. */
 const contactTimeoutMs = 1_600;
+/**
+ * Debt up to which requests are admitted, as a ratio of the burst size, less a multiple of the average size of the route's
+ * requests. While the quota is exhausted, the many small requests are served rather than a few large ones: refusing one
+ * of these makes room for ten.
+ */
+const maxDebtRatio = 0.25;
+const sizesReserved = 4;
+/** How much more is reserved for each priority below the most urgent. */
+const priorityStepRatio = 0.25;
+/** Weight of a request in the average size of its route's requests. */
+const sizeWeight = 0.05;
 /** Longest Retry-After of a customer over its quota, ms: one window of the demand that was refused. */
 const maxRetryAfterMs = 8_000;
 
@@ -41,10 +52,13 @@
 /** A decoded decision. */
 export type QuotaDecision = typeof QuotaDecision.Type;
 
-/** Size of a request, in tokens. */
-export interface RequestSize {
+/** What the decision on a request depends on. */
+export interface QuotaRequest {
   readonly promptTokens: number;
   readonly outputTokens: number;
+  readonly route: string;
+  /** Priority of the route; 0 is the most urgent. */
+  readonly priority: number;
 }
 
 /** Options of `Quotas`. */
@@ -65,6 +79,8 @@
   total: number;
   /** Totals at the last reports, oldest first. */
   readonly reported: number[];
+  /** Average size of requests, by route. */
+  readonly sizes: Map<string, number>;
   /** Demand that was refused here and may return. */
   refused: number;
   refusedMs: number;
@@ -103,13 +119,14 @@
   }
 
   /** Charges the request to the customer's quota, or refuses it if the quota is exhausted. */
-  admit(customer: string, size: RequestSize, nowMs: number): QuotaDecision {
+  admit(customer: string, request: QuotaRequest, nowMs: number): QuotaDecision {
     const account = this.accounts.get(customer);
     if (account === undefined) return { kind: "admitted" };
-    const amount = quotaCost(account.quota, size);
+    const amount = quotaCost(account.quota, request);
     const balance = this.balanceOf(account, nowMs);
     // A request larger than the burst size couldn't be admitted otherwise; the debt is repaid before the next one.
-    if (balance <= 0) return this.refuse(account, amount, balance, nowMs);
+    const missing = -maxDebt(account, request, amount) - balance;
+    if (missing >= 0) return this.refuse(account, amount, balance, missing, nowMs);
     account.bucket.charge(amount, nowMs);
     account.total += amount;
     return { kind: "admitted", charge: { customer, amount, atMs: nowMs } };
@@ -172,7 +189,13 @@
    * The Retry-After grows with the demand that was refused, so that callers return at the rate at which the quota refills
    * rather than all at once.
    */
-  private refuse(account: Account, amount: number, balance: number, nowMs: number): QuotaDecision {
+  private refuse(
+    account: Account,
+    amount: number,
+    balance: number,
+    missing: number,
+    nowMs: number,
+  ): QuotaDecision {
     const { bucket, quota } = account;
     const nodes = Math.max(1, this.options.nodeCount());
     const refilled = (quota.perS * Math.max(0, nowMs - account.refusedMs)) / 1_000 / nodes;
@@ -180,7 +203,7 @@
     account.refusedMs = nowMs;
     const retryAfterMs = Math.min(
       maxRetryAfterMs,
-      bucket.refillMs(-balance) + bucket.refillMs(account.refused * nodes),
+      bucket.refillMs(missing) + bucket.refillMs(account.refused * nodes),
     );
     account.refused = Math.min(account.refused + amount, (quota.perS * maxRetryAfterMs) / 1_000 / nodes);
     const detail =
@@ -192,5 +215,14 @@
 
 function newAccount(quota: Quota, nowMs: number): Account {
   const bucket = new QuotaBucket(quota, nowMs);
-  return { quota, bucket, total: 0, reported: [0], refused: 0, refusedMs: nowMs };
+  return { quota, bucket, total: 0, reported: [0], sizes: new Map(), refused: 0, refusedMs: nowMs };
+}
+
+/** Debt up to which a request of its route is admitted; counts the request towards the average size. */
+function maxDebt({ quota, sizes }: Account, { route, priority }: QuotaRequest, amount: number): number {
+  const known = sizes.get(route) ?? amount;
+  const size = known + (amount - known) * sizeWeight;
+  sizes.set(route, size);
+  const reserved = sizesReserved * size * (1 + priorityStepRatio * Math.max(0, priority));
+  return Math.max(0, maxDebtRatio * quota.burst - reserved);
 }
