--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -3,7 +3,7 @@
 import type { BackendServer } from "../serving/backendServer.ts";
 import { isRepeatable, type Model, type Route, type Service } from "../serving/configuration.ts";
 import { engineWorkMs } from "../serving/engineSpeed.ts";
-import { priorityOf } from "../serving/customers/customer.ts";
+import type { Urgency } from "../serving/customers/customer.ts";
 import type { RequestMetadata } from "../serving/exchange.ts";
 import type { NodeStatus } from "../serving/membership/peerTable.ts";
 import { deadlinesOf, type RequestDeadlines } from "../serving/requestDeadlines.ts";
@@ -41,6 +41,8 @@
   "no-configuration",
   "unknown-route",
 ]);
+/** Engines rank requests from 0 to this. */
+const maxRank = 9;
 /** Time reserved before the caller's deadline for writing the final response, ms. */
 const responseMarginMs = 40;
 
@@ -75,6 +77,7 @@
   private route!: Route;
   private service!: Service;
   private customer: CustomerIdentity | undefined;
+  private urgency!: Urgency;
   private deadlines!: RequestDeadlines;
   private selector!: ServerSelector;
   private body: Buffer | undefined;
@@ -160,6 +163,7 @@
     this.route = route;
     this.service = service;
     this.customer = resolved.customer;
+    this.urgency = resolved.urgency;
     this.deadlines = deadlinesOf(route, this.metadata.deadlineMs, this.arrivedMs);
     if (this.shouldShed()) throw this.overloadedFailure();
     if (this.options.shouldRefuseAll() || (route.kind === "stream" && this.options.shouldRefuseStreams())) {
@@ -175,7 +179,7 @@
       metadata: this.metadata,
       route,
       service,
-      priority: this.priority,
+      priority: this.urgency.priority,
       deadlines: this.deadlines,
       arrivedMs: this.arrivedMs,
       softwareVersion: () => this.stream.softwareVersion,
@@ -427,7 +431,7 @@
           serverId: server.id,
           deadlineMs: Math.max(1, Math.floor(this.deadlines.responseDeadlineMs - now)),
           customer: this.customer?.name,
-          priority: this.service.engine === undefined ? undefined : Math.min(9, this.priority),
+          priority: this.service.engine === undefined ? undefined : Math.min(maxRank, this.urgency.rank),
           resumeAfterEventId: this.lastEvent,
           bodyBytes: body?.length,
         }),
@@ -494,11 +498,6 @@
     this.context.metrics.firstByte.observe(labels, (performance.now() - this.arrivedMs) / 1000);
   }
 
-  /** 0 is the most urgent. */
-  private get priority(): number {
-    return priorityOf(this.route, this.customer?.customer);
-  }
-
   /** The requested model, if the service runs on engines. */
   private get model(): Model | undefined {
     return this.service.engine?.models.find((m) => m.name === this.metadata.model);
--- a/src/gateway/routeResolver.ts
+++ b/src/gateway/routeResolver.ts
@@ -1,7 +1,7 @@
 /** Finds the route of a request in a configuration that is known to be in force. */
 import { Failure, type ErrorKind } from "../common/errors.ts";
 import type { Route, Service } from "../serving/configuration.ts";
-import type { Customer } from "../serving/customers/customer.ts";
+import { urgencyOf, type Customer, type Urgency } from "../serving/customers/customer.ts";
 import type { RequestMetadata } from "../serving/exchange.ts";
 import type { RouteTable } from "../serving/routeTable.ts";
 import type { ActiveConfiguration } from "./activeConfiguration.ts";
@@ -17,6 +17,7 @@
   readonly service: Service;
   /** For whom to serve it; undefined if the configuration has no customers, or on an open route. */
   readonly customer: CustomerIdentity | undefined;
+  readonly urgency: Urgency;
   readonly maxBodyBytes: number;
 }
 
@@ -79,7 +80,8 @@
       return "unknown-customer";
     const service = table.service(table.selectService(route, streamIdOf(metadata)) ?? "");
     if (service === undefined) throw new Failure("not-run", `route ${route.name} refers to no known service`);
-    return { route, service, customer, maxBodyBytes: table.configuration.limits.maxBodyBytes };
+    const urgency = urgencyOf(route, customer?.customer, table.priorityLevels);
+    return { route, service, customer, urgency, maxBodyBytes: table.configuration.limits.maxBodyBytes };
   }
 
   private identify({ apiKey }: RequestMetadata, forwardedFor?: string): CustomerIdentity | undefined {
--- a/src/gateway/serverSelector.ts
+++ b/src/gateway/serverSelector.ts
@@ -46,7 +46,7 @@
   readonly metadata: RequestMetadata;
   readonly route: Route;
   readonly service: Service;
-  /** 0 is the most urgent. */
+  /** Of the request; see `Urgency`. */
   readonly priority: number;
   readonly deadlines: RequestDeadlines;
   readonly arrivedMs: number;
--- a/src/serving/customers/customer.ts
+++ b/src/serving/customers/customer.ts
@@ -27,9 +27,27 @@
 /** A decoded customer. */
 export type Customer = typeof Customer.Type;
 
-/** Rank of a request: its customer's, or else its route's; 0 is the most urgent. */
-export function priorityOf(route: { priority: number }, customer: Customer | undefined): number {
-  return customer?.priority ?? route.priority;
+/** How urgent a request is; 0 is the most urgent. */
+export interface Urgency {
+  /** May be a fraction. */
+  readonly priority: number;
+  /** The same order in whole numbers. */
+  readonly rank: number;
+}
+
+/**
+ * Urgency of a request: its customer's priority goes before its route's, which orders requests of the same priority.
+ * `levels` is the number of priorities that routes have.
+ */
+export function urgencyOf(
+  route: { readonly priority: number },
+  customer: Customer | undefined,
+  levels: number,
+): Urgency {
+  const { priority } = route;
+  if (customer?.priority === undefined) return { priority, rank: priority };
+  const rank = customer.priority * levels + priority;
+  return { priority: rank / levels, rank };
 }
 
 /** Size of a request in the unit of the quota. */
--- a/src/serving/routeTable.ts
+++ b/src/serving/routeTable.ts
@@ -9,11 +9,14 @@
   private readonly byHost = new Map<string, Route[]>();
   private readonly services = new Map<string, Service>();
   readonly version: number;
+  /** Number of priorities that routes may have: 0 and above. */
+  readonly priorityLevels: number;
   /** Undefined if requests need no API key. */
   readonly customers: CustomerTable | undefined;
 
   constructor(readonly configuration: Configuration) {
     this.version = configuration.version;
+    this.priorityLevels = 1 + Math.max(0, ...configuration.routes.map(({ priority }) => priority));
     if (configuration.customers !== undefined) this.customers = new CustomerTable(configuration.customers);
     for (const service of configuration.services) this.services.set(service.name, service);
     for (const route of configuration.routes) {
