--- a/src/gateway/quarantineCheck.ts
+++ b/src/gateway/quarantineCheck.ts
@@ -111,7 +111,8 @@
     }
     const now = performance.now();
     if (hasResponded(outcome)) quarantine.recordResponse(incarnationOf(server), sentMs, now);
-    if (outcome.kind === "answered") this.recordFirstEvent();
+    // The clean end of an unframed response before its first event can be a crash.
+    if (outcome.kind === "answered" && outcome.response.metadata.framed) this.recordFirstEvent();
     if (ranToCompletion(outcome) && (this.isLikelyRepeated || !quarantine.isEmpty))
       quarantine.recordSuccess(this.fingerprint, now);
     this.dispose();
