--- a/src/gateway/customers/quotaTask.ts
+++ b/src/gateway/customers/quotaTask.ts
@@ -9,9 +9,9 @@
 import { ClockJumpDetector, readClocks } from "../../serving/clockJumpDetector.ts";
 import { QuotaCharge, QuotaDecision, type QuotaReport, type Quotas } from "../../serving/customers/quotas.ts";
 import type { PeerAddress } from "../../serving/membership/peerTable.ts";
-import type { ActiveConfiguration } from "../activeConfiguration.ts";
+import type { ActiveConfiguration } from "../store/activeConfiguration.ts";
 import type { GatewayMetrics } from "../gatewayMetrics.ts";
-import type { PeerTask } from "../peerTask.ts";
+import type { PeerTask } from "../membership/peerTask.ts";
 
 /** Decisions made for other nodes are kept for this long, ms, as a call may be repeated. */
 const decisionTtlMs = 1_000;
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -22,10 +22,10 @@
 import { StreamVersions } from "../serving/streams/streamVersions.ts";
 import { VersionHistory } from "../serving/streams/versionHistory.ts";
 import { ServerNotices } from "../serving/serverNotices.ts";
-import { ActiveConfiguration } from "./activeConfiguration.ts";
+import { ActiveConfiguration } from "./store/activeConfiguration.ts";
 import { GatewayMetrics } from "./gatewayMetrics.ts";
-import { SlotQueue } from "./slotQueue.ts";
-import { UpstreamPool } from "./upstreamPool.ts";
+import { SlotQueue } from "./requests/slotQueue.ts";
+import { UpstreamPool } from "./requests/upstreamPool.ts";
 
 /** An adapter that a request needs. */
 export interface AdapterNeed {
--- a/src/gateway/activationTask.ts
+++ b/src/gateway/membership/activationTask.ts
@@ -3,10 +3,10 @@
  * turn for the roster and for the revisions that they know, and pulls what is newer.
  */
 import * as Schema from "effect/Schema";
-import { decodeEither } from "../common/decode.ts";
-import { Emitter } from "../common/emitter.ts";
-import type { Log } from "../common/log.ts";
-import { PeriodicTask } from "../common/supervisor.ts";
+import { decodeEither } from "../../common/decode.ts";
+import { Emitter } from "../../common/emitter.ts";
+import type { Log } from "../../common/log.ts";
+import { PeriodicTask } from "../../common/supervisor.ts";
 import {
   overutilizationLevel,
   isOverutilized,
@@ -14,7 +14,7 @@
   turnsBeforeActivation,
   turnsBeforeRetirement,
   type ActiveNode,
-} from "../serving/membership/activeSet.ts";
+} from "../../serving/membership/activeSet.ts";
 import {
   Member,
   Roster,
@@ -22,8 +22,8 @@
   type PeerTable,
   type Heartbeat,
   type NodeStatus,
-} from "../serving/membership/peerTable.ts";
-import { initialPosition, formatPosition, type StorePosition } from "../serving/storePosition.ts";
+} from "../../serving/membership/peerTable.ts";
+import { initialPosition, formatPosition, type StorePosition } from "../../serving/storePosition.ts";
 import type { PeerTask } from "./peerTask.ts";
 
 /**
--- a/src/gateway/controlServers.ts
+++ b/src/gateway/membership/controlServers.ts
@@ -1,9 +1,9 @@
 /** HTTP servers for readiness, directory and metrics. */
 import * as http from "node:http";
-import { bind, close, sendJson } from "../common/http.ts";
-import type { Task } from "../common/supervisor.ts";
+import { bind, close, sendJson } from "../../common/http.ts";
+import type { Task } from "../../common/supervisor.ts";
 import type { Registry } from "prom-client";
-import type { Endpoint, HostSettings } from "../serving/hostSettings.ts";
+import type { Endpoint, HostSettings } from "../../serving/hostSettings.ts";
 
 /** Options of a `ControlServer`. */
 export interface ControlServerOptions {
--- a/src/gateway/memberTask.ts
+++ b/src/gateway/membership/memberTask.ts
@@ -1,11 +1,11 @@
 /** Registers this node in the store's list of gateway nodes, and reads the others from it. */
-import { decodeEither } from "../common/decode.ts";
-import type { Disposable } from "../common/disposables.ts";
-import { toFailure } from "../common/errors.ts";
-import type { Log } from "../common/log.ts";
-import { PeriodicTask } from "../common/supervisor.ts";
-import { Member, type PeerTable } from "../serving/membership/peerTable.ts";
-import type { RowChange, Store } from "../serving/store.ts";
+import { decodeEither } from "../../common/decode.ts";
+import type { Disposable } from "../../common/disposables.ts";
+import { toFailure } from "../../common/errors.ts";
+import type { Log } from "../../common/log.ts";
+import { PeriodicTask } from "../../common/supervisor.ts";
+import { Member, type PeerTable } from "../../serving/membership/peerTable.ts";
+import type { RowChange, Store } from "../../serving/store.ts";
 
 const table = "parsleynotch_nodes";
 /** Pause between attempts until the node is registered, ms. */
--- a/src/gateway/peerCalls.ts
+++ b/src/gateway/membership/peerCalls.ts
@@ -4,16 +4,16 @@
  */
 import * as http from "node:http";
 import * as rpc from "json-rpc-2.0";
-import { Failure, toFailure } from "../common/errors.ts";
-import { bind, close, sendFailure } from "../common/http.ts";
-import { callHttp } from "../common/httpCall.ts";
-import { RpcEndpoint, type Handler } from "../common/rpc.ts";
-import type { Task } from "../common/supervisor.ts";
-import type { Endpoint } from "../serving/hostSettings.ts";
-import { requestHeader } from "./forwardedRequest.ts";
-import type { GatewayMetrics } from "./gatewayMetrics.ts";
-import type { PeerAddress } from "../serving/membership/peerTable.ts";
-import type { StorePosition } from "../serving/storePosition.ts";
+import { Failure, toFailure } from "../../common/errors.ts";
+import { bind, close, sendFailure } from "../../common/http.ts";
+import { callHttp } from "../../common/httpCall.ts";
+import { RpcEndpoint, type Handler } from "../../common/rpc.ts";
+import type { Task } from "../../common/supervisor.ts";
+import type { Endpoint } from "../../serving/hostSettings.ts";
+import { requestHeader } from "../requests/forwardedRequest.ts";
+import type { GatewayMetrics } from "../gatewayMetrics.ts";
+import type { PeerAddress } from "../../serving/membership/peerTable.ts";
+import type { StorePosition } from "../../serving/storePosition.ts";
 
 /** Timeout of one call, ms; an unresponsive connection is abandoned and the next call opens a new one. */
 const callTimeoutMs = 500;
--- a/src/gateway/peerTask.ts
+++ b/src/gateway/membership/peerTask.ts
@@ -4,21 +4,21 @@
  */
 import * as dgram from "node:dgram";
 import * as rpc from "json-rpc-2.0";
-import { Emitter } from "../common/emitter.ts";
-import { decodeEither } from "../common/decode.ts";
-import { waitForPendingInput } from "../common/readWatermark.ts";
-import type { Log } from "../common/log.ts";
-import type { Task } from "../common/supervisor.ts";
-import type { Endpoint } from "../serving/hostSettings.ts";
-import type { QuotaReport } from "../serving/customers/quotas.ts";
-import type { LoadsMessage } from "../serving/loadTracker.ts";
+import { Emitter } from "../../common/emitter.ts";
+import { decodeEither } from "../../common/decode.ts";
+import { waitForPendingInput } from "../../common/readWatermark.ts";
+import type { Log } from "../../common/log.ts";
+import type { Task } from "../../common/supervisor.ts";
+import type { Endpoint } from "../../serving/hostSettings.ts";
+import type { QuotaReport } from "../../serving/customers/quotas.ts";
+import type { LoadsMessage } from "../../serving/loadTracker.ts";
 import {
   Heartbeat,
   type CallerDemand,
   type PeerAddress,
   type PeerTable,
-} from "../serving/membership/peerTable.ts";
-import type { GatewayMetrics } from "./gatewayMetrics.ts";
+} from "../../serving/membership/peerTable.ts";
+import type { GatewayMetrics } from "../gatewayMetrics.ts";
 
 /** Period of heartbeats, ms. */
 const heartbeatPeriodMs = 300;
--- a/src/gateway/demandAggregator.ts
+++ b/src/gateway/placement/demandAggregator.ts
@@ -1,9 +1,9 @@
 /** Caller demand summed over this node and its peers, as input for placement by the lease holder. */
-import type { EngineLimits } from "../serving/configuration.ts";
-import { negligibleDemand } from "../serving/demandMeter.ts";
-import type { CallerDemand, PeerTable, Heartbeat } from "../serving/membership/peerTable.ts";
-import type { ModelDemand } from "../serving/placementView.ts";
-import { demandKey, type GatewayContext } from "./gatewayContext.ts";
+import type { EngineLimits } from "../../serving/configuration.ts";
+import { negligibleDemand } from "../../serving/demandMeter.ts";
+import type { CallerDemand, PeerTable, Heartbeat } from "../../serving/membership/peerTable.ts";
+import type { ModelDemand } from "../../serving/placementView.ts";
+import { demandKey, type GatewayContext } from "../gatewayContext.ts";
 
 /** Demand received from a peer is valid for this long, ms. */
 const peerDemandTtlMs = 1_500;
--- a/src/gateway/engineController.ts
+++ b/src/gateway/placement/engineController.ts
@@ -1,9 +1,9 @@
 /** Sends load and unload orders to one engine, one at a time, and tracks what may occupy its memory. */
-import { toFailure } from "../common/errors.ts";
-import type { Log } from "../common/log.ts";
-import { startedAfter, type BackendServer } from "../serving/backendServer.ts";
-import type { EngineApi, OrderOutcome, OrderTarget } from "../serving/orders.ts";
-import type { GatewayMetrics } from "./gatewayMetrics.ts";
+import { toFailure } from "../../common/errors.ts";
+import type { Log } from "../../common/log.ts";
+import { startedAfter, type BackendServer } from "../../serving/backendServer.ts";
+import type { EngineApi, OrderOutcome, OrderTarget } from "../../serving/orders.ts";
+import type { GatewayMetrics } from "../gatewayMetrics.ts";
 
 /** A load or unload to order. */
 export interface OrderRequest {
--- a/src/gateway/leaseTask.ts
+++ b/src/gateway/placement/leaseTask.ts
@@ -1,10 +1,10 @@
 /** Takes, renews and gives up the placement lease, so that only one node at a time sends orders to engines. */
-import { decodeEither } from "../common/decode.ts";
-import { toFailure } from "../common/errors.ts";
-import { Emitter } from "../common/emitter.ts";
-import type { Log } from "../common/log.ts";
-import { PeriodicTask } from "../common/supervisor.ts";
-import { ClockJumpDetector, readClocks } from "../serving/clockJumpDetector.ts";
+import { decodeEither } from "../../common/decode.ts";
+import { toFailure } from "../../common/errors.ts";
+import { Emitter } from "../../common/emitter.ts";
+import type { Log } from "../../common/log.ts";
+import { PeriodicTask } from "../../common/supervisor.ts";
+import { ClockJumpDetector, readClocks } from "../../serving/clockJumpDetector.ts";
 import {
   handoverDelayMs,
   isFromEra,
@@ -17,11 +17,11 @@
   takeoverDelayMs,
   LeaseYield,
   type LeaseCandidate,
-} from "../serving/leaseRules.ts";
-import type { RowSet, Store } from "../serving/store.ts";
-import { absentAt, formatPosition, type StorePosition } from "../serving/storePosition.ts";
-import type { GatewayMetrics } from "./gatewayMetrics.ts";
-import type { StoreHealth } from "./storeHealth.ts";
+} from "../../serving/leaseRules.ts";
+import type { RowSet, Store } from "../../serving/store.ts";
+import { absentAt, formatPosition, type StorePosition } from "../../serving/storePosition.ts";
+import type { GatewayMetrics } from "../gatewayMetrics.ts";
+import type { StoreHealth } from "../store/storeHealth.ts";
 
 const table = "parsleynotch";
 const key = "placement";
--- a/src/gateway/placementTask.ts
+++ b/src/gateway/placement/placementTask.ts
@@ -1,31 +1,31 @@
 /** Places models and adapters on engines while this node holds the placement lease. */
 import * as Schema from "effect/Schema";
-import { decodeEither } from "../common/decode.ts";
-import type { Log } from "../common/log.ts";
-import { PeriodicTask } from "../common/supervisor.ts";
-import { planAdapter, type AdapterEngine, type AdapterMove } from "../serving/adapterPlan.ts";
-import { holds, type BackendServer } from "../serving/backendServer.ts";
-import type { EraTracker } from "../serving/eraTracker.ts";
-import type { EngineLimits, Model } from "../serving/configuration.ts";
-import type { ResidencyChange } from "../serving/fleet.ts";
-import { isReachedBy } from "../serving/forwarding.ts";
-import { LoadRateLimiter } from "../serving/loadRateLimiter.ts";
-import { expectedLoadMs } from "../serving/modelWaitEstimator.ts";
-import type { EngineApi } from "../serving/orders.ts";
-import type { PeerTable } from "../serving/membership/peerTable.ts";
-import { PlacementPlan } from "../serving/placementPlan.ts";
-import type { EngineView, Move } from "../serving/placementView.ts";
+import { decodeEither } from "../../common/decode.ts";
+import type { Log } from "../../common/log.ts";
+import { PeriodicTask } from "../../common/supervisor.ts";
+import { planAdapter, type AdapterEngine, type AdapterMove } from "../../serving/adapterPlan.ts";
+import { holds, type BackendServer } from "../../serving/backendServer.ts";
+import type { EraTracker } from "../../serving/eraTracker.ts";
+import type { EngineLimits, Model } from "../../serving/configuration.ts";
+import type { ResidencyChange } from "../../serving/fleet.ts";
+import { isReachedBy } from "../../serving/forwarding.ts";
+import { LoadRateLimiter } from "../../serving/loadRateLimiter.ts";
+import { expectedLoadMs } from "../../serving/modelWaitEstimator.ts";
+import type { EngineApi } from "../../serving/orders.ts";
+import type { PeerTable } from "../../serving/membership/peerTable.ts";
+import { PlacementPlan } from "../../serving/placementPlan.ts";
+import type { EngineView, Move } from "../../serving/placementView.ts";
 import { DemandAggregator } from "./demandAggregator.ts";
 import { EngineController, type EngineOrderOutcome } from "./engineController.ts";
 import type { LeaseTask } from "./leaseTask.ts";
-import type { PeerTask } from "./peerTask.ts";
+import type { PeerTask } from "../membership/peerTask.ts";
 import {
   adapterKey,
   demandKey,
   type AdapterNeed,
   type PlacementClient,
   type GatewayContext,
-} from "./gatewayContext.ts";
+} from "../gatewayContext.ts";
 
 /** Period of placement rounds, ms. */
 const roundMs = 250;
--- a/src/gateway/quarantineCheck.ts
+++ b/src/gateway/quarantine/quarantineCheck.ts
@@ -3,13 +3,13 @@
  * about crashes.
  */
 import type * as http from "node:http";
-import { incarnationOf, type BackendServer } from "../serving/backendServer.ts";
-import type { RequestMetadata } from "../serving/exchange.ts";
-import { fingerprintOf } from "../serving/quarantine/fingerprint.ts";
-import { partKeysOf } from "../serving/quarantine/promptParts.ts";
-import type { AttemptOutcome } from "./attempt.ts";
-import { serverErrorStatus } from "./sendRecord.ts";
-import type { GatewayContext } from "./gatewayContext.ts";
+import { incarnationOf, type BackendServer } from "../../serving/backendServer.ts";
+import type { RequestMetadata } from "../../serving/exchange.ts";
+import { fingerprintOf } from "../../serving/quarantine/fingerprint.ts";
+import { partKeysOf } from "../../serving/quarantine/promptParts.ts";
+import type { AttemptOutcome } from "../requests/attempt.ts";
+import { serverErrorStatus } from "../requests/sendRecord.ts";
+import type { GatewayContext } from "../gatewayContext.ts";
 import type { RunLock, RunLockTask } from "./runLockTask.ts";
 
 /** Requests with a longer body, bytes, are fingerprinted only while there are suspected requests. */
@@ -26,7 +26,7 @@
 export interface QuarantineCheckOptions {
   readonly context: GatewayContext;
   readonly runLocks: Pick<RunLockTask, "acquire">;
-  readonly req: http.IncomingMessage;
+  readonly req: Pick<http.IncomingMessage, "method" | "url">;
   readonly metadata: RequestMetadata;
   readonly service: string;
   readonly body: Buffer | undefined;
--- a/src/gateway/quarantineGossip.ts
+++ b/src/gateway/quarantine/quarantineGossip.ts
@@ -2,12 +2,12 @@
  * Exchanges observations of requests that crash servers with the other nodes, as a single node sees only few of the
  * crashes. By datagram, as the others have to know before the caller's next attempt.
  */
-import { decodeEither } from "../common/decode.ts";
-import { DisposableStore } from "../common/disposables.ts";
-import type { Log } from "../common/log.ts";
-import type { Task } from "../common/supervisor.ts";
-import { QuarantineUpdate, type Quarantine } from "../serving/quarantine/quarantine.ts";
-import type { PeerTask } from "./peerTask.ts";
+import { decodeEither } from "../../common/decode.ts";
+import { DisposableStore } from "../../common/disposables.ts";
+import type { Log } from "../../common/log.ts";
+import type { Task } from "../../common/supervisor.ts";
+import { QuarantineUpdate, type Quarantine } from "../../serving/quarantine/quarantine.ts";
+import type { PeerTask } from "../membership/peerTask.ts";
 
 /** Updates within this time are sent together, ms: a crash breaks the connections of all the server's requests at once. */
 const batchMs = 20;
--- a/src/gateway/quarantineTask.ts
+++ b/src/gateway/quarantine/quarantineTask.ts
@@ -3,17 +3,17 @@
  * learns of newer entries from a peer's message pulls them from that peer.
  */
 import * as Schema from "effect/Schema";
-import { decode, decodeEither } from "../common/decode.ts";
-import { DisposableStore } from "../common/disposables.ts";
-import { toFailure, type Failure } from "../common/errors.ts";
-import type { Log } from "../common/log.ts";
-import type { Handler } from "../common/rpc.ts";
-import type { Quarantine, QuarantineChange } from "../serving/quarantine/quarantine.ts";
-import type { Row, RowChange, RowSet } from "../serving/store.ts";
-import { absentAt, initialPosition, isAfter, laterOf, StorePosition } from "../serving/storePosition.ts";
-import type { GatewayMetrics } from "./gatewayMetrics.ts";
-import type { PeerVersions } from "./peerCalls.ts";
-import { TableTask, type TableTaskOptions } from "./tableTask.ts";
+import { decode, decodeEither } from "../../common/decode.ts";
+import { DisposableStore } from "../../common/disposables.ts";
+import { toFailure, type Failure } from "../../common/errors.ts";
+import type { Log } from "../../common/log.ts";
+import type { Handler } from "../../common/rpc.ts";
+import type { Quarantine, QuarantineChange } from "../../serving/quarantine/quarantine.ts";
+import type { Row, RowChange, RowSet } from "../../serving/store.ts";
+import { absentAt, initialPosition, isAfter, laterOf, StorePosition } from "../../serving/storePosition.ts";
+import type { GatewayMetrics } from "../gatewayMetrics.ts";
+import type { PeerVersions } from "../membership/peerCalls.ts";
+import { TableTask, type TableTaskOptions } from "../store/tableTask.ts";
 
 const table = "parsleynotch_quarantine";
 /** Duration of one wait for changes, ms. Most entries arrive from peers first; this finds the rest, at six calls a minute. */
--- a/src/gateway/runLockTask.ts
+++ b/src/gateway/quarantine/runLockTask.ts
@@ -1,13 +1,13 @@
 /** Acquires the run lock of a suspected request from the node that owns the lock, and renews it while the request runs. */
 import * as Schema from "effect/Schema";
-import { decode } from "../common/decode.ts";
-import type { Disposable } from "../common/disposables.ts";
-import { toFailure } from "../common/errors.ts";
-import type { Log } from "../common/log.ts";
-import type { Task } from "../common/supervisor.ts";
-import type { PeerAddress } from "../serving/membership/peerTable.ts";
-import { RunLocks } from "../serving/quarantine/runLocks.ts";
-import type { PeerTask } from "./peerTask.ts";
+import { decode } from "../../common/decode.ts";
+import type { Disposable } from "../../common/disposables.ts";
+import { toFailure } from "../../common/errors.ts";
+import type { Log } from "../../common/log.ts";
+import type { Task } from "../../common/supervisor.ts";
+import type { PeerAddress } from "../../serving/membership/peerTable.ts";
+import { RunLocks } from "../../serving/quarantine/runLocks.ts";
+import type { PeerTask } from "../membership/peerTask.ts";
 
 /** Period at which a lock is renewed, ms. */
 const renewMs = 400;
--- a/src/gateway/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -1,12 +1,12 @@
 /** A single send of a request to one backend server. */
 import * as http from "node:http";
 import type * as net from "node:net";
-import { setTimeoutAfterInput, waitForPendingInput } from "../common/readWatermark.ts";
-import type { BackendServer } from "../serving/backendServer.ts";
-import type { StreamTiming } from "../serving/engineSpeed.ts";
-import { EventSplitter, type StreamEvent } from "../serving/eventSplitter.ts";
-import type { ResponseMetadata, HeaderCodec } from "../serving/exchange.ts";
-import { parseEndpoint } from "../serving/hostSettings.ts";
+import { setTimeoutAfterInput, waitForPendingInput } from "../../common/readWatermark.ts";
+import type { BackendServer } from "../../serving/backendServer.ts";
+import type { StreamTiming } from "../../serving/engineSpeed.ts";
+import { EventSplitter, type StreamEvent } from "../../serving/eventSplitter.ts";
+import type { ResponseMetadata, HeaderCodec } from "../../serving/exchange.ts";
+import { parseEndpoint } from "../../serving/hostSettings.ts";
 
 /** Connect timeout, ms: about ten round trips between zones; shorter than the 1 s retransmission of a lost SYN. */
 export const connectTimeoutMs = 300;
--- a/src/gateway/callerConnection.ts
+++ b/src/gateway/requests/callerConnection.ts
@@ -1,7 +1,7 @@
 /** The caller's side of one request: reads the body, writes the response and detects a disconnect. */
 import type * as http from "node:http";
-import { Failure } from "../common/errors.ts";
-import type { HeaderCodec } from "../serving/exchange.ts";
+import { Failure } from "../../common/errors.ts";
+import type { HeaderCodec } from "../../serving/exchange.ts";
 import type { StreamSink, BufferedResponse } from "./attempt.ts";
 import {
   relayedResponseHeaders,
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/requests/callerServer.ts
@@ -1,20 +1,20 @@
 /** The HTTP server that callers connect to. */
 import * as http from "node:http";
 import type * as net from "node:net";
-import { bind, close, sendFailure } from "../common/http.ts";
-import type { Task } from "../common/supervisor.ts";
-import type { CallerLimits } from "../serving/configuration.ts";
-import type { Endpoint } from "../serving/hostSettings.ts";
-import { RetryBudget, type BudgetShare } from "../serving/retryBudget.ts";
+import { bind, close, sendFailure } from "../../common/http.ts";
+import type { Task } from "../../common/supervisor.ts";
+import type { CallerLimits } from "../../serving/configuration.ts";
+import type { Endpoint } from "../../serving/hostSettings.ts";
+import { RetryBudget, type BudgetShare } from "../../serving/retryBudget.ts";
 import { CallerConnection } from "./callerConnection.ts";
 import { decodeForwardedRequest, type ForwardedRequest } from "./forwardedRequest.ts";
 import type { PeerForwarder } from "./peerForwarder.ts";
 import { Exchange } from "./exchange.ts";
-import type { PlacementClient, GatewayContext } from "./gatewayContext.ts";
+import type { PlacementClient, GatewayContext } from "../gatewayContext.ts";
 import type { RouteResolver } from "./routeResolver.ts";
-import type { QuotaTask } from "./customers/quotaTask.ts";
-import type { RunLockTask } from "./runLockTask.ts";
-import type { StreamVersionClient } from "./streamVersionTask.ts";
+import type { QuotaTask } from "../customers/quotaTask.ts";
+import type { RunLockTask } from "../quarantine/runLockTask.ts";
+import type { StreamVersionClient } from "../streams/streamVersionTask.ts";
 
 /** Maximum size of request headers that Node.js accepts, bytes; the configured limit for callers is lower. */
 const maxHeaderBytes = 64 * 1024;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -1,29 +1,29 @@
 /** Serves one caller request: routing, server selection, sending, retries and the response. */
-import { Failure, toFailure, type ErrorKind } from "../common/errors.ts";
-import type { BackendServer } from "../serving/backendServer.ts";
-import { isRepeatable, type Model, type Route, type Service } from "../serving/configuration.ts";
-import { engineWorkMs } from "../serving/engineSpeed.ts";
-import type { Urgency } from "../serving/customers/customer.ts";
-import type { RequestMetadata } from "../serving/exchange.ts";
-import type { NodeStatus } from "../serving/membership/peerTable.ts";
-import { deadlinesOf, type RequestDeadlines } from "../serving/requestDeadlines.ts";
-import type { RetryBudget } from "../serving/retryBudget.ts";
-import { shouldShed } from "../serving/overload.ts";
-import { firstByteTimeoutMs, eventGapTimeoutMs } from "../serving/sendRules.ts";
-import type { ServerEstimate } from "../serving/serverChoice.ts";
+import { Failure, toFailure, type ErrorKind } from "../../common/errors.ts";
+import type { BackendServer } from "../../serving/backendServer.ts";
+import { isRepeatable, type Model, type Route, type Service } from "../../serving/configuration.ts";
+import { engineWorkMs } from "../../serving/engineSpeed.ts";
+import type { Urgency } from "../../serving/customers/customer.ts";
+import type { RequestMetadata } from "../../serving/exchange.ts";
+import type { NodeStatus } from "../../serving/membership/peerTable.ts";
+import { deadlinesOf, type RequestDeadlines } from "../../serving/requestDeadlines.ts";
+import type { RetryBudget } from "../../serving/retryBudget.ts";
+import { shouldShed } from "../../serving/overload.ts";
+import { firstByteTimeoutMs, eventGapTimeoutMs } from "../../serving/sendRules.ts";
+import type { ServerEstimate } from "../../serving/serverChoice.ts";
 import { Attempt, type AttemptOutcome, type BufferedResponse } from "./attempt.ts";
 import type { CallerConnection } from "./callerConnection.ts";
-import { QuarantineCheck } from "./quarantineCheck.ts";
+import { QuarantineCheck } from "../quarantine/quarantineCheck.ts";
 import { withoutNodeHeaders, type RelayedResponse } from "./forwardedRequest.ts";
 import type { ForwardedSend, PeerForwarder, PeerNeed } from "./peerForwarder.ts";
 import { SendRecord, serverErrorStatus } from "./sendRecord.ts";
 import { ServerSelector, defaultRetryS } from "./serverSelector.ts";
-import { adapterKey, demandKey, type PlacementClient, type GatewayContext } from "./gatewayContext.ts";
-import type { QuotaGrant, QuotaTask } from "./customers/quotaTask.ts";
-import type { RunLockTask } from "./runLockTask.ts";
-import { ResumableStream } from "./resumableStream.ts";
+import { adapterKey, demandKey, type PlacementClient, type GatewayContext } from "../gatewayContext.ts";
+import type { QuotaGrant, QuotaTask } from "../customers/quotaTask.ts";
+import type { RunLockTask } from "../quarantine/runLockTask.ts";
+import { ResumableStream } from "../streams/resumableStream.ts";
 import type { CustomerIdentity, RouteResolver } from "./routeResolver.ts";
-import type { StreamVersionClient } from "./streamVersionTask.ts";
+import type { StreamVersionClient } from "../streams/streamVersionTask.ts";
 
 /** Refused sends allowed on top of the route's `maxAttempts`; bounds the retries of a request that no server runs. */
 const maxExtraRefusedSends = 3;
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/requests/forwardedRequest.ts
@@ -4,9 +4,9 @@
  */
 import * as purify from "purify-ts";
 import * as Schema from "effect/Schema";
-import { decodeEither } from "../common/decode.ts";
-import { ErrorKind, type Failure } from "../common/errors.ts";
-import type { HeaderCodec, HeaderMap, ResponseMetadata } from "../serving/exchange.ts";
+import { decodeEither } from "../../common/decode.ts";
+import { ErrorKind, type Failure } from "../../common/errors.ts";
+import type { HeaderCodec, HeaderMap, ResponseMetadata } from "../../serving/exchange.ts";
 
 /** Name of the header with a `ForwardedRequest`. */
 export const requestHeader = "parsleynotch-forwarded";
--- a/src/gateway/peerForwarder.ts
+++ b/src/gateway/requests/peerForwarder.ts
@@ -1,10 +1,10 @@
 /** Passes requests on to peers that can connect to the servers, and finds those peers. */
 import * as http from "node:http";
-import type { Disposable } from "../common/disposables.ts";
-import type { BackendServer } from "../serving/backendServer.ts";
-import { choosePeer } from "../serving/forwarding.ts";
-import { formatEndpoint } from "../serving/hostSettings.ts";
-import type { NodeStatus, Peer } from "../serving/membership/peerTable.ts";
+import type { Disposable } from "../../common/disposables.ts";
+import type { BackendServer } from "../../serving/backendServer.ts";
+import { choosePeer } from "../../serving/forwarding.ts";
+import { formatEndpoint } from "../../serving/hostSettings.ts";
+import type { NodeStatus, Peer } from "../../serving/membership/peerTable.ts";
 import { Attempt, type AttemptOptions, type StreamSink } from "./attempt.ts";
 import {
   forwardedRequestHeaders,
@@ -13,7 +13,7 @@
   type RelayedResponse,
 } from "./forwardedRequest.ts";
 import type { CallerConnection } from "./callerConnection.ts";
-import type { GatewayContext } from "./gatewayContext.ts";
+import type { GatewayContext } from "../gatewayContext.ts";
 
 /** Idle connections kept per peer, and how long, ms: a peer that lost power doesn't close them. */
 const maxIdleConnections = 16;
--- a/src/gateway/routeResolver.ts
+++ b/src/gateway/requests/routeResolver.ts
@@ -1,12 +1,12 @@
 /** Finds the route of a request in a configuration that is known to be in force. */
-import { Failure, type ErrorKind } from "../common/errors.ts";
-import type { Route, Service } from "../serving/configuration.ts";
-import { urgencyOf, type Customer, type Urgency } from "../serving/customers/customer.ts";
-import type { RequestMetadata } from "../serving/exchange.ts";
-import type { RouteTable } from "../serving/routeTable.ts";
-import type { ActiveConfiguration } from "./activeConfiguration.ts";
-import type { ConfigurationRefresh } from "./configurationRefresh.ts";
-import { streamIdOf } from "./resumableStream.ts";
+import { Failure, type ErrorKind } from "../../common/errors.ts";
+import type { Route, Service } from "../../serving/configuration.ts";
+import { urgencyOf, type Customer, type Urgency } from "../../serving/customers/customer.ts";
+import type { RequestMetadata } from "../../serving/exchange.ts";
+import type { RouteTable } from "../../serving/routeTable.ts";
+import type { ActiveConfiguration } from "../store/activeConfiguration.ts";
+import type { ConfigurationRefresh } from "../store/configurationRefresh.ts";
+import { streamIdOf } from "../streams/resumableStream.ts";
 
 /** Maximum wait of a request for the configuration to be confirmed, ms. */
 const maxWaitMs = 1_000;
--- a/src/gateway/sendRecord.ts
+++ b/src/gateway/requests/sendRecord.ts
@@ -1,10 +1,10 @@
 /** Records the sends of one request: load while in flight, and outcomes for health and speed estimates. */
-import type { Model, Service } from "../serving/configuration.ts";
-import type { RequestMetadata } from "../serving/exchange.ts";
-import type { InFlightRequest } from "../serving/loadTracker.ts";
-import { sharedPrefixTokens, type ServerEstimate } from "../serving/serverChoice.ts";
+import type { Model, Service } from "../../serving/configuration.ts";
+import type { RequestMetadata } from "../../serving/exchange.ts";
+import type { InFlightRequest } from "../../serving/loadTracker.ts";
+import { sharedPrefixTokens, type ServerEstimate } from "../../serving/serverChoice.ts";
 import type { AttemptOutcome } from "./attempt.ts";
-import { adapterKey, residencyKey, type GatewayContext } from "./gatewayContext.ts";
+import { adapterKey, residencyKey, type GatewayContext } from "../gatewayContext.ts";
 
 /** Prompts with a larger shared prefix are not used to estimate the prefill factor of a model. */
 const maxSharedPrefixRatio = 0.4;
--- a/src/gateway/serverCandidates.ts
+++ b/src/gateway/requests/serverCandidates.ts
@@ -1,8 +1,8 @@
 /** Backend servers that could serve one request: now, or once their rate limit or back-off allows it. */
-import { holds, type BackendServer } from "../serving/backendServer.ts";
-import type { Service } from "../serving/configuration.ts";
-import type { RequestMetadata } from "../serving/exchange.ts";
-import type { GatewayContext } from "./gatewayContext.ts";
+import { holds, type BackendServer } from "../../serving/backendServer.ts";
+import type { Service } from "../../serving/configuration.ts";
+import type { RequestMetadata } from "../../serving/exchange.ts";
+import type { GatewayContext } from "../gatewayContext.ts";
 
 /** Options of `ServerCandidates`. */
 export interface ServerCandidatesOptions {
--- a/src/gateway/serverSelector.ts
+++ b/src/gateway/requests/serverSelector.ts
@@ -1,17 +1,17 @@
 /** Selects a server for one request, waiting for its model, adapter or a rate-limit permit if necessary. */
-import type { Disposable } from "../common/disposables.ts";
-import { admit } from "../serving/admission.ts";
-import type { BackendServer } from "../serving/backendServer.ts";
-import type { Route, Service } from "../serving/configuration.ts";
-import type { ResponseMetadata, RequestMetadata } from "../serving/exchange.ts";
-import { confirmationMs } from "../serving/forwarding.ts";
-import type { RequestDeadlines } from "../serving/requestDeadlines.ts";
-import type { NodeStatus } from "../serving/membership/peerTable.ts";
-import { chooseServer, type ServerEstimate } from "../serving/serverChoice.ts";
+import type { Disposable } from "../../common/disposables.ts";
+import { admit } from "../../serving/admission.ts";
+import type { BackendServer } from "../../serving/backendServer.ts";
+import type { Route, Service } from "../../serving/configuration.ts";
+import type { ResponseMetadata, RequestMetadata } from "../../serving/exchange.ts";
+import { confirmationMs } from "../../serving/forwarding.ts";
+import type { RequestDeadlines } from "../../serving/requestDeadlines.ts";
+import type { NodeStatus } from "../../serving/membership/peerTable.ts";
+import { chooseServer, type ServerEstimate } from "../../serving/serverChoice.ts";
 import type { PeerNeed } from "./peerForwarder.ts";
 import { ServerCandidates } from "./serverCandidates.ts";
 import type { QueuePosition } from "./slotQueue.ts";
-import { demandKey, type PlacementClient, type GatewayContext } from "./gatewayContext.ts";
+import { demandKey, type PlacementClient, type GatewayContext } from "../gatewayContext.ts";
 
 /** Maximum interval between checks for an available server, ms. */
 const recheckIntervalMs = 250;
--- a/src/gateway/upstreamPool.ts
+++ b/src/gateway/requests/upstreamPool.ts
@@ -1,7 +1,7 @@
 /** Connections to backend servers: one pool per incarnation, so that a reused address starts with new connections. */
 import * as http from "node:http";
 import type * as net from "node:net";
-import type { Disposable } from "../common/disposables.ts";
+import type { Disposable } from "../../common/disposables.ts";
 
 /** Idle connections kept per server. */
 const maxIdleConnections = 6;
--- a/src/gateway/fleetTask.ts
+++ b/src/gateway/servers/fleetTask.ts
@@ -1,24 +1,24 @@
 /** Keeps the fleet up to date with the servers' registrations, read from the store or pulled from a peer that reads it. */
 import * as Schema from "effect/Schema";
 import type * as purify from "purify-ts";
-import { decode, decodeEither } from "../common/decode.ts";
-import { toFailure, type Failure } from "../common/errors.ts";
-import type { Handler } from "../common/rpc.ts";
-import { LoopTask } from "../common/loopTask.ts";
-import { BackendServer, incarnationOf, startedAfter } from "../serving/backendServer.ts";
-import type { ChangeScope, Registration } from "../serving/fleet.ts";
-import type { NoticeChange } from "../serving/serverNotices.ts";
-import type { PeerVersions } from "./peerCalls.ts";
-import type { RowSet, Store } from "../serving/store.ts";
+import { decode, decodeEither } from "../../common/decode.ts";
+import { toFailure, type Failure } from "../../common/errors.ts";
+import type { Handler } from "../../common/rpc.ts";
+import { LoopTask } from "../../common/loopTask.ts";
+import { BackendServer, incarnationOf, startedAfter } from "../../serving/backendServer.ts";
+import type { ChangeScope, Registration } from "../../serving/fleet.ts";
+import type { NoticeChange } from "../../serving/serverNotices.ts";
+import type { PeerVersions } from "../membership/peerCalls.ts";
+import type { RowSet, Store } from "../../serving/store.ts";
 import {
   initialPosition,
   formatPosition,
   isAfter,
   laterOf,
   StorePosition,
-} from "../serving/storePosition.ts";
-import type { GatewayContext } from "./gatewayContext.ts";
-import type { StoreHealth } from "./storeHealth.ts";
+} from "../../serving/storePosition.ts";
+import type { GatewayContext } from "../gatewayContext.ts";
+import type { StoreHealth } from "../store/storeHealth.ts";
 
 /**
  * Pause between reads, ms. A server that is shutting down must get no requests after 2 s. Registrations change with every
--- a/src/gateway/permitTask.ts
+++ b/src/gateway/servers/permitTask.ts
@@ -1,14 +1,14 @@
 /** Requests the permits that this node needs from their issuers, and grants permits to other nodes, by datagram. */
 import * as Schema from "effect/Schema";
-import { decodeEither } from "../common/decode.ts";
-import type { Emitter } from "../common/emitter.ts";
-import type { Log } from "../common/log.ts";
-import type { Task } from "../common/supervisor.ts";
-import type { PeerAddress } from "../serving/membership/peerTable.ts";
-import { PermitRequest, type PermitIssuer } from "../serving/permits/permitIssuer.ts";
-import type { Permits } from "../serving/permits/permits.ts";
-import { ObservedRateLimit, type ServerNotices } from "../serving/serverNotices.ts";
-import type { PeerTask } from "./peerTask.ts";
+import { decodeEither } from "../../common/decode.ts";
+import type { Emitter } from "../../common/emitter.ts";
+import type { Log } from "../../common/log.ts";
+import type { Task } from "../../common/supervisor.ts";
+import type { PeerAddress } from "../../serving/membership/peerTable.ts";
+import { PermitRequest, type PermitIssuer } from "../../serving/permits/permitIssuer.ts";
+import type { Permits } from "../../serving/permits/permits.ts";
+import { ObservedRateLimit, type ServerNotices } from "../../serving/serverNotices.ts";
+import type { PeerTask } from "../membership/peerTask.ts";
 
 /** Changes of demand within this time are sent together, ms. */
 const batchMs = 10;
--- a/src/gateway/reachabilityTask.ts
+++ b/src/gateway/servers/reachabilityTask.ts
@@ -4,13 +4,13 @@
  * server nothing, and no caller's request waits for it.
  */
 import * as net from "node:net";
-import { setTimeoutAfterInput, waitForPendingInput } from "../common/readWatermark.ts";
-import type { Task } from "../common/supervisor.ts";
-import { isPartitionedFrom, type NodeView } from "../serving/forwarding.ts";
-import { parseEndpoint } from "../serving/hostSettings.ts";
-import type { ReachabilitySummary } from "../serving/serverReachability.ts";
-import { connectTimeoutMs } from "./attempt.ts";
-import type { GatewayContext } from "./gatewayContext.ts";
+import { setTimeoutAfterInput, waitForPendingInput } from "../../common/readWatermark.ts";
+import type { Task } from "../../common/supervisor.ts";
+import { isPartitionedFrom, type NodeView } from "../../serving/forwarding.ts";
+import { parseEndpoint } from "../../serving/hostSettings.ts";
+import type { ReachabilitySummary } from "../../serving/serverReachability.ts";
+import { connectTimeoutMs } from "../requests/attempt.ts";
+import type { GatewayContext } from "../gatewayContext.ts";
 
 /** Period of checks while a request is in flight or a server is unreachable, ms. */
 const checkPeriodMs = 150;
--- a/src/gateway/serverGossip.ts
+++ b/src/gateway/servers/serverGossip.ts
@@ -3,12 +3,12 @@
  * state, and the use of customers' quotas.
  */
 import * as Schema from "effect/Schema";
-import { decodeEither } from "../common/decode.ts";
-import { DisposableStore } from "../common/disposables.ts";
-import type { Task } from "../common/supervisor.ts";
-import { LoadsMessage } from "../serving/loadTracker.ts";
-import type { GatewayContext } from "./gatewayContext.ts";
-import type { PeerTask } from "./peerTask.ts";
+import { decodeEither } from "../../common/decode.ts";
+import { DisposableStore } from "../../common/disposables.ts";
+import type { Task } from "../../common/supervisor.ts";
+import { LoadsMessage } from "../../serving/loadTracker.ts";
+import type { GatewayContext } from "../gatewayContext.ts";
+import type { PeerTask } from "../membership/peerTask.ts";
 
 /** What a server stated to a peer about the rejections that it bears. */
 const BrittleMessage = Schema.Struct({
--- a/src/gateway/activeConfiguration.ts
+++ b/src/gateway/store/activeConfiguration.ts
@@ -1,7 +1,7 @@
 /** The active configuration of a node, and how recently it was confirmed to be the newest one. */
-import { Emitter } from "../common/emitter.ts";
-import { elapsedMsSince, takeInstant, type Instant } from "../common/instant.ts";
-import type { RouteTable } from "../serving/routeTable.ts";
+import { Emitter } from "../../common/emitter.ts";
+import { elapsedMsSince, takeInstant, type Instant } from "../../common/instant.ts";
+import type { RouteTable } from "../../serving/routeTable.ts";
 
 /** A confirmation: every version acknowledged before it is contained in the active configuration. */
 interface Confirmation {
--- a/src/gateway/configurationRefresh.ts
+++ b/src/gateway/store/configurationRefresh.ts
@@ -1,10 +1,10 @@
 /** Confirms the active configuration when decisions need it: asks peers that know, then the store. */
-import { toFailure } from "../common/errors.ts";
-import type { Log } from "../common/log.ts";
-import { setTimeoutAfterInput } from "../common/readWatermark.ts";
-import type { ConfigurationAgeLimits } from "../serving/configurationAge.ts";
+import { toFailure } from "../../common/errors.ts";
+import type { Log } from "../../common/log.ts";
+import { setTimeoutAfterInput } from "../../common/readWatermark.ts";
+import type { ConfigurationAgeLimits } from "../../serving/configurationAge.ts";
 import type { ActiveConfiguration } from "./activeConfiguration.ts";
-import type { GatewayMetrics } from "./gatewayMetrics.ts";
+import type { GatewayMetrics } from "../gatewayMetrics.ts";
 
 /** The next source is asked too if one hasn't answered for this long, ms: its connection may be dead. */
 const hedgeDelayMs = 100;
--- a/src/gateway/configurationTask.ts
+++ b/src/gateway/store/configurationTask.ts
@@ -1,19 +1,19 @@
 /** Keeps the active configuration up to date, read from the store or pulled from a peer that has a newer one. */
 import * as Schema from "effect/Schema";
 import type * as purify from "purify-ts";
-import { decode } from "../common/decode.ts";
-import { toFailure, type Failure } from "../common/errors.ts";
-import { elapsedMsSince, takeInstant } from "../common/instant.ts";
-import type { Log } from "../common/log.ts";
-import type { Handler } from "../common/rpc.ts";
-import type { Configuration } from "../serving/configuration.ts";
-import type { ConfigurationAgeLimits } from "../serving/configurationAge.ts";
-import { RouteTable } from "../serving/routeTable.ts";
-import type { RowSet } from "../serving/store.ts";
-import type { PeerCalls, PeerVersions } from "./peerCalls.ts";
+import { decode } from "../../common/decode.ts";
+import { toFailure, type Failure } from "../../common/errors.ts";
+import { elapsedMsSince, takeInstant } from "../../common/instant.ts";
+import type { Log } from "../../common/log.ts";
+import type { Handler } from "../../common/rpc.ts";
+import type { Configuration } from "../../serving/configuration.ts";
+import type { ConfigurationAgeLimits } from "../../serving/configurationAge.ts";
+import { RouteTable } from "../../serving/routeTable.ts";
+import type { RowSet } from "../../serving/store.ts";
+import type { PeerCalls, PeerVersions } from "../membership/peerCalls.ts";
 import type { ActiveConfiguration } from "./activeConfiguration.ts";
 import { ConfigurationRefresh, type ConfigurationSource } from "./configurationRefresh.ts";
-import type { GatewayMetrics } from "./gatewayMetrics.ts";
+import type { GatewayMetrics } from "../gatewayMetrics.ts";
 import type { StoreHealth } from "./storeHealth.ts";
 import { TableTask, type TableTaskOptions } from "./tableTask.ts";
 
--- a/src/gateway/storeHealth.ts
+++ b/src/gateway/store/storeHealth.ts
@@ -1,8 +1,8 @@
 /** Tracks whether the store answers this node, and logs each loss and recovery once. */
-import type { Failure } from "../common/errors.ts";
-import { Emitter } from "../common/emitter.ts";
-import type { Log } from "../common/log.ts";
-import type { GatewayMetrics } from "./gatewayMetrics.ts";
+import type { Failure } from "../../common/errors.ts";
+import { Emitter } from "../../common/emitter.ts";
+import type { Log } from "../../common/log.ts";
+import type { GatewayMetrics } from "../gatewayMetrics.ts";
 
 /** Shorter outages can't have let a registration expire, ms: less than one heartbeat of a server. */
 const minReportedOutageMs = 800;
--- a/src/gateway/storeReaderRole.ts
+++ b/src/gateway/store/storeReaderRole.ts
@@ -1,6 +1,10 @@
 /** Decides whether this node is one of the store readers, by the age of the other nodes' reads as they report it. */
-import { maxFreshReadAgeMs, shouldReadStore, type StoreReader } from "../serving/membership/storeReaders.ts";
-import type { PeerTable } from "../serving/membership/peerTable.ts";
+import {
+  maxFreshReadAgeMs,
+  shouldReadStore,
+  type StoreReader,
+} from "../../serving/membership/storeReaders.ts";
+import type { PeerTable } from "../../serving/membership/peerTable.ts";
 
 /**
  * A standby node reads the store itself when no active node has read it for this long, ms: two missed read periods, and
--- a/src/gateway/tableTask.ts
+++ b/src/gateway/store/tableTask.ts
@@ -1,9 +1,9 @@
 /** Follows a table of the store while this node is a store reader: reads all rows, then waits for changes. */
-import { LoopTask } from "../common/loopTask.ts";
-import { toFailure, type Failure } from "../common/errors.ts";
-import { elapsedMsSince, takeInstant, type Instant } from "../common/instant.ts";
-import type { RowSet, Store } from "../serving/store.ts";
-import type { StorePosition } from "../serving/storePosition.ts";
+import { LoopTask } from "../../common/loopTask.ts";
+import { toFailure, type Failure } from "../../common/errors.ts";
+import { elapsedMsSince, takeInstant, type Instant } from "../../common/instant.ts";
+import type { RowSet, Store } from "../../serving/store.ts";
+import type { StorePosition } from "../../serving/storePosition.ts";
 
 /** Pause after a failed call, ms. */
 const retryMs = 250;
--- a/src/gateway/resumableStream.ts
+++ b/src/gateway/streams/resumableStream.ts
@@ -1,10 +1,10 @@
 /** Ties the stream of one request to the software version that began it, over all servers, nodes and attempts. */
-import { Failure } from "../common/errors.ts";
-import type { Route, Service } from "../serving/configuration.ts";
-import type { RequestMetadata } from "../serving/exchange.ts";
-import type { StreamSink } from "./attempt.ts";
-import type { CallerConnection } from "./callerConnection.ts";
-import type { GatewayContext } from "./gatewayContext.ts";
+import { Failure } from "../../common/errors.ts";
+import type { Route, Service } from "../../serving/configuration.ts";
+import type { RequestMetadata } from "../../serving/exchange.ts";
+import type { StreamSink } from "../requests/attempt.ts";
+import type { CallerConnection } from "../requests/callerConnection.ts";
+import type { GatewayContext } from "../gatewayContext.ts";
 import type { StreamVersionClient } from "./streamVersionTask.ts";
 
 /** Options of a `ResumableStream`. */
--- a/src/gateway/streamPublisher.ts
+++ b/src/gateway/streams/streamPublisher.ts
@@ -3,12 +3,12 @@
  * callers may resume them elsewhere: one row per node, written at most a few times a second however many streams there are.
  */
 import * as Schema from "effect/Schema";
-import { decode } from "../common/decode.ts";
-import { toFailure } from "../common/errors.ts";
-import type { Log } from "../common/log.ts";
-import type { Task } from "../common/supervisor.ts";
-import type { Store } from "../serving/store.ts";
-import type { StreamVersion } from "../serving/streams/streamVersions.ts";
+import { decode } from "../../common/decode.ts";
+import { toFailure } from "../../common/errors.ts";
+import type { Log } from "../../common/log.ts";
+import type { Task } from "../../common/supervisor.ts";
+import type { Store } from "../../serving/store.ts";
+import type { StreamVersion } from "../../serving/streams/streamVersions.ts";
 
 const table = "parsleynotch_streams";
 /** Shortest time between two writes, ms. */
--- a/src/gateway/streamVersionTask.ts
+++ b/src/gateway/streams/streamVersionTask.ts
@@ -4,15 +4,15 @@
  * doesn't grow with the number of nodes. Nothing is sent for services whose servers have one version.
  */
 import * as Schema from "effect/Schema";
-import { decodeEither } from "../common/decode.ts";
-import type { Disposable } from "../common/disposables.ts";
-import { toFailure } from "../common/errors.ts";
-import type { Task } from "../common/supervisor.ts";
-import type { PeerAddress } from "../serving/membership/peerTable.ts";
-import { ownersOf } from "../serving/membership/owner.ts";
-import type { StreamVersion } from "../serving/streams/streamVersions.ts";
-import type { GatewayContext } from "./gatewayContext.ts";
-import type { PeerTask } from "./peerTask.ts";
+import { decodeEither } from "../../common/decode.ts";
+import type { Disposable } from "../../common/disposables.ts";
+import { toFailure } from "../../common/errors.ts";
+import type { Task } from "../../common/supervisor.ts";
+import type { PeerAddress } from "../../serving/membership/peerTable.ts";
+import { ownersOf } from "../../serving/membership/owner.ts";
+import type { StreamVersion } from "../../serving/streams/streamVersions.ts";
+import type { GatewayContext } from "../gatewayContext.ts";
+import type { PeerTask } from "../membership/peerTask.ts";
 import type { StreamPublisher } from "./streamPublisher.ts";
 
 /** Nodes that are told of a stream; more than can plausibly fail together with the stream's own node. */
--- a/src/gateway/versionHistoryTask.ts
+++ b/src/gateway/streams/versionHistoryTask.ts
@@ -3,12 +3,12 @@
  * memory at once. Written by the holder of the placement lease, only when versions change.
  */
 import * as Schema from "effect/Schema";
-import { decode } from "../common/decode.ts";
-import type { Disposable } from "../common/disposables.ts";
-import type { Log } from "../common/log.ts";
-import { PeriodicTask } from "../common/supervisor.ts";
-import type { RowSet, Store } from "../serving/store.ts";
-import type { VersionHistory } from "../serving/streams/versionHistory.ts";
+import { decode } from "../../common/decode.ts";
+import type { Disposable } from "../../common/disposables.ts";
+import type { Log } from "../../common/log.ts";
+import { PeriodicTask } from "../../common/supervisor.ts";
+import type { RowSet, Store } from "../../serving/store.ts";
+import type { VersionHistory } from "../../serving/streams/versionHistory.ts";
 
 const table = "parsleynotch_versions";
 /** Period of writes while a service has several versions, ms. */
--- a/test/gateway/attempt.spec.ts
+++ b/test/gateway/attempt.spec.ts
@@ -2,7 +2,7 @@
 import * as net from "node:net";
 import { expect } from "chai";
 import * as requestHeaders from "../../platform/requestHeaders.ts";
-import { Attempt } from "../../src/gateway/attempt.ts";
+import { Attempt } from "../../src/gateway/requests/attempt.ts";
 
 /** Agent whose connections fail as soon as they are attempted, as without a route to the host. */
 class UnroutableAgent extends http.Agent {
--- a/test/gateway/engineController.spec.ts
+++ b/test/gateway/engineController.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { Emitter } from "../../src/common/emitter.ts";
 import { createLog } from "../../src/common/log.ts";
-import { EngineController } from "../../src/gateway/engineController.ts";
+import { EngineController } from "../../src/gateway/placement/engineController.ts";
 import { GatewayMetrics } from "../../src/gateway/gatewayMetrics.ts";
 import type { BackendServer, Resident } from "../../src/serving/backendServer.ts";
 import type { EngineReport, EngineNotice, EngineApi, Order, OrderOutcome } from "../../src/serving/orders.ts";
--- a/test/gateway/heartbeats.spec.ts
+++ b/test/gateway/heartbeats.spec.ts
@@ -4,7 +4,7 @@
 import { expect } from "chai";
 import { createLog } from "../../src/common/log.ts";
 import { GatewayMetrics } from "../../src/gateway/gatewayMetrics.ts";
-import { PeerTask } from "../../src/gateway/peerTask.ts";
+import { PeerTask } from "../../src/gateway/membership/peerTask.ts";
 import { PeerTable, type Heartbeat, type Member } from "../../src/serving/membership/peerTable.ts";
 import { nextAddress, waitUntil } from "../fixtures/gateways.ts";
 
--- a/test/gateway/lateReader.spec.ts
+++ b/test/gateway/lateReader.spec.ts
@@ -5,7 +5,7 @@
 import * as requestHeaders from "../../platform/requestHeaders.ts";
 import { callHttp } from "../../src/common/httpCall.ts";
 import { ReadWatermark } from "../../src/common/readWatermark.ts";
-import { Attempt } from "../../src/gateway/attempt.ts";
+import { Attempt } from "../../src/gateway/requests/attempt.ts";
 import { PeerTable, type Heartbeat } from "../../src/serving/membership/peerTable.ts";
 
 /** A server on its own thread: it responds in 50 ms while this thread is blocked. */
--- a/test/gateway/leaseTask.spec.ts
+++ b/test/gateway/leaseTask.spec.ts
@@ -2,8 +2,8 @@
 import { DisposableStore } from "../../src/common/disposables.ts";
 import { createLog } from "../../src/common/log.ts";
 import { GatewayMetrics } from "../../src/gateway/gatewayMetrics.ts";
-import { LeaseTask } from "../../src/gateway/leaseTask.ts";
-import { StoreHealth } from "../../src/gateway/storeHealth.ts";
+import { LeaseTask } from "../../src/gateway/placement/leaseTask.ts";
+import { StoreHealth } from "../../src/gateway/store/storeHealth.ts";
 import { waitUntil } from "../fixtures/gateways.ts";
 import { MemoryStore, type MemoryStoreClient } from "../fixtures/memoryStore.ts";
 
--- a/test/gateway/memberTask.spec.ts
+++ b/test/gateway/memberTask.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { createLog } from "../../src/common/log.ts";
-import { MemberTask } from "../../src/gateway/memberTask.ts";
+import { MemberTask } from "../../src/gateway/membership/memberTask.ts";
 import { PeerTable, type Member } from "../../src/serving/membership/peerTable.ts";
 import { waitUntil } from "../fixtures/gateways.ts";
 import { MemoryStore } from "../fixtures/memoryStore.ts";
--- a/test/gateway/quarantineTask.spec.ts
+++ b/test/gateway/quarantineTask.spec.ts
@@ -2,7 +2,7 @@
 import { DisposableStore } from "../../src/common/disposables.ts";
 import { createLog } from "../../src/common/log.ts";
 import { GatewayMetrics } from "../../src/gateway/gatewayMetrics.ts";
-import { QuarantineTask } from "../../src/gateway/quarantineTask.ts";
+import { QuarantineTask } from "../../src/gateway/quarantine/quarantineTask.ts";
 import { Quarantine } from "../../src/serving/quarantine/quarantine.ts";
 import { waitUntil } from "../fixtures/gateways.ts";
 import { MemoryStore, type MemoryStoreClient } from "../fixtures/memoryStore.ts";
--- a/test/gateway/routeResolver.spec.ts
+++ b/test/gateway/routeResolver.spec.ts
@@ -1,10 +1,13 @@
 import { expect } from "chai";
 import { Failure } from "../../src/common/errors.ts";
 import { createLog } from "../../src/common/log.ts";
-import { ActiveConfiguration } from "../../src/gateway/activeConfiguration.ts";
-import { ConfigurationRefresh, type ConfigurationSource } from "../../src/gateway/configurationRefresh.ts";
+import { ActiveConfiguration } from "../../src/gateway/store/activeConfiguration.ts";
+import {
+  ConfigurationRefresh,
+  type ConfigurationSource,
+} from "../../src/gateway/store/configurationRefresh.ts";
 import { GatewayMetrics } from "../../src/gateway/gatewayMetrics.ts";
-import { RouteResolver } from "../../src/gateway/routeResolver.ts";
+import { RouteResolver } from "../../src/gateway/requests/routeResolver.ts";
 import { configurationAgeLimits } from "../../src/serving/configurationAge.ts";
 import type { RequestMetadata } from "../../src/serving/exchange.ts";
 import { hashApiKey } from "../../src/serving/customers/apiKey.ts";
--- a/test/gateway/standbyRoster.spec.ts
+++ b/test/gateway/standbyRoster.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { Emitter } from "../../src/common/emitter.ts";
 import { createLog } from "../../src/common/log.ts";
-import { ActivationTask } from "../../src/gateway/activationTask.ts";
+import { ActivationTask } from "../../src/gateway/membership/activationTask.ts";
 import { PeerTable, type Heartbeat, type Roster } from "../../src/serving/membership/peerTable.ts";
 import { initialPosition } from "../../src/serving/storePosition.ts";
 
--- a/test/gateway/streamVersionTask.spec.ts
+++ b/test/gateway/streamVersionTask.spec.ts
@@ -2,7 +2,10 @@
 import * as requestHeaders from "../../platform/requestHeaders.ts";
 import { createLog } from "../../src/common/log.ts";
 import { createGatewayContext, type GatewayContext } from "../../src/gateway/gatewayContext.ts";
-import { StreamVersionTask, type StreamVersionTaskOptions } from "../../src/gateway/streamVersionTask.ts";
+import {
+  StreamVersionTask,
+  type StreamVersionTaskOptions,
+} from "../../src/gateway/streams/streamVersionTask.ts";
 import type { PeerAddress } from "../../src/serving/membership/peerTable.ts";
 
 interface Notice {
--- a/test/gateway/utilization.spec.ts
+++ b/test/gateway/utilization.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { Utilization } from "../../src/gateway/utilization.ts";
+import { Utilization } from "../../src/gateway/membership/utilization.ts";
 
 describe("utilization", () => {
   let idle: number;
--- a/test/serving/concurrencyLimiter.spec.ts
+++ b/test/serving/concurrencyLimiter.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import type { BackendServer } from "../../src/serving/backendServer.ts";
 import { ConcurrencyLimiter } from "../../src/serving/concurrencyLimiter.ts";
-import { SlotQueue } from "../../src/gateway/slotQueue.ts";
+import { SlotQueue } from "../../src/gateway/requests/slotQueue.ts";
 
 const nodes = ["n-1", "n-2", "n-3", "n-4", "n-5"];
 
