--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -11,24 +11,25 @@
 import { shouldShed } from "../../serving/overload.ts";
 import { firstByteTimeoutMs, eventGapTimeoutMs } from "../../serving/sendRules.ts";
 import type { ServerEstimate } from "../../serving/serverChoice.ts";
-import { Attempt, type AttemptOutcome, type BufferedResponse } from "./attempt.ts";
+import type { Attempt, AttemptOutcome, BufferedResponse } from "./attempt.ts";
 import type { CallerConnection } from "./callerConnection.ts";
 import { QuarantineCheck } from "../quarantine/quarantineCheck.ts";
 import { withoutNodeHeaders, type RelayedResponse } from "./forwardedRequest.ts";
 import type { ForwardedSend, PeerForwarder, PeerNeed } from "./peerForwarder.ts";
+import { QuotaCheck } from "./quotaCheck.ts";
+import { RequestLog } from "./requestLog.ts";
 import { SendRecord, serverErrorStatus } from "./sendRecord.ts";
 import { ServerSelector, defaultRetryS } from "./serverSelector.ts";
+import { sendToServer } from "./serverSend.ts";
 import { adapterKey, demandKey, type PlacementClient, type GatewayContext } from "../gatewayContext.ts";
-import type { QuotaGrant, QuotaTask } from "../customers/quotaTask.ts";
+import type { QuotaTask } from "../customers/quotaTask.ts";
 import type { RunLockTask } from "../quarantine/runLockTask.ts";
 import { ResumableStream } from "../streams/resumableStream.ts";
-import type { CustomerIdentity, RouteResolver } from "./routeResolver.ts";
+import type { CustomerIdentity, ResolvedRoute, RouteResolver } from "./routeResolver.ts";
 import type { StreamVersionClient } from "../streams/streamVersionTask.ts";
 
 /** Refused sends allowed on top of the route's `maxAttempts`; bounds the retries of a request that no server runs. */
 const maxExtraRefusedSends = 3;
-/** A request that may have been unread in the socket buffer for longer than this is logged as read late, ms. */
-const lateReadThresholdMs = 100;
 /** Minimum Retry-After of an overloaded node, s; jittered up to twice as much. */
 const overloadRetryAfterS = 0.3;
 /** Maximum number of peers to which a request is passed on. */
@@ -41,8 +42,6 @@
   "no-configuration",
   "unknown-route",
 ]);
-/** Engines rank requests from 0 to this. */
-const maxRank = 9;
 /** Time reserved before the caller's deadline for writing the final response, ms. */
 const responseMarginMs = 40;
 
@@ -67,13 +66,13 @@
 export class Exchange {
   private readonly context: GatewayContext;
   private readonly caller: CallerConnection;
-  /** Earliest possible arrival time, and the longest time the request may have been unread in the socket buffer, ms. */
+  /** Earliest possible arrival time, ms. */
   private readonly arrivedMs: number;
-  private readonly maxUnreadMs: number;
-  private readonly readAtMs = performance.now();
+  private readonly requestLog: RequestLog;
   /** Start of the wait caused by this node, ms; excludes the time the caller takes to send the body. */
   private waitingSinceMs: number;
   private metadata!: RequestMetadata;
+  private resolved: ResolvedRoute | undefined;
   private route!: Route;
   private service!: Service;
   private customer: CustomerIdentity | undefined;
@@ -83,10 +82,7 @@
   private body: Buffer | undefined;
   private quarantine!: QuarantineCheck;
   private record!: SendRecord;
-  /** Set while the request counts towards its customer's quota. */
-  private quotaGrant: QuotaGrant | undefined;
-  /** Whether the outcome of a send leaves open that the request was run. */
-  private mayHaveRun = false;
+  private quota: QuotaCheck | undefined;
   /** Retry-After, s, where the request is refused regardless of the available servers. */
   private refusalRetryS: number | undefined;
   private sends = 0;
@@ -110,9 +106,10 @@
     const { arrivedMs: receivedMs, forwarded } = this.caller;
     this.arrivedMs = receivedMs - (forwarded?.ageMs ?? 0);
     this.possibleRuns = forwarded?.runs ?? 0;
-    this.maxUnreadMs = this.readAtMs - receivedMs;
+    const maxUnreadMs = performance.now() - receivedMs;
+    this.requestLog = new RequestLog(this.context, maxUnreadMs);
     this.waitingSinceMs = receivedMs;
-    this.context.metrics.readLag.observe(this.maxUnreadMs / 1000);
+    this.context.metrics.readLag.observe(maxUnreadMs / 1000);
   }
 
   /** Resolves after the final response; never rejects. */
@@ -125,7 +122,7 @@
       this.refuse(toFailure(error));
     } finally {
       this.caller.onDisconnect(undefined);
-      if (!this.mayHaveRun) this.quotaGrant?.refund();
+      this.quota?.dispose();
       // Undefined if the request was refused before server selection.
       (this.selector as ServerSelector | undefined)?.releaseSlot();
       // Undefined if the request was refused before its body was read.
@@ -160,6 +157,7 @@
       forwarded?.customer,
     );
     const { route, service, maxBodyBytes } = resolved;
+    this.resolved = resolved;
     this.route = route;
     this.service = service;
     this.customer = resolved.customer;
@@ -169,7 +167,7 @@
     if (this.options.shouldRefuseAll() || (route.kind === "stream" && this.options.shouldRefuseStreams())) {
       throw new Failure("draining", "this node is shutting down; use another address");
     }
-    if (forwarded === undefined) await this.checkQuota();
+    await this.checkQuota(resolved);
     const { streamVersions } = this.options;
     const { caller, metadata } = this;
     this.stream = new ResumableStream({ context, streamVersions, caller, metadata, route, service });
@@ -211,18 +209,12 @@
   }
 
   /** Refuses a request beyond the quota of its customer; the node that the caller asked decides. */
-  private async checkQuota(): Promise<void> {
-    const { metadata, customer, route } = this;
-    if (customer === undefined || route.open === true) return;
-    const { requestId, promptTokens, outputTokens } = metadata;
-    const { name, priority } = route;
-    const size = { promptTokens, outputTokens, route: name, priority };
-    const request = { requestId, customer: customer.name, ...size };
-    const outcome = await this.options.quotas.admit(request);
-    if (outcome.kind === "admitted") {
-      this.quotaGrant = outcome.grant;
-      return;
-    }
+  private async checkQuota({ customer, route }: ResolvedRoute): Promise<void> {
+    if (customer === undefined || route.open === true || this.caller.forwarded !== undefined) return;
+    const { quotas } = this.options;
+    this.quota = new QuotaCheck({ quotas, metadata: this.metadata, route, customer: customer.name });
+    const outcome = await this.quota.admit();
+    if (outcome.kind === "admitted") return;
     this.refusalRetryS = outcome.retryAfterMs / 1000;
     throw new Failure("rate-limited", `not run: customer ${customer.name} is ${outcome.detail}`);
   }
@@ -359,10 +351,10 @@
       },
     });
     this.attempt = send.attempt;
-    this.mayHaveRun = true;
+    this.quota?.recordSend();
     const outcome = await send.attempt.outcome;
     this.attempt = undefined;
-    if (provesNotRun(outcome)) this.mayHaveRun = this.possibleRuns > 0;
+    this.quota?.recordOutcome(outcome, this.possibleRuns > 0);
     return this.shouldRetryForwarded(outcome, send.response, send.runs);
   }
 
@@ -417,66 +409,26 @@
     context.reachability.recordSend(server.id, now);
     this.caller.recordSend(server);
     this.quarantine.recordSend();
-    const responseTimeoutMs = this.deadlines.responseDeadlineMs - now - responseMarginMs;
     const isStream = route.kind === "stream";
-    const body = this.body;
-    this.attempt = new Attempt(
-      {
-        server,
-        agent: context.pool.agent(server.id),
-        codec: context.codec,
-        method: this.caller.req.method ?? "GET",
-        path: this.caller.req.url ?? "/",
-        headers: context.codec.forwardHeaders(this.caller.rawHeaders, {
-          serverId: server.id,
-          deadlineMs: Math.max(1, Math.floor(this.deadlines.responseDeadlineMs - now)),
-          customer: this.customer?.name,
-          priority: this.service.engine === undefined ? undefined : Math.min(maxRank, this.urgency.rank),
-          resumeAfterEventId: this.lastEvent,
-          bodyBytes: body?.length,
-        }),
-        body,
-        requestId: request.requestId,
-        sink: isStream ? this.stream.sinkOf(() => server.softwareVersion, true) : undefined,
-        lastDeliveredEvent: this.lastEvent ?? request.lastEventId,
-        firstByteTimeoutMs: this.firstByteTimeoutMs(
-          now,
-          candidate.expectedMs,
-          this.selector.hasAlternative(),
-        ),
-        eventGapTimeoutMs: eventGapTimeoutMs(route, this.possibleRuns),
-        responseTimeoutMs: Math.max(1, responseTimeoutMs),
-      },
-      {
-        onConnected: () => {
-          context.reachability.recordConnected(server.id, performance.now());
-        },
-        onResponse: (metadata) => {
-          const { rejectionsPerS } = metadata.notice;
-          context.concurrency.recordResponse(server, rejectionsPerS, now, performance.now());
-          context.pool.setKeepAlive(server.id, metadata.keepAliveS);
-          context.notices.recordNotice(
-            server,
-            metadata.notice,
-            now,
-            performance.now(),
-            context.watermark.readUpToMs,
-          );
-        },
-        onFirstByte: () => {
-          inFlight.started();
-          if (isStream) this.quarantine.recordFirstEvent();
-          this.observeFirstByte();
-        },
-        onProgress: () => {
-          context.reachability.recordHeard(server.id, performance.now());
-        },
+    const { responseDeadlineMs } = this.deadlines;
+    this.attempt = sendToServer({
+      ...{ context, caller: this.caller, metadata: request, service: this.service, candidate },
+      ...{ urgency: this.urgency, customer: this.customer?.name, body: this.body, responseDeadlineMs },
+      sink: isStream ? this.stream.sinkOf(() => server.softwareVersion, true) : undefined,
+      resumeAfterEventId: this.lastEvent,
+      firstByteTimeoutMs: this.firstByteTimeoutMs(now, candidate.expectedMs, this.selector.hasAlternative()),
+      eventGapTimeoutMs: eventGapTimeoutMs(route, this.possibleRuns),
+      responseTimeoutMs: Math.max(1, responseDeadlineMs - now - responseMarginMs),
+      onFirstByte: () => {
+        inFlight.started();
+        if (isStream) this.quarantine.recordFirstEvent();
+        this.observeFirstByte();
       },
-    );
-    this.mayHaveRun = true;
+    });
+    this.quota?.recordSend();
     const outcome = await this.attempt.outcome;
     this.attempt = undefined;
-    if (provesNotRun(outcome)) this.mayHaveRun = this.possibleRuns > 0;
+    this.quota?.recordOutcome(outcome, this.possibleRuns > 0);
     inFlight.done();
     context.reachability.recordEnd(server.id);
     this.selector.releaseSlot();
@@ -632,34 +584,8 @@
   }
 
   private recordOutcome(outcome: string, detail?: string): void {
-    const route = this.route as Route | undefined;
-    const service = this.service as Service | undefined;
-    const kind = route?.kind ?? "none";
-    this.context.metrics.requests.inc({ kind, service: service?.name ?? "none", outcome });
-    const line = {
-      event: "request",
-      requestId: this.metadata.requestId,
-      route: route?.name,
-      service: service?.name,
-      customer: this.customer?.name,
-      model: this.metadata.model,
-      adapter: this.metadata.adapter,
-      version: this.context.configuration.current?.version,
-      sends: this.sends,
-      tookMs: Math.round(performance.now() - this.readAtMs),
-      outcome,
-      detail,
-      resumes: this.metadata.resumedRequestId,
-      via: this.via,
-      from: this.caller.forwarded?.host,
-      ...(this.maxUnreadMs > lateReadThresholdMs ? { readLateMs: Math.round(this.maxUnreadMs) } : {}),
-    };
-    if (outcome === "ok" || outcome === "status-200") this.context.log.debug(line);
-    else this.context.log.info(line);
+    const { sends, via } = this;
+    const from = this.caller.forwarded?.host;
+    this.requestLog.record(this.metadata, this.resolved, { outcome, detail, sends, via, from });
   }
 }
-
-/** Whether no server ran the request after a send with this outcome. */
-function provesNotRun({ kind }: AttemptOutcome): boolean {
-  return kind === "unreachable" || kind === "not-run";
-}
--- /dev/null
+++ b/src/gateway/requests/serverSend.ts
@@ -0,0 +1,77 @@
+/** One send of a request to a server: its headers and time limits, and what its progress tells the rest of the node. */
+import type { Service } from "../../serving/configuration.ts";
+import type { Urgency } from "../../serving/customers/customer.ts";
+import type { RequestMetadata } from "../../serving/exchange.ts";
+import type { ServerEstimate } from "../../serving/serverChoice.ts";
+import type { GatewayContext } from "../gatewayContext.ts";
+import { Attempt, type AttemptOptions } from "./attempt.ts";
+import type { CallerConnection } from "./callerConnection.ts";
+
+/** Engines rank requests from 0 to this. */
+const maxRank = 9;
+
+/** Options of `sendToServer`. */
+export interface ServerSendOptions extends Pick<
+  AttemptOptions,
+  "body" | "sink" | "firstByteTimeoutMs" | "eventGapTimeoutMs" | "responseTimeoutMs"
+> {
+  readonly context: GatewayContext;
+  readonly caller: CallerConnection;
+  readonly metadata: RequestMetadata;
+  readonly service: Service;
+  readonly candidate: ServerEstimate;
+  readonly urgency: Urgency;
+  /** Name of the customer for whom it runs. */
+  readonly customer: string | undefined;
+  /** Latest time of the complete response, ms. */
+  readonly responseDeadlineMs: number;
+  /** Event after which a started stream goes on. */
+  readonly resumeAfterEventId: number | undefined;
+  readonly onFirstByte: () => void;
+}
+
+/** Sends the request to the server; the attempt's outcome states how it ended. */
+export function sendToServer(options: ServerSendOptions): Attempt {
+  const { context, caller, metadata, service, candidate, urgency, customer, body, sink } = options;
+  const { resumeAfterEventId, firstByteTimeoutMs, eventGapTimeoutMs, responseTimeoutMs } = options;
+  const { server } = candidate;
+  const sentMs = performance.now();
+  return new Attempt(
+    {
+      server,
+      agent: context.pool.agent(server.id),
+      codec: context.codec,
+      method: caller.req.method ?? "GET",
+      path: caller.req.url ?? "/",
+      headers: context.codec.forwardHeaders(caller.rawHeaders, {
+        serverId: server.id,
+        deadlineMs: Math.max(1, Math.floor(options.responseDeadlineMs - sentMs)),
+        customer,
+        priority: service.engine === undefined ? undefined : Math.min(maxRank, urgency.rank),
+        resumeAfterEventId,
+        bodyBytes: body?.length,
+      }),
+      body,
+      requestId: metadata.requestId,
+      sink,
+      lastDeliveredEvent: resumeAfterEventId ?? metadata.lastEventId,
+      ...{ firstByteTimeoutMs, eventGapTimeoutMs, responseTimeoutMs },
+    },
+    {
+      onConnected: () => {
+        context.reachability.recordConnected(server.id, performance.now());
+      },
+      onResponse: (response) => {
+        const { notice } = response;
+        const now = performance.now();
+        context.concurrency.recordResponse(server, notice.rejectionsPerS, sentMs, now);
+        context.pool.setKeepAlive(server.id, response.keepAliveS);
+        context.notices.recordNotice(server, notice, sentMs, now, context.watermark.readUpToMs);
+      },
+      onFirstByte: options.onFirstByte,
+      onProgress: () => {
+        context.reachability.recordHeard(server.id, performance.now());
+      },
+    },
+  );
+}
