--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -8,25 +8,16 @@
 import { configurationAgeLimits } from "../serving/configurationAge.ts";
 import { negligibleDemand } from "../serving/demandMeter.ts";
 import type { HeaderCodec } from "../serving/exchange.ts";
-import { formatEndpoint, type HostSettings } from "../serving/hostSettings.ts";
-import { reachesAny } from "../serving/forwarding.ts";
-import { chooseAddresses } from "../serving/membership/directory.ts";
+import type { HostSettings } from "../serving/hostSettings.ts";
 import type { EngineApi } from "../serving/orders.ts";
-import {
-  PeerTable,
-  type CallerDemand,
-  type Member,
-  type Peer,
-  type PeerAddress,
-  type Heartbeat,
-  type NodeStatus,
-} from "../serving/membership/peerTable.ts";
+import { PeerTable, type CallerDemand, type Heartbeat } from "../serving/membership/peerTable.ts";
 import type { Store } from "../serving/store.ts";
 import { ActivationTask } from "./membership/activationTask.ts";
 import { CallerServer } from "./requests/callerServer.ts";
 import { ConfigurationTask } from "./store/configurationTask.ts";
 import { createControlServers } from "./membership/controlServers.ts";
 import { FleetTask } from "./servers/fleetTask.ts";
+import { LocalNode, memberOf, type NodeUtilization } from "./membership/localNode.ts";
 import { LeaseTask } from "./placement/leaseTask.ts";
 import { MemberTask } from "./membership/memberTask.ts";
 import { PeerCalls, type PeerVersions } from "./membership/peerCalls.ts";
@@ -88,6 +79,7 @@
 export class GatewayNode {
   private readonly context: GatewayContext;
   private readonly peerTable: PeerTable;
+  private readonly local: LocalNode;
   private readonly peers: PeerTask;
   private readonly peerCalls: PeerCalls;
   private readonly configuration: ConfigurationTask;
@@ -105,13 +97,22 @@
   private readonly reachability: ReachabilityTask;
   private readonly supervisor: Supervisor;
   private readonly boot = Date.now();
-  /** When it last became active or returned to standby, ms. */
-  private activeSinceMs = performance.now();
-  private stopping = false;
 
   constructor(private readonly options: GatewayNodeOptions) {
     const { settings, platform, log } = options;
     this.peerTable = new PeerTable(settings);
+    this.local = new LocalNode({
+      settings,
+      boot: this.boot,
+      context: () => this.context,
+      table: this.peerTable,
+      utilization: () => this.nodeUtilization,
+      active: () => this.activation.active,
+      leaseToken: () => this.lease.currentToken,
+      readAgeMs: () => this.fleet.readAgeMs,
+      reachability: () => this.reachability,
+      storeEra: () => platform.store.eras.current,
+    });
     this.context = createGatewayContext({
       host: settings.host,
       zone: settings.zone,
@@ -119,11 +120,11 @@
       log,
       codec: platform.codec,
       ip: settings.ip,
-      sendingNodes: (service) => this.sendingNodes(service),
-      nodeCount: () => this.activeNodeCount,
+      sendingNodes: (service) => this.local.sendingNodes(service),
+      nodeCount: () => this.local.activeNodeCount,
       quotas: {
         boot: this.boot,
-        share: () => this.quotaShare,
+        share: () => this.local.quotaShare,
         reportAgeMs: () => this.peers.minIntervalMs / 2 + reportDelayMs,
       },
     });
@@ -134,7 +135,7 @@
       endpoint: settings.peers,
       log,
       table: this.peerTable,
-      readUpToMs: () => this.readUpToMs,
+      readUpToMs: () => this.local.readUpToMs,
       onDatagram: () => {
         this.context.watermark.recordDatagram();
       },
@@ -149,9 +150,9 @@
     this.activation = new ActivationTask({
       log,
       table: this.peerTable,
-      readUpToMs: () => this.readUpToMs,
+      readUpToMs: () => this.local.readUpToMs,
       peers: this.peers,
-      nodeStatus: () => this.nodeStatus(),
+      nodeStatus: () => this.local.status(),
       presenceRevision: () => this.context.fleet.presenceRevision,
       quarantinePosition: () => this.quarantine.position,
       readAgeMs: () => this.storeReader.freshestReadAgeMs,
@@ -162,7 +163,7 @@
     this.storeReader = new StoreReaderRole({
       ip: settings.ip,
       table: this.peerTable,
-      readUpToMs: () => this.readUpToMs,
+      readUpToMs: () => this.local.readUpToMs,
       active: () => this.activation.active,
       holdsLease: () => this.lease.holding,
       readAgeMs: () => this.fleet.readAgeMs,
@@ -176,7 +177,7 @@
       self: settings,
       leaseMs: settings.leaseMs,
       eligible: () => this.activation.active && !this.reachability.partitionedFromEngines,
-      holderAlive: () => this.peerTable.leaseHolder(this.readUpToMs) !== undefined,
+      holderAlive: () => this.peerTable.leaseHolder(this.local.readUpToMs) !== undefined,
       storeReachableByPeers: () => this.storeReader.storeReachableByPeers,
       broadcastYield: (message) => {
         this.peers.notify("lease.yield", message);
@@ -185,7 +186,7 @@
     });
     this.reachability = new ReachabilityTask({
       context: this.context,
-      peers: () => this.readyPeers.map(({ status }) => status),
+      peers: () => this.local.readyPeers.map(({ status }) => status),
       report: () => {
         this.peers.sendHeartbeat();
       },
@@ -222,26 +223,26 @@
       configuration: this.context.configuration,
       peers: this.peers,
       active: () => this.activation.active,
-      activePeers: () => this.peerTable.rosterSources(this.readUpToMs),
+      activePeers: () => this.peerTable.rosterSources(this.local.readUpToMs),
     });
     const runLocks = new RunLockTask({
       log,
       self: settings.peers,
       peers: this.peers,
-      ownerOf: (fingerprint) => this.ownerOf(fingerprint),
-      readUpToMs: () => this.readUpToMs,
+      ownerOf: (fingerprint) => this.local.ownerOf(fingerprint),
+      readUpToMs: () => this.local.readUpToMs,
     });
     const streamPublisher = new StreamPublisher({
       store,
       log,
       ip: settings.ip,
-      isIsolated: () => this.peerTable.isIsolated(this.readUpToMs),
+      isIsolated: () => this.peerTable.isIsolated(this.local.readUpToMs),
       streams: () => this.context.streamVersions.own(performance.now()),
     });
     const streamVersions = new StreamVersionTask({
       context: this.context,
       peers: this.peers,
-      livePeers: () => this.peerTable.alive(this.readUpToMs).map(({ status }) => status),
+      livePeers: () => this.peerTable.alive(this.local.readUpToMs).map(({ status }) => status),
       fleetIsCurrent: () => this.storeReader.fleetIsCurrent,
       loadHistory: () => this.versionHistory.load(),
       publisher: streamPublisher,
@@ -268,7 +269,7 @@
       limits,
       metrics: this.context.metrics,
       callPeer,
-      informedPeers: () => this.peerTable.informedPeers(limits.refreshAgeMs, this.readUpToMs),
+      informedPeers: () => this.peerTable.informedPeers(limits.refreshAgeMs, this.local.readUpToMs),
       unreadMs: () => this.context.watermark.lagMs,
     });
     this.callers = new CallerServer({
@@ -283,10 +284,10 @@
       runLocks,
       quotas: this.quotas,
       streamVersions,
-      forwarder: new PeerForwarder({ context: this.context, peers: () => this.readyPeers }),
+      forwarder: new PeerForwarder({ context: this.context, peers: () => this.local.readyPeers }),
       retryRatio: settings.retryRatio,
       retryBurst: settings.retryBurst,
-      budgetShare: () => this.peerTable.budgetShare(this.activation.active, this.readUpToMs),
+      budgetShare: () => this.peerTable.budgetShare(this.activation.active, this.local.readUpToMs),
     });
     this.fleet = new FleetTask({
       store,
@@ -318,7 +319,7 @@
       log,
       self: settings.peers,
       peers: this.peers,
-      ownerOf: (server) => this.ownerOf(server),
+      ownerOf: (server) => this.local.ownerOf(server),
       notices: this.context.notices,
       permits: this.context.permits,
       issuer: this.context.permitIssuer,
@@ -404,7 +405,7 @@
     });
     this.activation.changed.on((active) => {
       if (active) this.utilization.reset();
-      this.activeSinceMs = performance.now();
+      this.local.recordActivation();
       this.quotas.reset();
       this.applyActivation();
     });
@@ -428,10 +429,10 @@
   async stop(): Promise<void> {
     const { settings, log } = this.options;
     // The grace period starts with the signal, which a delayed process handles late.
-    const startedMs = this.readUpToMs;
+    const startedMs = this.local.readUpToMs;
     const exitDeadlineMs = startedMs + settings.graceMs - exitMarginMs;
     log.info({ event: "stopping", inFlight: this.callers.activeRequests });
-    this.stopping = true;
+    this.local.recordStop();
     this.callers.startDraining(exitDeadlineMs);
     this.activation.preventActivation();
     this.peers.sendHeartbeat();
@@ -482,40 +483,14 @@
     this.quarantine.wake();
   }
 
-  /** The node that owns a key: grants the permits of a server, or the run lock of a request fingerprint. */
-  private ownerOf(key: string): PeerAddress {
-    const mayOwn = this.ready && this.activation.active;
-    return this.peerTable.owner(key, this.options.settings.peers, mayOwn, this.readUpToMs);
-  }
-
-  /** Everything that arrived before this time has been read, ms; reference time for the liveness of peers. */
-  private get readUpToMs(): number {
-    return this.context.watermark.readUpToMs;
-  }
-
-  /** Number of active nodes: this one and the live peers. */
-  private get activeNodeCount(): number {
-    return this.peerTable.alive(this.readUpToMs).length + 1;
-  }
-
-  private get ready(): boolean {
-    return !this.stopping && this.context.configuration.current !== undefined;
-  }
-
-  /** Share of customers' quotas for this node and those in contact with it. */
-  private get quotaShare(): number {
-    const { active } = this.activation;
-    return this.peerTable.quotaShare(active ? this.activeSinceMs : undefined, this.readUpToMs);
-  }
-
   /** Servers for readiness checks, the directory and metrics. */
   private controlServers(): Task[] {
     const { settings, platform } = this.options;
     return createControlServers({
       settings,
       paths: platform.paths,
-      ready: () => this.ready,
-      directory: () => platform.encodeDirectory(this.addresses(), this.ttlS),
+      ready: () => this.local.ready,
+      directory: () => platform.encodeDirectory(this.local.addresses(), this.ttlS),
       metrics: () => {
         this.reachability.updateMetrics();
         const { metrics, concurrency, fleet, configuration } = this.context;
@@ -523,12 +498,12 @@
         for (const [service, versions] of fleet.softwareVersions())
           metrics.softwareVersions.set({ service }, versions.size);
         const now = performance.now();
-        metrics.quotaShare.set(this.quotaShare);
+        metrics.quotaShare.set(this.local.quotaShare);
         metrics.quotaBalance.reset();
         for (const { name } of configuration.current?.customers?.customers ?? [])
           metrics.quotaBalance.set({ customer: name }, this.context.quotas.balance(name, now) ?? Infinity);
         metrics.brittleServers.set(concurrency.countLimited(fleet.all(), performance.now()));
-        this.context.metrics.peers.set(this.peerTable.alive(this.readUpToMs).length);
+        this.context.metrics.peers.set(this.peerTable.alive(this.local.readUpToMs).length);
         return this.context.metrics.registry;
       },
     });
@@ -538,61 +513,15 @@
     return Math.min(directoryTtlS, this.options.settings.maxTtlS);
   }
 
-  /** IPs of the active nodes that can connect to a server of the service. */
-  private sendingNodes(service: string): string[] {
-    const servers = this.context.fleet.available(service).map(({ id }) => id);
-    const nodes = this.readyPeers.map(({ status }) => status);
-    if (this.ready && this.activation.active) nodes.push(this.nodeStatus());
-    return nodes.filter((node) => reachesAny(node, servers)).map(({ ip }) => ip);
-  }
-
-  /** Live peers that accept callers. */
-  private get readyPeers(): Peer[] {
-    return this.peerTable.alive(this.readUpToMs).filter(({ status }) => status.ready);
-  }
-
-  /** Addresses of nodes that accept callers. */
-  private addresses(): string[] {
-    const nodes = this.readyPeers.map(({ status }) => status);
-    if ((this.ready && this.activation.active) || nodes.length === 0) nodes.push(this.nodeStatus());
-    return chooseAddresses(nodes, Math.random);
-  }
-
-  private nodeStatus(): NodeStatus {
-    const { settings, cpuUtilization } = this.options;
-    const token = this.lease.currentToken;
-    const { readAgeMs } = this.fleet;
-    const { ageMs: configurationAgeMs } = this.context.configuration;
-    const { unreachable, partitioned } = this.reachability;
-    const { current: storeEra } = this.options.platform.store.eras;
-    const { quotaShare } = this;
-    return {
-      ...memberOf(settings),
-      host: settings.host,
-      boot: this.boot,
-      callers: formatEndpoint(settings.callers),
-      ready: this.ready,
-      // An overloaded node has no spare CPU time, whatever its measured utilization.
-      busy: this.context.overloadDetector.overloaded ? 1 : (cpuUtilization?.() ?? this.utilization.recent),
-      steadyBusy: cpuUtilization?.() ?? this.utilization.steady,
-      version: this.context.configuration.version,
-      ...(Number.isFinite(configurationAgeMs) ? { configurationAgeMs: Math.round(configurationAgeMs) } : {}),
-      ...(Number.isFinite(readAgeMs) ? { readAgeMs: Math.round(readAgeMs) } : {}),
-      fleetRevision: this.context.fleet.revision,
-      ...(token === undefined ? {} : { token }),
-      ...(unreachable.length === 0 ? {} : { unreachable }),
-      ...(partitioned ? { partitioned } : {}),
-      forwarding: true,
-      streamVersions: true,
-      customers: true,
-      ...(quotaShare < 1 ? { quotaShare } : {}),
-      ...(storeEra === undefined ? {} : { storeEra }),
-    };
+  private get nodeUtilization(): NodeUtilization {
+    const { cpuUtilization } = this.options;
+    const { recent, steady } = this.utilization;
+    return { recent: cpuUtilization?.() ?? recent, steady: cpuUtilization?.() ?? steady };
   }
 
   private heartbeat(): Heartbeat {
     return {
-      ...this.nodeStatus(),
+      ...this.local.status(),
       active: this.activation.active,
       quarantinePosition: this.quarantine.position,
       ...(this.lease.currentToken === undefined ? {} : { coming: this.placement.expectedLoads() }),
@@ -613,7 +542,3 @@
     };
   }
 }
-
-function memberOf({ peers, zone, strength }: HostSettings): Member {
-  return { ...peers, zone, strength };
-}
