--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -11,6 +11,7 @@
 import type { HostSettings } from "../serving/hostSettings.ts";
 import type { EngineApi } from "../serving/orders.ts";
 import { PeerTable, type CallerDemand, type Heartbeat } from "../serving/membership/peerTable.ts";
+import type { BudgetShare } from "../serving/retryBudget.ts";
 import type { Store } from "../serving/store.ts";
 import { ActivationTask } from "./membership/activationTask.ts";
 import { CallerServer } from "./requests/callerServer.ts";
@@ -255,6 +256,7 @@
       holdsLease: () => this.lease.holding,
     });
     const shouldReadStore = (): boolean => this.storeReader.shouldRead;
+    const retryingNodes = (): number => this.budgetShare.count;
     const callPeer: PeerCalls["call"] = (...args) => this.peerCalls.call(...args);
     const limits = configurationAgeLimits(settings.configApplyMs);
     this.configuration = new ConfigurationTask({
@@ -265,6 +267,7 @@
       row: platform.configurationRow,
       decode: platform.decodeConfiguration,
       shouldReadStore,
+      retryingNodes,
       active: () => this.activation.active,
       limits,
       metrics: this.context.metrics,
@@ -287,7 +290,7 @@
       forwarder: new PeerForwarder({ context: this.context, peers: () => this.local.readyPeers }),
       retryRatio: settings.retryRatio,
       retryBurst: settings.retryBurst,
-      budgetShare: () => this.peerTable.budgetShare(this.activation.active, this.local.readUpToMs),
+      budgetShare: () => this.budgetShare,
     });
     this.fleet = new FleetTask({
       store,
@@ -296,6 +299,7 @@
       table: platform.serversTable,
       decode: platform.decodeServer,
       shouldReadStore,
+      retryingNodes,
       active: () => this.activation.active,
       storeReachableByPeers: () => this.storeReader.storeReachableByPeers,
       callPeer,
@@ -312,6 +316,7 @@
       metrics: this.context.metrics,
       quarantine: this.context.quarantine,
       shouldReadStore,
+      retryingNodes,
       active: () => this.activation.active,
       callPeer,
     });
@@ -483,6 +488,11 @@
     this.quarantine.wake();
   }
 
+  /** This node's share of fleet-wide limits, and the number of nodes in its role. */
+  private get budgetShare(): BudgetShare {
+    return this.peerTable.budgetShare(this.activation.active, this.local.readUpToMs);
+  }
+
   /** Servers for readiness checks, the directory and metrics. */
   private controlServers(): Task[] {
     const { settings, platform } = this.options;
--- a/src/gateway/store/tableTask.ts
+++ b/src/gateway/store/tableTask.ts
@@ -2,11 +2,10 @@
 import { LoopTask } from "../../common/loopTask.ts";
 import { toFailure, type Failure } from "../../common/errors.ts";
 import { elapsedMsSince, takeInstant, type Instant } from "../../common/instant.ts";
+import { storeRetryMs } from "../../serving/membership/storeReaders.ts";
 import type { RowSet, Store } from "../../serving/store.ts";
 import type { StorePosition } from "../../serving/storePosition.ts";
 
-/** Pause after a failed call, ms. */
-const retryMs = 250;
 /** Pause before all rows are read again because the store no longer has the changes in between, ms. */
 const historyLostRetryMs = 10;
 
@@ -17,6 +16,8 @@
   readonly shouldReadStore: () => boolean;
   /** Whether this node is active, rather than on standby. */
   readonly active: () => boolean;
+  /** Number of nodes that read the store like this one while it answers nobody. */
+  readonly retryingNodes: () => number;
 }
 
 /** The table to follow, and how. */
@@ -85,6 +86,7 @@
       const failure = toFailure(error);
       const historyLost = failure.kind === "history-lost";
       if (!historyLost) this.recordResult(failure);
+      const retryMs = storeRetryMs(this.taskOptions.retryingNodes(), Math.random());
       await this.pause(historyLost ? historyLostRetryMs : retryMs);
       return undefined;
     }
--- a/src/serving/membership/storeReaders.ts
+++ b/src/serving/membership/storeReaders.ts
@@ -9,6 +9,12 @@
 /** A peer whose last read is older than this, ms, doesn't count as a reader: two missed periods. */
 export const maxFreshReadAgeMs = 1_300;
 
+/** Shortest and longest time until a node reads again after a failure, ms. */
+const minRetryMs = 250;
+const maxRetryMs = 2_000;
+/** Average interval between the reads of all nodes that retry, ms. */
+const retryPeriodPerNodeMs = 25;
+
 /** A node that could read the store. */
 export interface StoreReader {
   readonly ip: string;
@@ -18,6 +24,15 @@
   readonly readAgeMs: number;
 }
 
+/**
+ * Time until the next read after a failed one, ms, if `nodes` nodes retry; `draw` is a random number from 0 to 1. While the store
+ * answers nobody, every node tries, and the first one that succeeds tells the others.
+ */
+export function storeRetryMs(nodes: number, draw: number): number {
+  const averageMs = Math.min(maxRetryMs, Math.max(minRetryMs, nodes * retryPeriodPerNodeMs));
+  return averageMs === minRetryMs ? minRetryMs : averageMs * (0.5 + draw);
+}
+
 /** Whether `self` should read the store now. */
 export function shouldReadStore(self: StoreReader, peers: readonly StoreReader[]): boolean {
   const fresh = peers.filter((peer) => peer.readAgeMs < maxFreshReadAgeMs);
--- a/test/gateway/fleetTask.spec.ts
+++ b/test/gateway/fleetTask.spec.ts
@@ -42,6 +42,7 @@
       decode: (_id, text) => purify.Right(JSON.parse(text) as BackendServer),
       shouldReadStore: () => this.isStoreReader,
       active: () => true,
+      retryingNodes: () => 1,
       storeReachableByPeers: () => true,
       callPeer: async (_peer, method, params) => this.peer?.task.handlers[method]?.(params),
       onChange: () => undefined,
--- a/test/gateway/quarantineTask.spec.ts
+++ b/test/gateway/quarantineTask.spec.ts
@@ -30,6 +30,7 @@
       quarantine: this.quarantine,
       shouldReadStore: () => this.isStoreReader,
       active: () => true,
+      retryingNodes: () => 1,
       callPeer: async (peer, method, params) => this.peers.get(peer.host)?.task.handlers[method]?.(params),
     });
   }
