--- a/src/serving/customers/quotaBucket.ts
+++ b/src/serving/customers/quotaBucket.ts
@@ -5,6 +5,11 @@
  */
 import type { Quota } from "./customer.ts";
 
+/**
+ * Part of the burst that counts as used where the use until now is unknown. Less would exceed the tolerance of a window if all
+ * nodes started at the same moment; more would refuse callers that return after an outage.
+ */
+const unknownUseRatio = 0.5;
 /** Time constant of the moving average of what other nodes use, ms. */
 const rateWindowMs = 500;
 
@@ -20,10 +25,10 @@
   private othersPerMs = 0;
   private othersUpdatedMs: number;
 
-  /** Creates an exhausted bucket: what was used until now isn't known. */
+  /** Creates a bucket of which it isn't known what was used until now. */
   constructor(quota: Quota, nowMs: number) {
     this.quota = quota;
-    this.used = quota.burst;
+    this.used = unknownUseRatio * quota.burst;
     this.drainedMs = nowMs;
     this.othersUpdatedMs = nowMs;
   }
@@ -43,9 +48,9 @@
     this.share = share;
   }
 
-  /** Forgets what is known: the bucket is exhausted, as a new one. */
+  /** Forgets what is known, as in a new bucket. */
   reset(nowMs: number): void {
-    this.used = Math.max(this.used, this.quota.burst * this.share);
+    this.used = Math.max(this.used, unknownUseRatio * this.quota.burst * this.share);
     this.drainedMs = nowMs;
     this.othersPerMs = 0;
     this.othersUpdatedMs = nowMs;
