--- a/src/gateway/customers/quotaTask.ts
+++ b/src/gateway/customers/quotaAdmission.ts
@@ -7,6 +7,7 @@
 import { toFailure } from "../../common/errors.ts";
 import type { Log } from "../../common/log.ts";
 import { ClockJumpDetector, readClocks } from "../../serving/clockJumpDetector.ts";
+import type { Customer } from "../../serving/customers/customer.ts";
 import { QuotaCharge, QuotaDecision, type QuotaReport, type Quotas } from "../../serving/customers/quotas.ts";
 import type { PeerAddress } from "../../serving/membership/peerTable.ts";
 import type { ActiveConfiguration } from "../store/activeConfiguration.ts";
@@ -34,12 +35,15 @@
   refund(): void;
 }
 
+/** Kinds of decisions, as labels of metrics. */
+const outcomes = ["admitted", "refused"] as const;
+
 /** The decision on a request. */
 export type QuotaOutcome =
   { readonly kind: "admitted"; readonly grant: QuotaGrant } | Extract<QuotaDecision, { kind: "refused" }>;
 
-/** Options of a `QuotaTask`. */
-export interface QuotaTaskOptions {
+/** Options of a `QuotaAdmission`. */
+export interface QuotaAdmissionOptions {
   readonly log: Log;
   readonly metrics: GatewayMetrics;
   readonly quotas: Quotas;
@@ -50,16 +54,17 @@
   readonly activePeers: () => readonly PeerAddress[];
 }
 
-/** Decides on requests and keeps the quotas up to date. */
-export class QuotaTask {
+/** Decides on requests, and applies changed quotas. */
+export class QuotaAdmission {
   private readonly jumpDetector = new ClockJumpDetector();
   private readonly decisions = new Map<string, QuotaDecision>();
+  /** Customers with metrics; those of earlier configurations are removed. */
+  private readonly counted = new Set<string>();
 
-  constructor(private readonly options: QuotaTaskOptions) {
-    const { configuration, quotas, metrics, peers } = options;
+  constructor(private readonly options: QuotaAdmissionOptions) {
+    const { configuration, quotas, peers } = options;
     configuration.changed.on(({ customers }) => {
-      quotas.apply(customers?.customers ?? [], performance.now());
-      metrics.customerRequests.reset();
+      this.apply(customers?.customers ?? []);
     });
     peers.handle("quota.admit", (params) => this.admitForPeer(decode(AdmissionRequest, params)));
     peers.handle("quota.refund", (params) => {
@@ -72,6 +77,7 @@
     const { active, activePeers, metrics } = this.options;
     const [peer] = active() ? [] : activePeers();
     const outcome = await (peer === undefined ? this.admitHere(request) : this.admitAt(peer, request));
+    this.counted.add(request.customer);
     metrics.customerRequests.inc({ customer: request.customer, outcome: outcome.kind });
     return outcome;
   }
@@ -87,6 +93,17 @@
     this.options.quotas.reset(performance.now());
   }
 
+  private apply(customers: readonly Customer[]): void {
+    const { quotas, metrics } = this.options;
+    quotas.apply(customers, performance.now());
+    const names = new Set(customers.map(({ name }) => name));
+    for (const customer of this.counted) {
+      if (names.has(customer)) continue;
+      this.counted.delete(customer);
+      for (const outcome of outcomes) metrics.customerRequests.remove({ customer, outcome });
+    }
+  }
+
   private admitHere(request: AdmissionRequest): QuotaOutcome {
     const { quotas } = this.options;
     const decision = quotas.admit(request.customer, request, performance.now());
--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -36,7 +36,7 @@
 import { StoreHealth } from "./store/storeHealth.ts";
 import { ReachabilityTask } from "./servers/reachabilityTask.ts";
 import { RouteResolver } from "./requests/routeResolver.ts";
-import { QuotaTask } from "./customers/quotaTask.ts";
+import { QuotaAdmission } from "./customers/quotaAdmission.ts";
 import { RunLockTask } from "./quarantine/runLockTask.ts";
 import { VersionHistoryTask } from "./streams/versionHistoryTask.ts";
 import { Utilization } from "./membership/utilization.ts";
@@ -92,7 +92,7 @@
   private readonly utilization = new Utilization();
   private readonly placement: PlacementTask;
   private readonly quarantine: QuarantineTask;
-  private readonly quotas: QuotaTask;
+  private readonly quotas: QuotaAdmission;
   private readonly versionHistory: VersionHistoryTask;
   private readonly callers: CallerServer;
   private readonly reachability: ReachabilityTask;
@@ -217,7 +217,7 @@
       self: memberOf(settings),
       shouldReadStore: () => this.storeReader.shouldRead,
     });
-    this.quotas = new QuotaTask({
+    this.quotas = new QuotaAdmission({
       log,
       metrics: this.context.metrics,
       quotas: this.context.quotas,
--- a/src/gateway/requests/callerServer.ts
+++ b/src/gateway/requests/callerServer.ts
@@ -12,7 +12,7 @@
 import { Exchange } from "./exchange.ts";
 import type { PlacementClient, GatewayContext } from "../gatewayContext.ts";
 import type { RouteResolver } from "./routeResolver.ts";
-import type { QuotaTask } from "../customers/quotaTask.ts";
+import type { QuotaAdmission } from "../customers/quotaAdmission.ts";
 import type { RunLockTask } from "../quarantine/runLockTask.ts";
 import type { StreamVersionClient } from "../streams/streamVersionTask.ts";
 
@@ -36,7 +36,7 @@
   readonly placement: PlacementClient;
   readonly routes: RouteResolver;
   readonly runLocks: Pick<RunLockTask, "acquire">;
-  readonly quotas: Pick<QuotaTask, "admit">;
+  readonly quotas: Pick<QuotaAdmission, "admit">;
   readonly streamVersions: StreamVersionClient;
   readonly forwarder: PeerForwarder;
   readonly retryRatio: number;
--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -22,7 +22,7 @@
 import { ServerSelector, defaultRetryS } from "./serverSelector.ts";
 import { sendToServer } from "./serverSend.ts";
 import { adapterKey, demandKey, type PlacementClient, type GatewayContext } from "../gatewayContext.ts";
-import type { QuotaTask } from "../customers/quotaTask.ts";
+import type { QuotaAdmission } from "../customers/quotaAdmission.ts";
 import type { RunLockTask } from "../quarantine/runLockTask.ts";
 import { ResumableStream } from "../streams/resumableStream.ts";
 import type { CustomerIdentity, ResolvedRoute, RouteResolver } from "./routeResolver.ts";
@@ -51,7 +51,7 @@
   readonly placement: PlacementClient;
   readonly routes: Pick<RouteResolver, "resolve">;
   readonly runLocks: Pick<RunLockTask, "acquire">;
-  readonly quotas: Pick<QuotaTask, "admit">;
+  readonly quotas: Pick<QuotaAdmission, "admit">;
   readonly streamVersions: StreamVersionClient;
   readonly budgetFor: (service: string) => RetryBudget;
   readonly caller: CallerConnection;
--- a/src/gateway/requests/quotaCheck.ts
+++ b/src/gateway/requests/quotaCheck.ts
@@ -2,12 +2,12 @@
 import type { Disposable } from "../../common/disposables.ts";
 import type { Route } from "../../serving/configuration.ts";
 import type { RequestMetadata } from "../../serving/exchange.ts";
-import type { QuotaGrant, QuotaOutcome, QuotaTask } from "../customers/quotaTask.ts";
+import type { QuotaGrant, QuotaOutcome, QuotaAdmission } from "../customers/quotaAdmission.ts";
 import type { AttemptOutcome } from "./attempt.ts";
 
 /** Options of a `QuotaCheck`. */
 export interface QuotaCheckOptions {
-  readonly quotas: Pick<QuotaTask, "admit">;
+  readonly quotas: Pick<QuotaAdmission, "admit">;
   readonly metadata: RequestMetadata;
   readonly route: Route;
   /** Name of the customer. */
