--- a/src/serving/membership/peerTable.ts
+++ b/src/serving/membership/peerTable.ts
@@ -135,6 +135,11 @@
 /** Ratio of a fleet-wide limit that the standby nodes share. */
 const standbyBudgetRatio = 0.1;
 
+/**
+ * Peers from which nothing was received for this long, ms, may use customers' quotas without this node knowing: two missed
+ * heartbeats.
+ */
+const quotaSilenceMs = 700;
 /** An active node that was lost without notice may still serve callers for this long, ms: longer than most partitions. */
 const lossMemoryMs = 15_000;
 
@@ -278,11 +283,15 @@
    */
   quotaShare(activeSinceMs: number | undefined, nowMs: number): number {
     if (activeSinceMs === undefined) return 1 / this.knownNodes.length;
-    const alive = this.alive(nowMs);
-    const aliveIps = new Set(alive.map(({ status }) => status.ip));
+    const isHeard = ({ lastHeardMs }: Peer): boolean => nowMs - lastHeardMs < quotaSilenceMs;
+    const alive = [...this.peers.values()].filter(isHeard);
     const lost = [...this.peers.values()].filter(
-      ({ status, lastHeardMs }) =>
-        status.ready && !aliveIps.has(status.ip) && nowMs - lastHeardMs < lossMemoryMs,
+      // Of peers known from rosters alone nothing has been received yet.
+      (peer) =>
+        peer.status.ready &&
+        peer.sinceMs !== undefined &&
+        !isHeard(peer) &&
+        nowMs - peer.lastHeardMs < lossMemoryMs,
     );
     const firstLossMs = Math.min(...lost.map(({ lastHeardMs }) => lastHeardMs));
     const before = alive.filter(({ sinceMs = nowMs }) => sinceMs <= firstLossMs).length + 1;
