--- a/src/serving/customers/quotas.ts
+++ b/src/serving/customers/quotas.ts
@@ -22,6 +22,8 @@
 const priorityStepRatio = 0.25;
 /** Weight of a request in the average size of its route's requests. */
 const sizeWeight = 0.05;
+/** Number of routes whose average sizes are kept per customer; configurations may replace them all the time. */
+const maxRoutes = 1_000;
 /** Longest Retry-After of a customer over its quota, ms: one window of the demand that was refused. */
 const maxRetryAfterMs = 8_000;
 
@@ -114,6 +116,7 @@
       else {
         known.quota = quota;
         known.bucket.resize(quota, nowMs);
+        if (known.sizes.size > maxRoutes) known.sizes.clear();
       }
     }
   }
@@ -160,10 +163,11 @@
   /** Applies a peer's report. */
   applyReport(ip: string, { boot, used }: QuotaReport, nowMs: number): void {
     const known = this.peers.get(ip);
-    if (known !== undefined && known.boot > boot) return;
+    const inContact = known !== undefined && nowMs - known.heardMs < contactTimeoutMs;
+    // Late reports of an earlier process. A later start has a lower number if the wall clock was set back meanwhile.
+    if (inContact && known.boot > boot) return;
     const peer = known?.boot === boot ? known : { boot, heardMs: nowMs, totals: new Map<string, number>() };
     this.peers.set(ip, peer);
-    const inContact = nowMs - peer.heardMs < contactTimeoutMs;
     peer.heardMs = nowMs;
     for (const [name, [total, recent]] of Object.entries(used)) {
       const before = peer.totals.get(name);
--- a/test/serving/customers/quotas.spec.ts
+++ b/test/serving/customers/quotas.spec.ts
@@ -162,6 +162,16 @@
     expect(here.balance("c", 1_000)).to.equal(600);
   });
 
+  // With the clock set back, what the started node used would never have counted.
+  it("should count what a node uses that was started again after its clock was set back", () => {
+    const here = quotasOf();
+    here.applyReport("n", { boot: 5, used: { c: [100, 100] } }, 1_000);
+    here.applyReport("n", { boot: 3, used: { c: [300, 300] } }, 1_500);
+    expect(here.balance("c", 1_500)).to.equal(1_000);
+    here.applyReport("n", { boot: 3, used: { c: [400, 400] } }, 3_000);
+    expect(here.balance("c", 3_000)).to.equal(600);
+  });
+
   it("should count a peer's use during a partition to the peer's share", () => {
     const here = quotasOf();
     here.applyReport("n", { boot: 1, used: { c: [100, 100] } }, 1_000);
