--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -127,6 +127,7 @@
         boot: this.boot,
         share: () => this.local.quotaShare,
         reportAgeMs: () => this.peers.minIntervalMs / 2 + reportDelayMs,
+        tolerance: settings.quotaTolerance,
       },
     });
     for (const seed of settings.seeds) this.peerTable.addContact(seed, performance.now());
--- a/src/serving/customers/quotas.ts
+++ b/src/serving/customers/quotas.ts
@@ -12,11 +12,12 @@
 /** A peer that was silent for longer may have used its share of the quota while it was out of contact, ms. */
 const contactTimeoutMs = 1_600;
 /**
- * Debt up to which requests are admitted, as a ratio of the burst size, less a multiple of the average size of the route's
- * requests. While the quota is exhausted, the many small requests are served rather than a few large ones: refusing one
- * of these makes room for ten.
+ * Debt up to which requests are admitted, less a multiple of the average size of the route's requests. While the quota is
+ * exhausted, the many small requests are served rather than a few large ones: refusing one of these makes room for ten.
+ * It is a ratio of the tolerance, whose rest is for what other nodes use unseen, or else of the burst size.
  */
-const maxDebtRatio = 0.25;
+const maxDebtOfTolerance = 0.5;
+const maxDebtOfBurst = 0.25;
 const sizesReserved = 4;
 /** How much more is reserved for each priority below the most urgent. */
 const priorityStepRatio = 0.25;
@@ -63,6 +64,15 @@
   readonly priority: number;
 }
 
+/** How far the use within a window may exceed what the quota allows for it. */
+export interface QuotaTolerance {
+  readonly windowS: number;
+  /** As a ratio of that. */
+  readonly overage: number;
+  /** In the unit of the quota, on top. */
+  readonly slack: number;
+}
+
 /** Options of `Quotas`. */
 export interface QuotasOptions {
   /** Identifies this start of the process. */
@@ -73,6 +83,8 @@
   readonly nodeCount: () => number;
   /** Average age of the peers' reports, ms. */
   readonly reportAgeMs: () => number;
+  /** Tolerance that operators state; requests within the limit of a window are refused less often with one. */
+  readonly tolerance?: QuotaTolerance | undefined;
 }
 
 interface Account {
@@ -128,7 +140,7 @@
     const amount = quotaCost(account.quota, request);
     const balance = this.balanceOf(account, nowMs);
     // A request larger than the burst size couldn't be admitted otherwise; the debt is repaid before the next one.
-    const missing = -maxDebt(account, request, amount) - balance;
+    const missing = -this.maxDebt(account, request, amount) - balance;
     if (missing >= 0) return this.refuse(account, amount, balance, missing, nowMs);
     account.bucket.charge(amount, nowMs);
     account.total += amount;
@@ -189,6 +201,22 @@
     return bucket.balance(nowMs, this.options.reportAgeMs());
   }
 
+  /** Debt up to which a request of its route is admitted; counts the request towards the average size. */
+  private maxDebt({ quota, sizes }: Account, { route, priority }: QuotaRequest, amount: number): number {
+    const known = sizes.get(route) ?? amount;
+    const size = known + (amount - known) * sizeWeight;
+    sizes.set(route, size);
+    const reserved = sizesReserved * size * (1 + priorityStepRatio * Math.max(0, priority));
+    return Math.max(0, this.options.share() * this.debtLimit(quota) - reserved);
+  }
+
+  private debtLimit({ perS, burst }: Quota): number {
+    const { tolerance } = this.options;
+    if (tolerance === undefined) return maxDebtOfBurst * burst;
+    const { windowS, overage, slack } = tolerance;
+    return maxDebtOfTolerance * (overage * (perS * windowS + burst) + slack);
+  }
+
   /**
    * The Retry-After grows with the demand that was refused, so that callers return at the rate at which the quota refills
    * rather than all at once.
@@ -221,12 +249,3 @@
   const bucket = new QuotaBucket(quota, nowMs);
   return { quota, bucket, total: 0, reported: [0], sizes: new Map(), refused: 0, refusedMs: nowMs };
 }
-
-/** Debt up to which a request of its route is admitted; counts the request towards the average size. */
-function maxDebt({ quota, sizes }: Account, { route, priority }: QuotaRequest, amount: number): number {
-  const known = sizes.get(route) ?? amount;
-  const size = known + (amount - known) * sizeWeight;
-  sizes.set(route, size);
-  const reserved = sizesReserved * size * (1 + priorityStepRatio * Math.max(0, priority));
-  return Math.max(0, maxDebtRatio * quota.burst - reserved);
-}
--- a/src/serving/hostSettings.ts
+++ b/src/serving/hostSettings.ts
@@ -35,6 +35,10 @@
   configApplyMs: Schema.Number,
   /** API keys are accepted for this long without knowledge of whether they still exist, ms; forever if absent. */
   maxKeyAgeMs: Schema.optionalKey(Schema.Number),
+  /** How far customers may exceed their quotas within a window; in the unit of the quota. */
+  quotaTolerance: Schema.optionalKey(
+    Schema.Struct({ windowS: Schema.Number, overage: Schema.Number, slack: Schema.Number }),
+  ),
   /** Longest time for which callers cache a response of the directory, s. */
   maxTtlS: Schema.Number,
   /** Retries earned per request, and how many may accumulate, over all nodes. */
