--- a/src/gateway/requests/exchange.ts
+++ b/src/gateway/requests/exchange.ts
@@ -3,7 +3,6 @@
 import type { BackendServer } from "../../serving/backendServer.ts";
 import { isRepeatable, type Model, type Route, type Service } from "../../serving/configuration.ts";
 import { engineWorkMs } from "../../serving/engineSpeed.ts";
-import type { Urgency } from "../../serving/customers/customer.ts";
 import type { RequestMetadata } from "../../serving/exchange.ts";
 import type { NodeStatus } from "../../serving/membership/peerTable.ts";
 import { deadlinesOf, type RequestDeadlines } from "../../serving/requestDeadlines.ts";
@@ -25,7 +24,7 @@
 import type { QuotaAdmission } from "../customers/quotaAdmission.ts";
 import type { RunLockTask } from "../quarantine/runLockTask.ts";
 import { ResumableStream } from "../streams/resumableStream.ts";
-import type { CustomerIdentity, ResolvedRoute, RouteResolver } from "./routeResolver.ts";
+import type { ResolvedRoute, RouteResolver } from "./routeResolver.ts";
 import type { StreamVersionClient } from "../streams/streamVersionTask.ts";
 
 /** Refused sends allowed on top of the route's `maxAttempts`; bounds the retries of a request that no server runs. */
@@ -72,11 +71,9 @@
   /** Start of the wait caused by this node, ms; excludes the time the caller takes to send the body. */
   private waitingSinceMs: number;
   private metadata!: RequestMetadata;
-  private resolved: ResolvedRoute | undefined;
+  private resolved!: ResolvedRoute;
   private route!: Route;
   private service!: Service;
-  private customer: CustomerIdentity | undefined;
-  private urgency!: Urgency;
   private deadlines!: RequestDeadlines;
   private selector!: ServerSelector;
   private body: Buffer | undefined;
@@ -160,8 +157,6 @@
     this.resolved = resolved;
     this.route = route;
     this.service = service;
-    this.customer = resolved.customer;
-    this.urgency = resolved.urgency;
     this.deadlines = deadlinesOf(route, this.metadata.deadlineMs, this.arrivedMs);
     if (this.shouldShed()) throw this.overloadedFailure();
     if (this.options.shouldRefuseAll() || (route.kind === "stream" && this.options.shouldRefuseStreams())) {
@@ -177,7 +172,7 @@
       metadata: this.metadata,
       route,
       service,
-      priority: this.urgency.priority,
+      priority: resolved.urgency.priority,
       deadlines: this.deadlines,
       arrivedMs: this.arrivedMs,
       softwareVersion: () => this.stream.softwareVersion,
@@ -314,7 +309,7 @@
   private choosePeer(servers: readonly BackendServer[], need: PeerNeed): NodeStatus | undefined {
     if (this.triedPeers.size >= maxForwards) return undefined;
     const { softwareVersion } = this.stream;
-    const customer = this.customer?.name;
+    const { customer } = this;
     return this.options.forwarder.choosePeer(servers, need, this.triedPeers, { softwareVersion, customer });
   }
 
@@ -337,7 +332,7 @@
           : undefined,
       resumeAfterEventId: this.lastEvent,
       softwareVersion: this.stream.softwareVersion,
-      customer: this.customer?.name,
+      customer: this.customer,
       lastDeliveredEvent: this.lastEvent ?? metadata.lastEventId,
       // The peer notices an unresponsive server and tries another one, which takes as long again.
       firstByteTimeoutMs: Math.min(
@@ -413,7 +408,7 @@
     const { responseDeadlineMs } = this.deadlines;
     this.attempt = sendToServer({
       ...{ context, caller: this.caller, metadata: request, service: this.service, candidate },
-      ...{ urgency: this.urgency, customer: this.customer?.name, body: this.body, responseDeadlineMs },
+      ...{ urgency: this.resolved.urgency, customer: this.customer, body: this.body, responseDeadlineMs },
       sink: isStream ? this.stream.sinkOf(() => server.softwareVersion, true) : undefined,
       resumeAfterEventId: this.lastEvent,
       firstByteTimeoutMs: this.firstByteTimeoutMs(now, candidate.expectedMs, this.selector.hasAlternative()),
@@ -450,6 +445,11 @@
     this.context.metrics.firstByte.observe(labels, (performance.now() - this.arrivedMs) / 1000);
   }
 
+  /** Name of the customer for whom the request runs. */
+  private get customer(): string | undefined {
+    return this.resolved.customer?.name;
+  }
+
   /** The requested model, if the service runs on engines. */
   private get model(): Model | undefined {
     return this.service.engine?.models.find((m) => m.name === this.metadata.model);
@@ -586,6 +586,8 @@
   private recordOutcome(outcome: string, detail?: string): void {
     const { sends, via } = this;
     const from = this.caller.forwarded?.host;
-    this.requestLog.record(this.metadata, this.resolved, { outcome, detail, sends, via, from });
+    // Undefined if the request was refused before its route was found.
+    const resolved = this.resolved as ResolvedRoute | undefined;
+    this.requestLog.record(this.metadata, resolved, { outcome, detail, sends, via, from });
   }
 }
--- a/src/serving/customers/quotaBucket.ts
+++ b/src/serving/customers/quotaBucket.ts
@@ -21,7 +21,7 @@
   private drainedMs: number;
   /** When the bucket was last full, so that nothing used before still counted, ms. */
   private fullMs = Number.NEGATIVE_INFINITY;
-  private share = 1;
+  private currentShare = 1;
   private othersPerMs = 0;
   private othersUpdatedMs: number;
 
@@ -40,12 +40,17 @@
     this.quota = quota;
   }
 
-  /** Sets the share of the quota, from 0 to 1, that the nodes in contact with each other may use. */
+  /** Share of the quota, from 0 to 1, that the nodes in contact with each other may use. */
+  get share(): number {
+    return this.currentShare;
+  }
+
+  /** Sets the share. */
   setShare(share: number, nowMs: number): void {
     if (share === this.share) return;
     this.drain(nowMs);
     this.used *= share / this.share;
-    this.share = share;
+    this.currentShare = share;
   }
 
   /** Forgets what is known, as in a new bucket. */
--- a/src/serving/customers/quotas.ts
+++ b/src/serving/customers/quotas.ts
@@ -202,12 +202,16 @@
   }
 
   /** Debt up to which a request of its route is admitted; counts the request towards the average size. */
-  private maxDebt({ quota, sizes }: Account, { route, priority }: QuotaRequest, amount: number): number {
+  private maxDebt(
+    { quota, bucket, sizes }: Account,
+    { route, priority }: QuotaRequest,
+    amount: number,
+  ): number {
     const known = sizes.get(route) ?? amount;
     const size = known + (amount - known) * sizeWeight;
     sizes.set(route, size);
     const reserved = sizesReserved * size * (1 + priorityStepRatio * Math.max(0, priority));
-    return Math.max(0, this.options.share() * this.debtLimit(quota) - reserved);
+    return Math.max(0, bucket.share * this.debtLimit(quota) - reserved);
   }
 
   private debtLimit({ perS, burst }: Quota): number {
