--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -8,6 +8,7 @@
 import { EventSplitter, type StreamEvent } from "../../serving/eventSplitter.ts";
 import type { ResponseMetadata, HeaderCodec } from "../../serving/exchange.ts";
 import { parseEndpoint } from "../../serving/hostSettings.ts";
+import type { RequestAgentOptions } from "./requestAgent.ts";
 
 /** Connect timeout, ms: about ten round trips between zones; shorter than the 1 s retransmission of a lost SYN. */
 export const connectTimeoutMs = 300;
@@ -159,15 +160,17 @@
     });
     this.lastEvent = options.lastDeliveredEvent;
     const endpoint = parseEndpoint(options.server.address);
-    this.req = http.request({
+    const request: RequestAgentOptions = {
       agent: options.agent,
+      requestId: options.requestId,
       host: endpoint?.ip ?? "0.0.0.0",
       port: endpoint?.port ?? 0,
       method: options.method,
       path: options.path,
       headers: options.headers,
       setHost: false,
-    });
+    };
+    this.req = http.request(request);
     this.responseTimer = setTimeoutAfterInput(options.responseTimeoutMs, () => {
       this.abortWith({ kind: "timed-out", reason: "response timeout", lastEvent: this.lastEvent });
     });
--- a/src/gateway/requests/peerForwarder.ts
+++ b/src/gateway/requests/peerForwarder.ts
@@ -1,5 +1,5 @@
 /** Passes requests on to peers that can connect to the servers, and finds those peers. */
-import * as http from "node:http";
+import type * as http from "node:http";
 import type { Disposable } from "../../common/disposables.ts";
 import type { BackendServer } from "../../serving/backendServer.ts";
 import { choosePeer } from "../../serving/forwarding.ts";
@@ -13,6 +13,7 @@
   type RelayedResponse,
 } from "./forwardedRequest.ts";
 import type { CallerConnection } from "./callerConnection.ts";
+import { RequestAgent } from "./requestAgent.ts";
 import type { GatewayContext } from "../gatewayContext.ts";
 
 /** Idle connections kept per peer, and how long, ms: a peer that lost power doesn't close them. */
@@ -124,7 +125,7 @@
 
 /** Owns the connections for forwarded requests. */
 export class PeerForwarder implements Disposable {
-  private readonly agent = new http.Agent({
+  private readonly agent = new RequestAgent({
     ...{ keepAlive: true, maxFreeSockets: maxIdleConnections, timeout: idleTimeoutMs },
   });
 
--- a/src/gateway/requests/upstreamPool.ts
+++ b/src/gateway/requests/upstreamPool.ts
@@ -1,7 +1,8 @@
 /** Connections to backend servers: one pool per incarnation, so that a reused address starts with new connections. */
-import * as http from "node:http";
+import type * as http from "node:http";
 import type * as net from "node:net";
 import type { Disposable } from "../../common/disposables.ts";
+import { RequestAgent } from "./requestAgent.ts";
 
 /** Idle connections kept per server. */
 const maxIdleConnections = 6;
@@ -39,7 +40,7 @@
 }
 
 /** Keep-alive agent that closes idle connections early, and immediately if they receive unexpected data. */
-class ServerAgent extends http.Agent {
+class ServerAgent extends RequestAgent {
   /** The server's own idle timeout, from its responses, ms. */
   keepAliveMs: number | undefined;
   private readonly idle = new Map<
