--- a/src/gateway/gatewayNode.ts
+++ b/src/gateway/gatewayNode.ts
@@ -324,6 +324,7 @@
       retryingNodes,
       active: () => this.activation.active,
       storeReachableByPeers: () => this.storeReader.storeReachableByPeers,
+      isCurrent: () => this.storeReader.fleetIsCurrent,
       callPeer,
       onChange: () => {
         this.peers.sendHeartbeat();
--- a/src/gateway/requests/serverCandidates.ts
+++ b/src/gateway/requests/serverCandidates.ts
@@ -30,6 +30,8 @@
     const now = performance.now();
     const ready = this.eligible().filter((server) => this.acceptsNow(server, now));
     const settled = ready.filter((server) => this.isSettled(server, now));
+    const stored = settled.filter((server) => this.isStored(server));
+    if (stored.length > 0) return stored;
     return settled.length > 0 ? settled : ready;
   }
 
@@ -136,6 +138,12 @@
     return this.options.context.versionHistory.isSettled(service, softwareVersion, nowMs);
   }
 
+  /** The streams of a version that the store doesn't name could be taken for another version's after all nodes restarted. */
+  private isStored({ service, softwareVersion }: BackendServer): boolean {
+    if (softwareVersion === undefined) return true;
+    return this.options.context.versionHistory.isStored(service, softwareVersion);
+  }
+
   private acceptsNow(server: BackendServer, nowMs: number): boolean {
     const { notices, permits, concurrency } = this.options.context;
     return (
--- a/src/gateway/servers/fleetTask.ts
+++ b/src/gateway/servers/fleetTask.ts
@@ -62,6 +62,8 @@
   readonly retryingNodes: () => number;
   /** Whether the store answered a peer recently. */
   readonly storeReachableByPeers: () => boolean;
+  /** Whether the known servers are up to date. */
+  readonly isCurrent: () => boolean;
   /** Calls a peer. */
   readonly callPeer: (peer: PeerVersions, method: string, params: unknown) => Promise<unknown>;
   /** Called when a read changed what peers know. */
@@ -264,6 +266,7 @@
     while (!this.stopped) {
       const startedMs = performance.now();
       if (!this.options.storeReachableByPeers()) this.storeUnreachableMs = startedMs;
+      if (!this.options.isCurrent()) this.options.context.versionHistory.recordGap(startedMs);
       const isDue = this.options.shouldReadStore() || this.shouldProbe(startedMs);
       const failed = isDue && !(await this.readOnce());
       this.removeExpired();
--- a/src/gateway/streams/streamVersionTask.ts
+++ b/src/gateway/streams/streamVersionTask.ts
@@ -47,6 +47,8 @@
   version: Schema.optionalKey(Schema.String),
   /** The only version that the service had for as long as a stream can last, as far as the node knows. */
   only: Schema.optionalKey(Schema.String),
+  /** Whether the service had several versions in that time. */
+  several: Schema.optionalKey(Schema.Boolean),
 });
 type VersionResult = typeof VersionResult.Type;
 
@@ -88,7 +90,7 @@
   readonly livePeers: () => readonly PeerAddress[];
   /** Whether the known servers are up to date: the store was read recently, or live peers know nothing newer. */
   readonly fleetIsCurrent: () => boolean;
-  /** Completes the version history from the store; rejects if the store can't be read. */
+  /** Adds what the store knows to the version history; rejects if the store can't be read. */
   readonly loadHistory: () => Promise<void>;
   readonly publisher: Pick<StreamPublisher, "streamRecorded" | "read">;
 }
@@ -148,24 +150,26 @@
     this.observeFleet();
     const known = id === undefined ? undefined : context.streamVersions.get(id, now);
     if (known?.service === service) return { source: known.own ? "own" : "told", version: known.version };
-    if (this.isUnversioned(service)) return { source: "unversioned", version: undefined };
+    if (await this.isUnversioned(service)) return { source: "unversioned", version: undefined };
     const only = this.onlyVersion(service);
     if (only !== undefined) return { source: "single", version: only };
     const asked = id === undefined ? undefined : await this.askPeers(id, service);
     if (asked !== undefined) return { source: "asked", version: asked };
     const published = await this.findPublished(id, service);
     if (published !== undefined) return { source: "published", version: published };
-    await this.completeHistory();
+    await this.completeHistory(service);
     const stored = this.onlyVersion(service);
     return stored === undefined
       ? { source: "unknown", version: undefined }
       : { source: "single", version: stored };
   }
 
-  /** Whether servers of the service are known and none reports a version. */
-  private isUnversioned(service: string): boolean {
+  /** Whether servers of the service are known and none reports a version, or did before. */
+  private async isUnversioned(service: string): Promise<boolean> {
     const { fleet, versionHistory } = this.options.context;
     if (versionHistory.versionedServices.includes(service)) return false;
+    await this.completeHistory(service);
+    if (versionHistory.versionedServices.includes(service)) return false;
     return fleet.all().some((server) => server.service === service);
   }
 
@@ -175,9 +179,9 @@
   }
 
   /** After the loss of all nodes' memory, only the store knows whether there were other versions. */
-  private async completeHistory(): Promise<void> {
+  private async completeHistory(service: string): Promise<void> {
     const { context, loadHistory } = this.options;
-    if (context.versionHistory.isComplete(performance.now(), this.lifetimeMs)) return;
+    if (context.versionHistory.isComplete(service, performance.now(), this.lifetimeMs)) return;
     try {
       await loadHistory();
     } catch (error) {
@@ -259,6 +263,7 @@
     return {
       ...(known?.service === service ? { version: known.version } : {}),
       ...(only === undefined ? {} : { only }),
+      ...(this.isMixed(service) ? { several: true } : {}),
     };
   }
 
@@ -272,9 +277,17 @@
       if (version === undefined) throw new Error("not known");
       return version;
     });
-    return Promise.any(known).catch(async () =>
-      (await Promise.all(results)).map(({ only }) => only).find((only) => only !== undefined),
-    );
+    return Promise.any(known).catch(async () => this.onlyVersionOf(await Promise.all(results), service));
+  }
+
+  /** The only version of the service according to peers; undefined if any of them, or this node, knows another one. */
+  private onlyVersionOf(results: readonly VersionResult[], service: string): string | undefined {
+    const now = performance.now();
+    const own = this.options.context.versionHistory.recent(service, now, this.lifetimeMs);
+    const stated = results.flatMap(({ only }) => only ?? []);
+    const versions = new Set([...stated, ...own.map(({ version }) => version)]);
+    if (stated.length === 0 || versions.size > 1 || results.some(({ several }) => several)) return undefined;
+    return stated[0];
   }
 
   private async ask(peer: PeerAddress, id: string, service: string): Promise<VersionResult> {
--- a/src/serving/storePosition.ts
+++ b/src/serving/storePosition.ts
@@ -24,7 +24,7 @@
 }
 
 /** The condition that a row does not exist, for a write based on a read at `position`. */
-export function absentAt({ era }: StorePosition): StorePosition {
+export function absentAt({ era }: Pick<StorePosition, "era">): StorePosition {
   return { era, version: 0 };
 }
 
--- a/test/gateway/fleetTask.spec.ts
+++ b/test/gateway/fleetTask.spec.ts
@@ -51,6 +51,7 @@
       active: () => true,
       retryingNodes: () => 1,
       storeReachableByPeers: () => true,
+      isCurrent: () => true,
       callPeer: async (_peer, method, params) => {
         this.pullCount += 1;
         return this.peer?.task.handlers[method]?.(params);
