--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -146,6 +146,11 @@
     "Runs that lost their engine and had a copy at another one, by kind of copy and outcome",
     ["service", "copy", "outcome"],
   );
+  readonly lostRuns = this.counter(
+    "lost_runs_total",
+    "Runs with a copy whose connection was lost, by what is known of the run at its engine",
+    ["service", "state"],
+  );
   /** Size of the copies of runs, as expected from their tokens, by service and kind of copy. */
   readonly runCopyBytes = this.counter("run_copy_bytes_total", "Bytes of copies of runs", [
     "service",
--- a/src/gateway/runTransfer/runContinuation.ts
+++ b/src/gateway/runTransfer/runContinuation.ts
@@ -51,8 +51,8 @@
     let current = outcome;
     for (let i = 0; i < maxContinuations; i += 1) {
       const { latest } = this;
-      const copies = latest?.copiesAfter(current) ?? [];
       this.lostHeardMs = latest?.heardMs ?? this.lostHeardMs;
+      const copies = (await latest?.copiesAfter(current, this.nextEventDeadlineMs)) ?? [];
       if (current.kind === "broken") this.history.losses += 1;
       const next = copies.length === 0 ? undefined : await this.continueFrom(copies, current);
       if (next?.from !== "move") latest?.release();
--- a/src/gateway/runTransfer/runSend.ts
+++ b/src/gateway/runTransfer/runSend.ts
@@ -12,6 +12,7 @@
 import { runSizeOf, tokensOf } from "../../serving/runTransfer/runSize.ts";
 import type { Attempt, AttemptOutcome } from "../requests/attempt.ts";
 import type { ServedRequest } from "../requests/servedRequest.ts";
+import { endLostRun } from "./lostRun.ts";
 import { copyCandidates, copyViewOf } from "./copyView.ts";
 import { RunMove } from "./runMove.ts";
 import type { WatchedRun } from "./runTransfers.ts";
@@ -120,11 +121,36 @@
     this.attempt.breakOff(isRemoved ? "registration removed" : "unreachable for peers too");
   }
 
-  /** The copies from which the run can be continued after the outcome; the engine surely doesn't work on it any more. */
-  copiesAfter(outcome: AttemptOutcome): readonly CopyLocation[] {
+  /**
+   * The copies from which the run can be continued after the outcome, once the engine surely doesn't work on it any more;
+   * none if that isn't known by `deadlineMs`.
+   */
+  async copiesAfter(outcome: AttemptOutcome, deadlineMs: number): Promise<readonly CopyLocation[]> {
     // An unframed response that breaks off looks like one that ends.
     if (this.attempt?.progress.framed === false) return [];
-    return [...(this.move?.copiesAfter(outcome) ?? []), ...this.backupAfter(outcome)];
+    const copies = [...(this.move?.copiesAfter(outcome) ?? []), ...this.backupAfter(outcome)];
+    const [first] = copies;
+    if (first === undefined || outcome.kind === "moved" || this.isGone) return copies;
+    return this.afterLoss(copies, first, deadlineMs);
+  }
+
+  /** The connection was lost, which says nothing about the engine. */
+  private async afterLoss(
+    copies: readonly CopyLocation[],
+    { server: target }: CopyLocation,
+    deadlineMs: number,
+  ): Promise<readonly CopyLocation[]> {
+    const { request, server: source } = this;
+    const { events = 0 } = this.attempt?.progress ?? {};
+    const destination = target.address;
+    const state = await endLostRun({ request, source, destination, events, deadlineMs });
+    const { log, metrics } = request.context;
+    log.info({ event: "lost-run", requestId: this.requestId, server: source.id, events, state: state.kind });
+    metrics.lostRuns.inc({ service: request.service.name, state: state.kind });
+    if (state.kind === "unknown") return [];
+    if (state.kind === "ended") return copies;
+    const copy = { address: source.address, handle: state.handle };
+    return [{ kind: "move", server: state.isCopied ? target : source, copy }, ...copies];
   }
 
   private backupAfter(outcome: AttemptOutcome): readonly CopyLocation[] {
--- a/test/gateway/runBackups.spec.ts
+++ b/test/gateway/runBackups.spec.ts
@@ -130,6 +130,52 @@
     expect(runs.runs).to.have.length(1);
   });
 
+  const movable = { ...engineLimits, runCopies: { ...engineLimits.runCopies, moves: true } };
+
+  // Guards against two engines that work on the same run: a reset was taken for the end of the engine.
+  it("should not go on elsewhere after a reset while its engine may still work on it", async () => {
+    await runs.start({ limits: movable });
+    for (const engine of runs.engines) Object.assign(engine, { worksOn: true, copyStatus: 400 });
+    const { reply, source } = runs.run();
+    (await source).resetConnections();
+    const { complete, tookMs } = await reply;
+    expect(complete).to.equal(false);
+    expect(tookMs).to.be.lessThan(1_000);
+    expect(runs.runs).to.have.length(1);
+  });
+
+  // Guards against the same where the engine can stop the run.
+  it("should be stopped at its engine after a reset and go on at the other one", async () => {
+    await runs.start({ limits: movable });
+    for (const engine of runs.engines) engine.worksOn = true;
+    const { reply, source } = runs.run();
+    const first = await source;
+    first.resetConnections();
+    await waitUntil(() => runs.runs.length === 2);
+    expect(first.runs.map(({ active }) => active)).to.deep.equal([false]);
+    expect(await reply).to.include({ status: 200, body: whole, complete: true });
+    expect(first.stopCalls).to.deep.equal([true]);
+  });
+
+  it("should go on at the engine with the copy if its engine dropped it with the connection", async () => {
+    await runs.start({ limits: movable });
+    const { reply, source } = runs.run();
+    (await source).resetConnections();
+    expect(await reply).to.include({ status: 200, body: whole, complete: true });
+    expect(runs.runs).to.have.length(2);
+  });
+
+  // Guards against a second run of a request whose first run ended and whose answer was lost.
+  it("should not go on elsewhere if its connection is reset before the first event and its engine lives", async () => {
+    await runs.start({ limits: movable });
+    for (const engine of runs.engines) engine.eventMs = 200;
+    const { reply } = runs.run();
+    await waitUntil(() => runs.runs.length === 1);
+    for (const engine of runs.engines) engine.resetConnections();
+    expect((await reply).status).to.equal(502);
+    expect(runs.runs).to.have.length(1);
+  });
+
   it("should not go on once its caller has left", async () => {
     await runs.start();
     const disconnect = sendAndDisconnect({ ip: runs.ip, method: "POST", body: "x", headers: chatHeaders });
