--- a/test/platform/runCopyClient.spec.ts
+++ b/test/platform/runCopyClient.spec.ts
@@ -38,6 +38,18 @@
     expect(JSON.parse(call?.body ?? "")).to.deep.equal({ id: "r1", target: "10.0.0.2:80", last: true });
   });
 
+  // Guards against a run that goes on from another run's memory, after a late copy of an earlier answer.
+  it("should not take a second copy of an earlier answer for the answer to a call", async () => {
+    const text = '{"handle":"h1","createRevision":1}';
+    await copyWith(200, text);
+    const [first] = engine.arrivals;
+    first?.req.socket.on("data", () => {
+      first.req.socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${text.length}\r\n\r\n${text}`);
+    });
+    const reply = await copyWith(200, '{"handle":"h2","createRevision":2}');
+    expect(reply).to.deep.equal({ kind: "copied", handle: "h2", events: 2 });
+  });
+
   it("should tell the refusals of a copy apart", async () => {
     // A stopped run can be continued at its engine only with the handle of the refusal.
     expect(await copyWith(503, '{"handle":"h8"}')).to.deep.equal({ kind: "refused", handle: "h8" });
