--- a/src/gateway/membership/controlServers.ts
+++ b/src/gateway/membership/controlServers.ts
@@ -21,7 +21,11 @@
   constructor(private readonly options: ControlServerOptions) {
     this.name = options.name;
     this.server = http.createServer((req, res) => {
-      const url = new URL(req.url ?? "/", "http://host");
+      const url = urlOf(req);
+      if (url === undefined) {
+        sendJson(res, 400, { error: "the path can't be parsed" });
+        return;
+      }
       Promise.resolve(options.handle(url, res)).catch((error: unknown) => {
         sendJson(res, 500, { error: String(error) });
       });
@@ -39,6 +43,12 @@
   }
 }
 
+/** Path and query of the request; a path that begins with two slashes would name a host. */
+function urlOf({ url = "/" }: http.IncomingMessage): URL | undefined {
+  const text = `http://host${url}`;
+  return url.startsWith("/") && URL.canParse(text) ? new URL(text) : undefined;
+}
+
 /** Options of `createControlServers`. */
 export interface ControlServersOptions {
   readonly settings: Pick<HostSettings, "readiness" | "directory" | "metrics">;
