--- a/src/cli/runGateway.ts
+++ b/src/cli/runGateway.ts
@@ -16,7 +16,10 @@
   const hostLog = createHostLog("gateway");
   const node = new GatewayNode({ settings, platform, log: hostLog.log });
   if (disabledParts !== "") hostLog.log.info({ event: "parts-disabled", parts: disabledParts });
-  process.once("SIGTERM", () => {
+  let isStopping = false;
+  process.on("SIGTERM", () => {
+    if (isStopping) return;
+    isStopping = true;
     void node.stop().finally(() => {
       hostLog.flush();
       process.exit(0);
