--- a/test/gateway/streamVersionTask.spec.ts
+++ b/test/gateway/streamVersionTask.spec.ts
@@ -134,6 +134,37 @@
     expect(historyLoads).to.equal(0);
   });
 
+  // Guards against joined streams where one peer has a shorter memory than another one.
+  it("should be unknown if a peer names one version and another one knows several", async () => {
+    const task = await start();
+    register("a", "v2");
+    peers.answers = Object.fromEntries(
+      addresses.map(({ ip }, i) => [ip, i % 2 === 0 ? { only: "v2" } : { several: true }]),
+    );
+    expect((await task.findVersion("q", "s")).source).to.equal("unknown");
+  });
+
+  // Guards against the same where this node knows another version than its peers.
+  it("should be unknown if a peer names one version and this node knows another one", async () => {
+    const task = await start();
+    register("a", "v2");
+    context.versionHistory.add("s", "v1", performance.now());
+    peers.answers = Object.fromEntries(addresses.map(({ ip }) => [ip, { only: "v2" }]));
+    expect((await task.findVersion("q", "s")).source).to.equal("unknown");
+  });
+
+  // Guards against streams that go on anywhere once servers report no version any more.
+  it("should be looked up in the store where servers report none, as others did before", async () => {
+    const task = await start({
+      loadHistory: () => {
+        context.versionHistory.add("s", "v1", performance.now());
+        return Promise.resolve();
+      },
+    });
+    register("a");
+    expect((await task.findVersion("q", "s")).source).to.equal("unknown");
+  });
+
   it("should be unknown, not the only one known, on a node whose view of the servers is old", async () => {
     // Regression: a node cut off from store and peers would have missed a second version.
     const task = await start({ fleetIsCurrent: () => false });
