--- a/src/gateway/requests/serverCandidates.ts
+++ b/src/gateway/requests/serverCandidates.ts
@@ -141,7 +141,7 @@
   /** The streams of a version that the store doesn't name could be taken for another version's after all nodes restarted. */
   private isStored({ service, softwareVersion }: BackendServer): boolean {
     if (softwareVersion === undefined) return true;
-    return this.options.context.versionHistory.isStored(service, softwareVersion);
+    return this.options.context.versionHistory.confirmStored(service, softwareVersion);
   }
 
   private acceptsNow(server: BackendServer, nowMs: number): boolean {
--- a/src/gateway/streams/versionHistoryTask.ts
+++ b/src/gateway/streams/versionHistoryTask.ts
@@ -64,7 +64,7 @@
     const { history, store } = options;
     this.subscriptions = [
       history.changed.on(() => void this.resume()),
-      history.storedWanted.on(() => void this.addUnstored()),
+      history.confirmationWanted.on(() => void this.addUnstored()),
       store.eras.changed.on(() => {
         history.forgetStored();
         this.rows = undefined;
