--- a/src/gateway/caches/cacheReader.ts
+++ b/src/gateway/caches/cacheReader.ts
@@ -2,7 +2,7 @@
 import { LoopTask } from "../../common/loopTask.ts";
 import type { Log } from "../../common/log.ts";
 import type { BackendServer } from "../../serving/backendServer.ts";
-import type { OrderTarget } from "../../serving/orders.ts";
+import { targetOf, type OrderTarget } from "../../serving/orders.ts";
 import type { CacheEventSource } from "../../serving/prefixCache/cacheEvents.ts";
 import { serverKey } from "../../serving/prefixCache/cacheKnowledge.ts";
 import type { CacheUpdate } from "../../serving/prefixCache/cacheMessage.ts";
@@ -132,8 +132,7 @@
   }
 
   private get target(): OrderTarget {
-    const { id, startedAtMs, address } = this.server;
-    return { serverId: id, startedAtMs, address };
+    return targetOf(this.server);
   }
 
   private log(event: string, fields: Readonly<Record<string, unknown>>): void {
--- a/src/gateway/placement/engineController.ts
+++ b/src/gateway/placement/engineController.ts
@@ -2,7 +2,7 @@
 import { toFailure } from "../../common/errors.ts";
 import type { Log } from "../../common/log.ts";
 import { startedAfter, type BackendServer } from "../../serving/backendServer.ts";
-import type { EngineApi, OrderOutcome, OrderTarget } from "../../serving/orders.ts";
+import { targetOf, type EngineApi, type OrderOutcome, type OrderTarget } from "../../serving/orders.ts";
 import type { GatewayMetrics } from "../gatewayMetrics.ts";
 
 /** A load or unload to order. */
@@ -363,8 +363,7 @@
   }
 
   private get target(): OrderTarget {
-    const { id, startedAtMs, address } = this.registration;
-    return { serverId: id, startedAtMs, address };
+    return targetOf(this.registration);
   }
 
   private async send(request: OrderRequest): Promise<EngineOrderOutcome> {
--- a/src/gateway/runTransfer/lostRun.ts
+++ b/src/gateway/runTransfer/lostRun.ts
@@ -3,7 +3,8 @@
  * connection alone, and two engines must not work on the same run.
  */
 import { Failure, toFailure } from "../../common/errors.ts";
-import { incarnationOf, type BackendServer } from "../../serving/backendServer.ts";
+import type { BackendServer } from "../../serving/backendServer.ts";
+import { targetOf } from "../../serving/orders.ts";
 import type { RunCopyReply } from "../../serving/runTransfer/runCopyClient.ts";
 import type { ServedRequest } from "../requests/servedRequest.ts";
 
@@ -60,9 +61,10 @@
 }
 
 function isGone({ request: { context }, source }: LostRunOptions): boolean {
-  const known = context.fleet.get(source.id);
-  if (known === undefined || incarnationOf(known) !== incarnationOf(source)) return true;
-  return context.reachability.isGone(source, context.zone, performance.now());
+  return (
+    !context.fleet.hasIncarnation(source) ||
+    context.reachability.isGone(source, context.zone, performance.now())
+  );
 }
 
 /** Before its first event the run may have ended with all of its events lost; then no other engine may run it. */
@@ -76,13 +78,14 @@
   const { request, source, destination } = options;
   const { client } = request.context.runTransfers;
   if (client === undefined) return { kind: "unknown" };
-  const { id: serverId, startedAtMs, address } = source;
   const { requestId } = request.metadata;
   try {
-    const reply = await client.copy(
-      { serverId, startedAtMs, address },
-      { requestId, destination, stop: true, timeoutMs: callTimeoutMs },
-    );
+    const reply = await client.copy(targetOf(source), {
+      requestId,
+      destination,
+      stop: true,
+      timeoutMs: callTimeoutMs,
+    });
     return stateOf(reply, options);
   } catch (error) {
     // Nothing accepts connections at the address: the process has ended.
@@ -91,7 +94,7 @@
     request.context.log.debug({
       event: "lost-run-not-stopped",
       requestId,
-      server: serverId,
+      server: source.id,
       detail: message,
     });
     return undefined;
--- a/src/gateway/runTransfer/runContinuation.ts
+++ b/src/gateway/runTransfer/runContinuation.ts
@@ -3,7 +3,6 @@
  * the response to the caller. All sends of the run count as one towards attempts, retries and quotas.
  */
 import type { BackendServer } from "../../serving/backendServer.ts";
-import { incarnationOf } from "../../serving/backendServer.ts";
 import type { RunCopy } from "../../serving/exchange.ts";
 import { callerEventTimeoutMs } from "../../serving/requestDeadlines.ts";
 import type { ServerEstimate } from "../../serving/serverChoice.ts";
@@ -100,8 +99,7 @@
       if (caller.disconnected || request.abandoned) return "caller left";
       if (quarantine.timeLeftMs > 0) return "quarantined";
       if (!request.hasTimeLeft() || performance.now() >= this.nextEventDeadlineMs) return "too late";
-      const known = context.fleet.get(server.id);
-      if (known === undefined || incarnationOf(known) !== incarnationOf(server)) return "server gone";
+      if (!context.fleet.hasIncarnation(server)) return "server gone";
       if (!context.reachability.isReachable(server.id)) return "server unreachable";
       if (quarantine.mayRun) return undefined;
       await quarantine.awaitLock();
--- a/src/gateway/runTransfer/runMove.ts
+++ b/src/gateway/runTransfer/runMove.ts
@@ -1,5 +1,6 @@
 /** Moves one run off an engine that leaves: copies it while it goes on, stops it and copies the rest. */
 import type { BackendServer } from "../../serving/backendServer.ts";
+import { targetOf } from "../../serving/orders.ts";
 import { transferMs } from "../../serving/prefixCache/cacheTransfer.ts";
 import { chooseMoveTarget } from "../../serving/runTransfer/moveRules.ts";
 import type { RunCopyReply } from "../../serving/runTransfer/runCopyClient.ts";
@@ -190,11 +191,3 @@
     });
   }
 }
-
-function targetOf({ id, startedAtMs, address }: BackendServer): {
-  serverId: string;
-  startedAtMs: number | undefined;
-  address: string;
-} {
-  return { serverId: id, startedAtMs, address };
-}
--- a/src/gateway/runTransfer/runSend.ts
+++ b/src/gateway/runTransfer/runSend.ts
@@ -115,7 +115,7 @@
     const known = context.fleet.get(this.server.id);
     if (known !== undefined && this.isMovable) this.moveIfLeaving(this.attempt, known, nowMs);
     if (this.backup === undefined || nowMs - this.heardMs < this.silenceLimitMs) return;
-    const isRemoved = known === undefined || incarnationOf(known) !== incarnationOf(this.server);
+    const isRemoved = !context.fleet.hasIncarnation(this.server);
     if (!isRemoved && !context.reachability.isGone(this.server, context.zone, nowMs)) return;
     this.isGone = true;
     this.attempt.breakOff(isRemoved ? "registration removed" : "unreachable for peers too");
--- a/src/serving/fleet.ts
+++ b/src/serving/fleet.ts
@@ -2,7 +2,7 @@
  * The backend servers as this gateway node knows them: their registrations, corrected by orders that are
  * newer than the registration and by what was observed while the store was unavailable.
  */
-import { holds, startedAfter, type BackendServer, type Resident } from "./backendServer.ts";
+import { holds, incarnationOf, startedAfter, type BackendServer, type Resident } from "./backendServer.ts";
 import { ServerNotices } from "./serverNotices.ts";
 import { initialPosition, isAfter, type StorePosition } from "./storePosition.ts";
 
@@ -341,6 +341,12 @@
     return this.entries.get(id)?.server;
   }
 
+  /** Whether this incarnation of the server is known; a restarted server with the same id is another one. */
+  hasIncarnation(server: BackendServer): boolean {
+    const known = this.get(server.id);
+    return known !== undefined && incarnationOf(known) === incarnationOf(server);
+  }
+
   /** Servers of the service that accept new requests. Computed once and cached until a server changes. */
   available(service: string): readonly BackendServer[] {
     const known = this.availableByService.get(service);
--- a/src/serving/orders.ts
+++ b/src/serving/orders.ts
@@ -1,6 +1,6 @@
 /** Orders to engines and their responses. */
 import type { Emitter } from "../common/emitter.ts";
-import type { Resident } from "./backendServer.ts";
+import type { BackendServer, Resident } from "./backendServer.ts";
 import type { ServerNotice } from "./exchange.ts";
 
 /** The engine an order is addressed to; another incarnation at that address refuses it. */
@@ -11,6 +11,11 @@
   readonly address: string;
 }
 
+/** The server as the target of calls. */
+export function targetOf({ id, startedAtMs, address }: BackendServer): OrderTarget {
+  return { serverId: id, startedAtMs, address };
+}
+
 /** A load or unload order. */
 export interface Order {
   readonly action: "load" | "unload";
