--- a/test/gateway/streamVersions.spec.ts
+++ b/test/gateway/streamVersions.spec.ts
@@ -214,6 +214,39 @@
       await restartAllWithout(processes, servers.slice(0, 3), 500);
     },
   },
+  // Guards against streams of a version that the store didn't name yet when all memory was lost.
+  {
+    title: "when all hosts are killed soon after a version appeared and its server leaves meanwhile",
+    versions: ["v1", "v1", "v1", "v1"],
+    forgets: true,
+    mixed: 0,
+    load: patient,
+    act: async (processes) => {
+      await delay(0.3 * runMs);
+      const canary = new VersionedServer({ id: "canary", version: "v2" });
+      await processes.addServer(canary);
+      await delay(1_500);
+      await restartAllWithout(processes, [canary], 1_000);
+    },
+  },
+  // Guards against nodes that resume streams before they could read what the store remembers.
+  {
+    title:
+      "when all hosts are killed, the servers of a version leave meanwhile and the store is away at first",
+    forgets: true,
+    mixed: 0,
+    load: patient,
+    act: async (processes, servers) => {
+      await delay(0.3 * runMs);
+      for (const host of allHosts) processes.kill(host);
+      processes.storeAway(true);
+      await removeServers(processes, servers.slice(0, 3), 0);
+      const restarted = Promise.all(allHosts.map((host) => processes.restart(host)));
+      await delay(1_500);
+      processes.storeAway(false);
+      await restarted;
+    },
+  },
   {
     title: "while the store is away and hosts are killed",
     act: async (processes) => {
